--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for callers: wire types, checked requests, problem documents.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for model engines.
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP plumbing shared by the peers: bounded bodies, a draining server, a JSON client.
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for the append-only log service.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for operators: the administration API and its client.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions: routing, admission, retry, leases, membership, configuration.
--- /dev/null
+++ b/crates/service/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for plain services.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the engine, service, log, instance list, cloud and weight store.
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,300 @@
+//! Identifiers. Names are short, lower case and cheap to clone; numbers are `Copy`.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// The longest name accepted, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+/// The longest idempotency key accepted, in bytes.
+pub const KEY_MAX_BYTES: usize = 200;
+
+/// Why a text is not an identifier.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum IdError {
+    /// The text is empty or longer than the limit.
+    #[error("has {found} bytes; 1 to {max} are allowed")]
+    Length {
+        /// Bytes found.
+        found: usize,
+        /// Bytes allowed.
+        max: usize,
+    },
+    /// The text holds a character outside the allowed set.
+    #[error("holds {found:?}; allowed are {allowed}")]
+    Character {
+        /// The first character that is not allowed.
+        found: char,
+        /// The allowed characters.
+        allowed: &'static str,
+    },
+    /// The text is not a number of the expected form.
+    #[error("is not {expected}")]
+    Form {
+        /// The expected form.
+        expected: &'static str,
+    },
+}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    if text.is_empty() || text.len() > NAME_MAX_BYTES {
+        return Err(IdError::Length { found: text.len(), max: NAME_MAX_BYTES });
+    }
+    let allowed =
+        |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(found) => Err(IdError::Character { found, allowed: "a-z, 0-9, '-', '_' and '.'" }),
+        None => Ok(()),
+    }
+}
+
+fn check_key(text: &str) -> Result<(), IdError> {
+    if text.is_empty() || text.len() > KEY_MAX_BYTES {
+        return Err(IdError::Length { found: text.len(), max: KEY_MAX_BYTES });
+    }
+    match text.chars().find(|c| !c.is_ascii_graphic()) {
+        Some(found) => Err(IdError::Character { found, allowed: "printable ASCII without spaces" }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $check:ident, $pattern:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        #[schemars(with = "String", extend("pattern" = $pattern))]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = IdError;
+
+            fn try_from(text: &str) -> Result<Self, IdError> {
+                $check(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                Self::try_from(text.as_str())
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                Self::try_from(text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        text_id!($(#[$doc])* $name, check_name, "^[a-z0-9._-]{1,64}$");
+    };
+}
+
+name!(
+    /// One machine of the cloud, for its whole life.
+    Instance
+);
+name!(
+    /// A data centre; instances in one can be reclaimed together.
+    DataCentre
+);
+name!(
+    /// A region: data centres that are close to each other.
+    Region
+);
+name!(
+    /// A team: the unit of keys, quotas, fairness and service levels.
+    Team
+);
+name!(
+    /// A model that engines serve.
+    Model
+);
+name!(
+    /// A version of a model's weights.
+    Version
+);
+name!(
+    /// An adapter loaded beside a model.
+    Adapter
+);
+name!(
+    /// A set of interchangeable upstreams.
+    Pool
+);
+name!(
+    /// A plain service beside the models.
+    Service
+);
+name!(
+    /// A machine class of the cloud.
+    MachineClass
+);
+name!(
+    /// A person or program that confirms plans.
+    Operator
+);
+name!(
+    /// A stream of the log service.
+    StreamName
+);
+text_id!(
+    /// A key by which a caller names one logical call across retries.
+    IdempotencyKey, check_key, "^[!-~]{1,200}$"
+);
+text_id!(
+    /// A key by which the cloud recognises a repeated start.
+    ClientToken, check_key, "^[!-~]{1,200}$"
+);
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd,
+            Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl $name {
+            /// The number that follows.
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+    };
+}
+
+number_id!(
+    /// A record's place in a stream of the log service; the first record has offset 1.
+    Offset
+);
+number_id!(
+    /// A revision of the configuration: the offset of the record that made it; 0 is empty.
+    Revision
+);
+number_id!(
+    /// A fencing number: the offset of the lease record under which an order is sent.
+    Fencing
+);
+number_id!(
+    /// The ordinal of an attempt at one request, from 1.
+    Attempt
+);
+
+macro_rules! hex_id {
+    ($(#[$doc:meta])* $name:ident, $int:ty, $width:literal, $form:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Default, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+            Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        #[schemars(with = "String")]
+        pub struct $name(pub $int);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                let hex = |c: u8| c.is_ascii_digit() || (b'a'..=b'f').contains(&c);
+                if text.len() != $width || !text.bytes().all(hex) {
+                    return Err(IdError::Form { expected: $form });
+                }
+                <$int>::from_str_radix(text, 16)
+                    .map(Self)
+                    .map_err(|_| IdError::Form { expected: $form })
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.to_string()
+            }
+        }
+    };
+}
+
+hex_id!(
+    /// One accepted request; unguessable, owned by the team that made it.
+    RequestId, u128, 32, "32 hexadecimal digits in lower case"
+);
+hex_id!(
+    /// One life of a daemon; a restart has a new one.
+    Incarnation, u64, 16, "16 hexadecimal digits in lower case"
+);
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,22 @@
+//! Identifiers, units and outcomes shared by every package.
+//!
+//! Raw input becomes a checked type through `TryFrom`; a checked type never holds a value that its
+//! documentation excludes.
+
+pub mod config;
+pub mod id;
+pub mod outcome;
+pub mod problem;
+pub mod time;
+pub mod unit;
+
+pub use config::{Change, ConfigRecord, Configuration, PoolSpec, ServiceSpec, TeamSpec};
+pub use id::{
+    Adapter, Attempt, ClientToken, DataCentre, Fencing, IdempotencyKey, Incarnation, Instance,
+    MachineClass, Model, Offset, Operator, Pool, Region, RequestId, Revision, Service, StreamName,
+    Team, Version,
+};
+pub use outcome::{NotRun, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
+pub use problem::{Problem, Problems};
+pub use time::{Clock, MonotonicInstant, SystemClock, UtcInstant};
+pub use unit::{Money, Share, Size, Span, Tokens};
--- /dev/null
+++ b/crates/types/src/outcome.rs
@@ -0,0 +1,149 @@
+//! Outcomes of requests that carry their own proof.
+//!
+//! [`Unsent`] is held by exactly the code that has not yet sent a request. Only consuming it, or an
+//! [`UpstreamRefusal`], yields a [`NotRun`]; so a request that may have run can't be reported as
+//! not run.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use strum::{Display, EnumString, IntoStaticStr};
+
+/// Why a request was refused.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    EnumString,
+    Eq,
+    Hash,
+    IntoStaticStr,
+    PartialEq,
+    Serialize,
+    Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The deadline can't be met any more.
+    DeadlineUnreachable,
+    /// The team's quota is used up.
+    QuotaExceeded,
+    /// The queue is full.
+    QueueFull,
+    /// No upstream of the pool can take work.
+    NoUpstream,
+    /// The retry budget is used up.
+    RetryBudget,
+    /// The daemon is leaving and takes no new work.
+    Leaving,
+    /// The daemon can't know the newest configuration and takes no new work.
+    Stale,
+    /// The log can't settle the claim that the call needs.
+    ClaimUnavailable,
+    /// No replica holds the request.
+    ReplicaUnavailable,
+    /// The key is older than the replay window.
+    KeyExpired,
+    /// The upstream refused the request before starting it.
+    UpstreamRefused,
+}
+
+/// A request of which no byte has been sent to an upstream.
+#[derive(Debug)]
+pub struct Unsent<R> {
+    request: R,
+}
+
+impl<R> Unsent<R> {
+    /// Takes charge of a request that has just been accepted from a caller.
+    pub const fn new(request: R) -> Self {
+        Self { request }
+    }
+
+    /// The request.
+    pub const fn request(&self) -> &R {
+        &self.request
+    }
+
+    /// Gives the request up without sending it.
+    pub fn refuse(self, reason: RefusalReason, retry_after: Option<Duration>) -> NotRun {
+        NotRun { reason, retry_after }
+    }
+
+    /// Marks the request as sent, from just before its first byte leaves.
+    pub fn send(self) -> (R, Sent) {
+        (self.request, Sent { _private: () })
+    }
+}
+
+/// Proof that a request may have reached an upstream.
+#[derive(Debug)]
+pub struct Sent {
+    _private: (),
+}
+
+impl Sent {
+    /// Gives the request up after its answer was lost.
+    pub fn lose(self) -> Unknown {
+        Unknown { _private: () }
+    }
+
+    /// Turns back into a refusal, given the upstream's own word that nothing was started.
+    pub fn refused(self, proof: UpstreamRefusal, retry_after: Option<Duration>) -> NotRun {
+        let UpstreamRefusal { _private: () } = proof;
+        NotRun { reason: RefusalReason::UpstreamRefused, retry_after }
+    }
+
+    /// Gets the request back, given proof that the upstream started nothing.
+    pub fn restore<R>(self, proof: UpstreamRefusal, request: R) -> Unsent<R> {
+        let UpstreamRefusal { _private: () } = proof;
+        Unsent { request }
+    }
+}
+
+/// An upstream's own word that it started nothing, or that no connection to it was made.
+#[derive(Debug)]
+pub struct UpstreamRefusal {
+    _private: (),
+}
+
+impl UpstreamRefusal {
+    /// For peer packages alone: the connection was never established.
+    pub const fn never_connected() -> Self {
+        Self { _private: () }
+    }
+
+    /// For peer packages alone: the upstream answered that it refuses before starting.
+    pub const fn stated() -> Self {
+        Self { _private: () }
+    }
+}
+
+/// The request was not run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NotRun {
+    reason: RefusalReason,
+    retry_after: Option<Duration>,
+}
+
+impl NotRun {
+    /// Why it was not run.
+    pub const fn reason(&self) -> RefusalReason {
+        self.reason
+    }
+
+    /// When the caller may try again, if that is known.
+    pub const fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+}
+
+/// The request may or may not have run.
+#[derive(Debug, Eq, PartialEq)]
+pub struct Unknown {
+    _private: (),
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/weights/src/lib.rs
@@ -0,0 +1,1 @@
+//! Peer package for the weight store.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! bronzespindle.
