--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,1 +1,9 @@
 //! Peer package for callers: wire types, checked requests, problem documents.
+
+pub mod problem;
+pub mod request;
+pub mod wire;
+
+pub use problem::{Refusal, problem_response};
+pub use request::{Completion, Form, Repeatability, bearer_key, idempotency_key, repeatability};
+pub use wire::{AddressReply, ChatRequest, CompletionRequest, DaemonAddress};
--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -1,1 +1,7 @@
-//! Peer package for the cloud API.
+//! Peer package for the cloud API: starts, stops, prices and reclaim notices.
+
+pub mod client;
+pub mod wire;
+
+pub use client::{Cloud, HttpCloud, StartError};
+pub use wire::{Notice, Notices, Offer, Running, RunningList, StartReply, StartRequest};
--- /dev/null
+++ b/crates/engine/src/client.rs
@@ -0,0 +1,166 @@
+//! The client of model engines.
+
+use crate::wire::{CacheEvents, Chunk, Generate, Load, Order, OrderReply};
+use futures_util::{Stream, StreamExt};
+use http::{Method, StatusCode};
+use spindle_http::client::{error_body, json_request};
+use spindle_http::event::BodyEvents;
+use spindle_http::{CallError, Client, Event, events};
+use spindle_types::UpstreamRefusal;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// The time within which a call other than a generation must be answered.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The largest answer to a call other than a generation, in bytes.
+const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Why a generation did not start.
+#[derive(Debug, Error)]
+pub enum GenerateError {
+    /// The engine started nothing.
+    #[error("engine refused: {text}")]
+    Refused {
+        /// Proof that nothing was started.
+        proof: UpstreamRefusal,
+        /// What the engine or the transport said.
+        text: String,
+    },
+    /// The engine may have started.
+    #[error("engine's answer lost: {0}")]
+    Lost(String),
+}
+
+/// What the stream of a generation yields.
+#[derive(Debug)]
+pub enum Step {
+    /// A valid event.
+    Chunk(Chunk),
+    /// The stream broke off or is not valid; nothing follows.
+    Broken(String),
+}
+
+/// The stream of one generation. Dropping it cancels the generation.
+pub trait Generation: Send + Unpin {
+    /// The next step; after [`Step::Broken`] or a last chunk there is none.
+    fn next(&mut self) -> impl Future<Output = Step> + Send;
+}
+
+/// Model engines, as the system uses them.
+pub trait Engine: Clone + Send + Sync + 'static {
+    /// The stream of one generation.
+    type Generation: Generation;
+
+    /// Starts a generation at an engine.
+    fn generate(
+        &self,
+        engine: SocketAddr,
+        request: &Generate,
+    ) -> impl Future<Output = Result<Self::Generation, GenerateError>> + Send;
+
+    /// Reads an engine's load.
+    fn load(&self, engine: SocketAddr) -> impl Future<Output = Result<Load, CallError>> + Send;
+
+    /// Reads an engine's cache events from a sequence number on.
+    fn cache_events(
+        &self,
+        engine: SocketAddr,
+        from: u64,
+    ) -> impl Future<Output = Result<CacheEvents, CallError>> + Send;
+
+    /// Orders an engine into a state.
+    fn order(
+        &self,
+        engine: SocketAddr,
+        order: &Order,
+    ) -> impl Future<Output = Result<OrderReply, CallError>> + Send;
+}
+
+/// Model engines over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    client: Client,
+}
+
+impl HttpEngine {
+    /// A client with its own connection pool.
+    pub fn new() -> Self {
+        Self { client: Client::new(CALL_TIMEOUT, ANSWER_MAX_BYTES) }
+    }
+}
+
+impl Default for HttpEngine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A generation over server-sent events.
+#[derive(Debug)]
+pub struct HttpGeneration<S> {
+    events: S,
+}
+
+impl<S> Generation for HttpGeneration<S>
+where
+    S: Stream<Item = Result<Event, CallError>> + Send + Unpin,
+{
+    async fn next(&mut self) -> Step {
+        match self.events.next().await {
+            None => Step::Broken("stream ended before its last event".to_owned()),
+            Some(Err(error)) => Step::Broken(error.to_string()),
+            Some(Ok(event)) => match serde_json::from_str(&event.data) {
+                Ok(chunk) => Step::Chunk(chunk),
+                Err(error) => Step::Broken(format!("event is not valid: {error}")),
+            },
+        }
+    }
+}
+
+impl Engine for HttpEngine {
+    type Generation = HttpGeneration<BodyEvents>;
+
+    async fn generate(
+        &self,
+        engine: SocketAddr,
+        request: &Generate,
+    ) -> Result<Self::Generation, GenerateError> {
+        let request = json_request(Method::POST, engine, "/v1/completions", Some(request))
+            .map_err(|error| refused(UpstreamRefusal::never_connected(), error.to_string()))?;
+        let response = match self.client.send(request).await {
+            Ok(response) => response,
+            Err(CallError::NotSent(text)) => {
+                return Err(refused(UpstreamRefusal::never_connected(), text));
+            }
+            Err(error) => return Err(GenerateError::Lost(error.to_string())),
+        };
+        let status = response.status();
+        if status.is_success() {
+            return Ok(HttpGeneration { events: events(response.into_body()) });
+        }
+        let text = error_body(response, CALL_TIMEOUT).await;
+        if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(refused(UpstreamRefusal::stated(), text));
+        }
+        Err(GenerateError::Lost(format!("status {status}: {text}")))
+    }
+
+    async fn load(&self, engine: SocketAddr) -> Result<Load, CallError> {
+        self.client.get(engine, "/v1/load").await
+    }
+
+    async fn cache_events(&self, engine: SocketAddr, from: u64) -> Result<CacheEvents, CallError> {
+        self.client.get(engine, &format!("/v1/cache/events?from={from}")).await
+    }
+
+    async fn order(&self, engine: SocketAddr, order: &Order) -> Result<OrderReply, CallError> {
+        self.client.call(Method::POST, engine, "/v1/orders", Some(order)).await
+    }
+}
+
+fn refused(proof: UpstreamRefusal, text: String) -> GenerateError {
+    GenerateError::Refused { proof, text }
+}
--- /dev/null
+++ b/crates/http/src/read.rs
@@ -0,0 +1,61 @@
+//! Reading of message bodies, bounded in size and time.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a body could not be read.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The body is larger than the limit.
+    #[error("body exceeds {max} bytes")]
+    Size {
+        /// The limit in bytes.
+        max: usize,
+    },
+    /// The body did not arrive in time.
+    #[error("body did not arrive within {0:?}")]
+    Timeout(Duration),
+    /// The transfer broke off.
+    #[error("body broke off: {0}")]
+    Broken(String),
+    /// The body is not the expected JSON.
+    #[error("body is not valid: {0}")]
+    Form(#[from] serde_json::Error),
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// The body is larger than `max` bytes, takes longer than `timeout`, or breaks off.
+pub async fn read_body<B>(body: B, max: usize, timeout: Duration) -> Result<Bytes, ReadError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let reading = Limited::new(body, max).collect();
+    match tokio::time::timeout(timeout, reading).await {
+        Err(_) => Err(ReadError::Timeout(timeout)),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ReadError::Size { max }),
+        Ok(Err(error)) => Err(ReadError::Broken(error.to_string())),
+    }
+}
+
+/// Reads a whole body as JSON.
+///
+/// # Errors
+///
+/// As [`read_body`], or the body is not the expected JSON.
+pub async fn read_json<T, B>(body: B, max: usize, timeout: Duration) -> Result<T, ReadError>
+where
+    T: DeserializeOwned,
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let content = read_body(body, max, timeout).await?;
+    Ok(serde_json::from_slice(&content)?)
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,174 @@
+//! A server that, when told to drain, accepts nothing new and finishes what is in progress.
+
+use crate::body::Body;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+
+/// The pause after a failed accept, so that exhausted file descriptors don't spin the loop.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request of a peer.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Tells servers to drain.
+#[derive(Clone, Debug)]
+pub struct DrainTrigger(Arc<watch::Sender<bool>>);
+
+/// Tells when to drain.
+#[derive(Clone, Debug)]
+pub struct Drain(watch::Receiver<bool>);
+
+impl DrainTrigger {
+    /// A trigger that has not been pulled.
+    pub fn new() -> Self {
+        Self(Arc::new(watch::Sender::new(false)))
+    }
+
+    /// Starts the drain. Later calls have no effect.
+    pub fn start(&self) {
+        self.0.send_replace(true);
+    }
+
+    /// A signal that follows this trigger.
+    pub fn signal(&self) -> Drain {
+        Drain(self.0.subscribe())
+    }
+}
+
+impl Default for DrainTrigger {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Drain {
+    /// Whether the drain has started.
+    pub fn started(&self) -> bool {
+        *self.0.borrow()
+    }
+
+    /// Waits until the drain starts. A trigger that is dropped counts as pulled.
+    pub async fn wait(&mut self) {
+        // An error means that the trigger is gone.
+        let _ = self.0.wait_for(|started| *started).await;
+    }
+}
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections open at once; further ones wait in the listen queue.
+    pub connections: usize,
+    /// The time within which the headers of a request must arrive.
+    pub header_timeout: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self { connections: 4_096, header_timeout: Duration::from_secs(10) }
+    }
+}
+
+/// Binds a listener; port 0 takes any free port.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn bind(address: SocketAddr) -> io::Result<(TcpListener, SocketAddr)> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    Ok((listener, bound))
+}
+
+/// Serves until `drain` starts and every request in progress has been answered. Dropping the
+/// future closes all connections at once.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    limits: ServerLimits,
+    mut drain: Drain,
+) {
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = drain.wait() => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = accept(&listener, &slots) => accepted,
+        };
+        let Some((stream, peer, slot)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let (handler, drain) = (handler.clone(), drain.clone());
+        connections.spawn(async move {
+            serve_connection(stream, peer, handler, limits, drain).await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+    let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, peer)) => Some((stream, peer, slot)),
+        Err(error) => {
+            log::warn!("event=accept_failed error={error:?}");
+            None
+        }
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: H,
+    limits: ServerLimits,
+    mut drain: Drain,
+) {
+    // Small frames must not wait for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(limits.header_timeout);
+    builder.http2().timer(TokioTimer::new());
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
+    });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = drain.wait() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("event=connection_failed peer={peer} error={error:?}");
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,22 @@
 //! Small fakes of the engine, service, log, instance list, cloud and weight store.
+//!
+//! Each speaks the real wire protocol on a loopback port and can be told to misbehave through its
+//! [`Faults`].
+
+pub mod answer;
+pub mod engine;
+pub mod fault;
+pub mod log;
+pub mod platform;
+pub mod server;
+pub mod service;
+pub mod weights;
+
+pub use answer::whole_answer;
+pub use engine::{EngineModel, EngineStandin};
+pub use fault::Faults;
+pub use log::LogStandin;
+pub use platform::PlatformStandin;
+pub use server::StandinServer;
+pub use service::ServiceStandin;
+pub use weights::WeightsStandin;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,276 @@
+//! The stand-in of the instance list and the cloud API, which share their instances.
+
+use crate::fault::{Faults, lost_answer};
+use crate::server::{StandinServer, query_number};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use spindle_cloud::{Notice, Notices, Offer, Running, RunningList, StartReply, StartRequest};
+use spindle_http::{Body, Handler, json, read_json, text};
+use spindle_instances::{Entry, Listing, State as EntryState};
+use spindle_types::{Clock, Instance, SystemClock, UtcInstant};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The largest call, in bytes.
+const CALL_MAX_BYTES: usize = 1024 * 1024;
+
+/// The time within which a call must arrive.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the cloud does to instances.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlatformEvent {
+    /// An instance has been started; whoever runs it adds its entry when it answers.
+    Started(Running),
+    /// An instance is gone.
+    Stopped(Instance),
+}
+
+#[derive(Debug, Default)]
+struct Fleet {
+    entries: BTreeMap<Instance, Entry>,
+    running: BTreeMap<Instance, StartRequest>,
+    notices: Vec<Notice>,
+    offers: Vec<Offer>,
+    started: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    clock: SystemClock,
+    fleet: Mutex<Fleet>,
+    events: mpsc::UnboundedSender<PlatformEvent>,
+    list_faults: Faults,
+    cloud_faults: Faults,
+}
+
+impl State {
+    fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn stop(&self, instance: &Instance) {
+        let mut fleet = self.fleet();
+        fleet.entries.remove(instance);
+        fleet.running.remove(instance);
+        drop(fleet);
+        // Nobody may be interested in the event.
+        let _ = self.events.send(PlatformEvent::Stopped(instance.clone()));
+    }
+}
+
+/// An instance list and a cloud API in one.
+#[derive(Clone, Debug)]
+pub struct PlatformStandin {
+    state: Arc<State>,
+    list: Arc<StandinServer>,
+    cloud: Arc<StandinServer>,
+}
+
+impl PlatformStandin {
+    /// Starts a platform without instances; its events go to the receiver.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn start() -> io::Result<(Self, mpsc::UnboundedReceiver<PlatformEvent>)> {
+        let (events, receiver) = mpsc::unbounded_channel();
+        let state = Arc::new(State {
+            clock: SystemClock::new(),
+            fleet: Mutex::default(),
+            events,
+            list_faults: Faults::default(),
+            cloud_faults: Faults::default(),
+        });
+        let list = Arc::new(StandinServer::start(ListHandler(Arc::clone(&state))).await?);
+        let cloud = Arc::new(StandinServer::start(CloudHandler(Arc::clone(&state))).await?);
+        Ok((Self { state, list, cloud }, receiver))
+    }
+
+    /// Where the instance list answers.
+    pub fn list_address(&self) -> SocketAddr {
+        self.list.address()
+    }
+
+    /// Where the cloud API answers.
+    pub fn cloud_address(&self) -> SocketAddr {
+        self.cloud.address()
+    }
+
+    /// The instance list's faults.
+    pub fn list_faults(&self) -> &Faults {
+        &self.state.list_faults
+    }
+
+    /// The cloud API's faults.
+    pub fn cloud_faults(&self) -> &Faults {
+        &self.state.cloud_faults
+    }
+
+    /// Adds or replaces an entry of the list.
+    pub fn put(&self, entry: Entry) {
+        self.state.fleet().entries.insert(entry.instance.clone(), entry);
+    }
+
+    /// The entries of the list.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.state.fleet().entries.values().cloned().collect()
+    }
+
+    /// Sets what can be bought.
+    pub fn set_offers(&self, offers: Vec<Offer>) {
+        self.state.fleet().offers = offers;
+    }
+
+    /// What runs and is paid for.
+    pub fn running(&self) -> Vec<Running> {
+        running(&self.state.fleet())
+    }
+
+    /// Announces that an instance is taken back, marks it as leaving, and stops it in time.
+    pub fn reclaim(&self, instance: &Instance, notice: Duration) {
+        let stops_at = self.state.clock.utc() + notice;
+        let mut fleet = self.state.fleet();
+        let number = fleet.notices.len() as u64 + 1;
+        let instance = instance.clone();
+        fleet.notices.push(Notice {
+            number,
+            instance: instance.clone(),
+            stops_at,
+            remaining_ms: 0,
+        });
+        if let Some(entry) = fleet.entries.get_mut(&instance) {
+            entry.state = EntryState::Leaving;
+        }
+        drop(fleet);
+        let state = Arc::clone(&self.state);
+        tokio::spawn(async move {
+            tokio::time::sleep(notice).await;
+            state.stop(&instance);
+        });
+    }
+
+    /// Stops an instance at once, without notice.
+    pub fn fail(&self, instance: &Instance) {
+        self.state.stop(instance);
+    }
+}
+
+fn running(fleet: &Fleet) -> Vec<Running> {
+    let pairs = fleet.running.iter();
+    pairs.map(|(id, start)| Running { instance: id.clone(), start: start.clone() }).collect()
+}
+
+#[derive(Clone)]
+struct ListHandler(Arc<State>);
+
+impl Handler for ListHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let state = &self.0;
+        tokio::time::sleep(state.list_faults.delay()).await;
+        if state.list_faults.is_down() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        if *request.method() != Method::PUT {
+            let entries = state.fleet().entries.values().cloned().collect();
+            return json(StatusCode::OK, &Listing { entries });
+        }
+        match read_json::<Entry, _>(request.into_body(), CALL_MAX_BYTES, CALL_TIMEOUT).await {
+            Ok(entry) => {
+                state.fleet().entries.insert(entry.instance.clone(), entry);
+                json(StatusCode::OK, &())
+            }
+            Err(error) => text(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
+#[derive(Clone)]
+struct CloudHandler(Arc<State>);
+
+impl Handler for CloudHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let state = &self.0;
+        tokio::time::sleep(state.cloud_faults.delay()).await;
+        if state.cloud_faults.is_down() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/instances") => self.start(request).await,
+            (&Method::GET, "/instances") => {
+                json(StatusCode::OK, &RunningList { running: running(&state.fleet()) })
+            }
+            (&Method::GET, "/offers") => json(StatusCode::OK, &state.fleet().offers),
+            (&Method::GET, "/notices") => {
+                let from = query_number(request.uri(), "from").unwrap_or(1);
+                json(StatusCode::OK, &notices(&state.fleet(), from, state.clock.utc()))
+            }
+            (&Method::DELETE, _) => self.stop(&path),
+            _ => text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+fn notices(fleet: &Fleet, from: u64, now: UtcInstant) -> Notices {
+    let wanted = fleet.notices.iter().filter(|notice| notice.number >= from);
+    let remaining = |notice: &Notice| notice.stops_at.since(now).as_millis();
+    let notices = wanted
+        .map(|notice| Notice {
+            remaining_ms: u64::try_from(remaining(notice)).unwrap_or(u64::MAX),
+            ..notice.clone()
+        })
+        .collect();
+    Notices { notices }
+}
+
+impl CloudHandler {
+    async fn start(&self, request: Request<Incoming>) -> Response<Body> {
+        let state = &self.0;
+        let body = request.into_body();
+        let start: StartRequest = match read_json(body, CALL_MAX_BYTES, CALL_TIMEOUT).await {
+            Ok(start) => start,
+            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        if state.cloud_faults.takes_refusal() {
+            return text(StatusCode::CONFLICT, "no capacity");
+        }
+        let Ok(instance) = state.start(start) else {
+            return text(StatusCode::INTERNAL_SERVER_ERROR, "no name");
+        };
+        if state.cloud_faults.takes_answer() {
+            return lost_answer();
+        }
+        json(StatusCode::OK, &StartReply { instance })
+    }
+
+    fn stop(&self, path: &str) -> Response<Body> {
+        let Some(Ok(instance)) = path.strip_prefix("/instances/").map(Instance::try_from) else {
+            return text(StatusCode::NOT_FOUND, "no such instance");
+        };
+        self.0.stop(&instance);
+        json(StatusCode::OK, &())
+    }
+}
+
+impl State {
+    fn start(&self, start: StartRequest) -> Result<Instance, spindle_types::id::IdError> {
+        let mut fleet = self.fleet();
+        let known = fleet.running.iter().find(|(_, running)| running.token == start.token);
+        if let Some((instance, _)) = known {
+            return Ok(instance.clone());
+        }
+        fleet.started += 1;
+        let instance = Instance::try_from(format!("i-{:05}", fleet.started))?;
+        fleet.running.insert(instance.clone(), start.clone());
+        drop(fleet);
+        let running = Running { instance: instance.clone(), start };
+        // Nobody may be interested in the event.
+        let _ = self.events.send(PlatformEvent::Started(running));
+        Ok(instance)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,99 @@
+//! A plain service's stand-in: it records each call that ran and echoes it.
+
+use crate::fault::{Faults, lost_answer};
+use crate::server::StandinServer;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use spindle_http::{Body, Handler, json, read_body, text};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The largest call, in bytes.
+const CALL_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// The time within which a call must arrive.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// One call that ran.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Call {
+    /// The method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The body.
+    pub body: String,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    calls: Mutex<Vec<Call>>,
+    faults: Faults,
+}
+
+/// A service that runs every call it receives.
+#[derive(Clone, Debug)]
+pub struct ServiceStandin {
+    state: Arc<State>,
+    server: Arc<StandinServer>,
+}
+
+impl ServiceStandin {
+    /// Starts a service that has run nothing.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let state = Arc::new(State::default());
+        let server = StandinServer::start(ServiceHandler(Arc::clone(&state))).await?;
+        Ok(Self { state, server: Arc::new(server) })
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &Faults {
+        &self.state.faults
+    }
+
+    /// The calls that ran, in order.
+    pub fn calls(&self) -> Vec<Call> {
+        self.state.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Closes all connections at once.
+    pub fn kill(&self) {
+        self.server.kill();
+    }
+}
+
+#[derive(Clone)]
+struct ServiceHandler(Arc<State>);
+
+impl Handler for ServiceHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        let state = &self.0;
+        tokio::time::sleep(state.faults.delay()).await;
+        if state.faults.is_down() || state.faults.takes_refusal() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        }
+        let (head, body) = request.into_parts();
+        let body = match read_body(body, CALL_MAX_BYTES, CALL_TIMEOUT).await {
+            Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let call = Call { method: head.method.to_string(), path: head.uri.to_string(), body };
+        state.calls.lock().unwrap_or_else(PoisonError::into_inner).push(call.clone());
+        if state.faults.takes_answer() {
+            return lost_answer();
+        }
+        json(StatusCode::OK, &call)
+    }
+}
