--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or draws a random number of its own: the present time and,
 //! where one is needed, a seeded generator are arguments.
 
+pub mod answer;
 pub mod claim;
 pub mod fold;
 pub mod routing;
--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -75,7 +75,10 @@
     Clone, Debug, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
 )]
 #[serde(try_from = "String", into = "String")]
-#[schemars(with = "String", extend("pattern" = "^[0-9a-f]{64}$"))]
+#[schemars(with = "String", extend(
+    "pattern" = "^[0-9a-f]{64}$",
+    "x-allowed" = "64 hexadecimal digits in lower case",
+))]
 pub struct KeyHash(String);
 
 impl KeyHash {
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -64,11 +64,11 @@
 }
 
 macro_rules! text_id {
-    ($(#[$doc:meta])* $name:ident, $check:ident, $pattern:literal) => {
+    ($(#[$doc:meta])* $name:ident, $check:ident, $pattern:literal, $allowed:literal) => {
         $(#[$doc])*
         #[derive(Clone, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
-        #[schemars(with = "String", extend("pattern" = $pattern))]
+        #[schemars(with = "String", extend("pattern" = $pattern, "x-allowed" = $allowed))]
         pub struct $name(Arc<str>);
 
         impl $name {
@@ -131,7 +131,8 @@
 
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident) => {
-        text_id!($(#[$doc])* $name, check_name, "^[a-z0-9._-]{1,64}$");
+        text_id!($(#[$doc])* $name, check_name, "^[a-z0-9._-]{1,64}$",
+            "1 to 64 of a-z, 0-9, '-', '_' and '.'");
     };
 }
 
@@ -185,11 +186,11 @@
 );
 text_id!(
     /// A key by which a caller names one logical call across retries.
-    IdempotencyKey, check_key, "^[!-~]{1,200}$"
+    IdempotencyKey, check_key, "^[!-~]{1,200}$", "1 to 200 printable ASCII characters without spaces"
 );
 text_id!(
     /// A key by which the cloud recognises a repeated start.
-    ClientToken, check_key, "^[!-~]{1,200}$"
+    ClientToken, check_key, "^[!-~]{1,200}$", "1 to 200 printable ASCII characters without spaces"
 );
 
 macro_rules! number_id {
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -41,7 +41,10 @@
     PartialOrd,
     SerializeDisplay,
 )]
-#[schemars(with = "String", extend("pattern" = r"^([0-9]+ ?[a-zA-Z]+ ?)+$"))]
+#[schemars(with = "String", extend(
+    "pattern" = r"^([0-9]+ ?[a-zA-Z]+ ?)+$",
+    "x-allowed" = "a time span such as 250ms, 16s or 1m 30s",
+))]
 pub struct Span(pub Duration);
 
 impl Span {
@@ -92,7 +95,10 @@
     PartialOrd,
     SerializeDisplay,
 )]
-#[schemars(with = "String", extend("pattern" = r"^[0-9]+(\.[0-9]+)? ?([kKMGTP]i?)?B$"))]
+#[schemars(with = "String", extend(
+    "pattern" = r"^[0-9]+(\.[0-9]+)? ?([kKMGTP]i?)?B$",
+    "x-allowed" = "a size such as 64MiB or 512KiB",
+))]
 pub struct Size(pub u64);
 
 impl Size {
@@ -151,7 +157,10 @@
     PartialOrd,
     SerializeDisplay,
 )]
-#[schemars(with = "String", extend("pattern" = r"^-?[0-9]+(\.[0-9]{1,6})?$"))]
+#[schemars(with = "String", extend(
+    "pattern" = r"^-?[0-9]+(\.[0-9]{1,6})?$",
+    "x-allowed" = "an amount such as \"12.50\", with at most six decimals",
+))]
 pub struct Money(pub i64);
 
 impl Money {
@@ -227,7 +236,11 @@
     Clone, Copy, Debug, Default, JsonSchema, PartialEq, PartialOrd, Serialize, Deserialize,
 )]
 #[serde(try_from = "f64", into = "f64")]
-#[schemars(with = "f64", extend("minimum" = 0.0, "maximum" = 1.0))]
+#[schemars(with = "f64", extend(
+    "minimum" = 0.0,
+    "maximum" = 1.0,
+    "x-allowed" = "a share from 0 to 1",
+))]
 pub struct Share(f64);
 
 impl Share {
--- /dev/null
+++ b/src/settings/load.rs
@@ -0,0 +1,168 @@
+//! Loading of YAML documents, with every mistake reported at once.
+
+use super::Settings;
+use jsonschema::error::{ValidationError, ValidationErrorKind};
+use schemars::{JsonSchema, Schema, SchemaGenerator, json_schema};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use spindle_types::Problems;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// The least similarity, from 0 to 1, at which a known key is suggested for an unknown one.
+const SUGGESTION_MIN_SIMILARITY: f64 = 0.7;
+
+/// Why a document was not loaded.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    /// The file can't be read.
+    #[error("{path}: {error}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The document holds mistakes.
+    #[error("{0}")]
+    Problems(Problems),
+}
+
+/// Loads and checks a daemon's settings.
+///
+/// # Errors
+///
+/// The file can't be read, or holds mistakes.
+pub fn load(path: &Path) -> Result<Settings, LoadError> {
+    let read = std::fs::read_to_string(path);
+    let text = read.map_err(|error| LoadError::File { path: path.to_owned(), error })?;
+    let settings: Settings = check_document(&text).map_err(LoadError::Problems)?;
+    let problems = settings.check();
+    problems.finish(|| settings).map_err(LoadError::Problems)
+}
+
+/// Checks a YAML document against the schema of a type and reads it.
+///
+/// # Errors
+///
+/// All mistakes, with their paths.
+pub fn check_document<T: DeserializeOwned + JsonSchema>(text: &str) -> Result<T, Problems> {
+    let mut problems = Problems::new();
+    let document: Value = match serde_norway::from_str(text) {
+        Ok(document) => document,
+        Err(error) => {
+            problems.add("document", error, "YAML");
+            return Err(problems);
+        }
+    };
+    let schema = schema::<T>();
+    match jsonschema::validator_for(&schema) {
+        Ok(validator) => {
+            for error in validator.iter_errors(&document) {
+                report(&error, &schema, &mut problems);
+            }
+        }
+        Err(error) => problems.add("schema", error, "a valid schema"),
+    }
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    serde_json::from_value(document).map_err(|error| {
+        problems.add("document", error, "a document as `bronzespindle schema` describes");
+        problems
+    })
+}
+
+/// The schema of a document, generated from its type.
+pub fn schema<T: JsonSchema>() -> Value {
+    SchemaGenerator::default().into_root_schema_for::<T>().to_value()
+}
+
+/// The schema of an IP address with a port.
+pub(super) fn address_schema(_: &mut SchemaGenerator) -> Schema {
+    json_schema!({
+        "type": "string",
+        "pattern": r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:.]+\]):[0-9]{1,5}$",
+        "x-allowed": "an IP address with a port, such as 10.0.0.1:8080 or [::1]:8080",
+    })
+}
+
+/// The schema of an IP address with a port, or null.
+pub(super) fn optional_address_schema(generator: &mut SchemaGenerator) -> Schema {
+    let address = address_schema(generator).to_value();
+    json_schema!({ "anyOf": [address, { "type": "null" }] })
+}
+
+fn report(error: &ValidationError<'_>, schema: &Value, problems: &mut Problems) {
+    let path = dotted(error.instance_path().as_str());
+    let parent = error.schema_path().as_str().rsplit_once('/').map_or("", |(parent, _)| parent);
+    let node = schema.pointer(parent).unwrap_or(&Value::Null);
+    match error.kind() {
+        ValidationErrorKind::AdditionalProperties { unexpected }
+        | ValidationErrorKind::UnevaluatedProperties { unexpected } => {
+            for key in unexpected {
+                report_unknown(&path, key, node, problems);
+            }
+        }
+        ValidationErrorKind::Required { property } => {
+            let key = property.as_str().unwrap_or_default();
+            problems.add(joined(&path, key), "missing", "this key is required");
+        }
+        _ => problems.add(shown(&path), shorten(error.instance()), allowed(error, node)),
+    }
+}
+
+fn report_unknown(path: &str, key: &str, node: &Value, problems: &mut Problems) {
+    let known: Vec<&str> = node
+        .get("properties")
+        .and_then(Value::as_object)
+        .map(|properties| properties.keys().map(String::as_str).collect())
+        .unwrap_or_default();
+    let similarity = |name: &&str| strsim::jaro_winkler(name, key);
+    let nearest = known.iter().copied().max_by(|a, b| similarity(a).total_cmp(&similarity(b)));
+    let found = match nearest.filter(|name| similarity(name) >= SUGGESTION_MIN_SIMILARITY) {
+        Some(name) => format!("unknown key; did you mean {name:?}?"),
+        None => "unknown key".to_owned(),
+    };
+    problems.add(joined(path, key), found, known.join(", "));
+}
+
+fn allowed(error: &ValidationError<'_>, node: &Value) -> String {
+    if let Some(text) = node.get("x-allowed").and_then(Value::as_str) {
+        return text.to_owned();
+    }
+    let variants = node.get("oneOf").and_then(Value::as_array).into_iter().flatten();
+    let names: Vec<&str> = variants.filter_map(|variant| variant.get("const")?.as_str()).collect();
+    if !names.is_empty() {
+        return names.join(", ");
+    }
+    match (error.kind(), node.get("type").and_then(Value::as_str)) {
+        (ValidationErrorKind::Type { .. }, Some(kind)) => kind.to_owned(),
+        _ => error.to_string(),
+    }
+}
+
+fn dotted(pointer: &str) -> String {
+    let parts = pointer.split('/').skip(1).map(|part| part.replace("~1", "/").replace("~0", "~"));
+    parts.fold(String::new(), |path, part| match part.parse::<usize>() {
+        Ok(index) => format!("{path}[{index}]"),
+        Err(_) => joined(&path, &part),
+    })
+}
+
+fn joined(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
+
+fn shown(path: &str) -> &str {
+    if path.is_empty() { "document" } else { path }
+}
+
+fn shorten(value: &Value) -> String {
+    const MAX_CHARS: usize = 60;
+    let text = value.to_string();
+    if text.chars().count() <= MAX_CHARS {
+        return text;
+    }
+    text.chars().take(MAX_CHARS).chain("…".chars()).collect()
+}
