--- a/crates/policy/src/fold.rs
+++ b/crates/policy/src/fold.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Passes over a record that can't be decoded; every reader passes over it alike.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = self.next.max(offset.next());
+    }
+
     /// Takes over a state that another reader has folded, if it is newer.
     pub fn on_state(&mut self, state: Arc<Configuration>) -> Folded {
         if state.revision <= self.state.revision {
--- a/crates/service/src/client.rs
+++ b/crates/service/src/client.rs
@@ -35,7 +35,9 @@
 /// Plain services, as the system uses them.
 pub trait Service: Clone + Send + Sync + 'static {
     /// The body of an answer.
-    type Answer: http_body::Body<Data = bytes::Bytes, Error: std::fmt::Display> + Send + Unpin;
+    type Answer: http_body::Body<Data = bytes::Bytes, Error: std::fmt::Display + Send>
+        + Send
+        + Unpin;
 
     /// Forwards a call whose URI holds the path below the service.
     fn call(
--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -41,6 +41,16 @@
         self.pools.iter().filter(move |(_, spec)| spec.serves(&model))
     }
 
+    /// The changes that make this configuration from an empty one, in an order that is valid.
+    pub fn into_changes(self) -> Vec<Change> {
+        let teams = self.teams.into_iter().map(|(team, spec)| Change::PutTeam { team, spec });
+        let pools = self.pools.into_iter().map(|(pool, spec)| Change::PutPool { pool, spec });
+        let services =
+            self.services.into_iter().map(|(service, spec)| Change::PutService { service, spec });
+        let plan = self.plan.into_iter().map(|plan| Change::ConfirmPlan { plan });
+        teams.chain(pools).chain(services).chain(plan).collect()
+    }
+
     /// Applies a change and moves to its revision.
     pub fn apply(&mut self, revision: Revision, change: Change) {
         match change {
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,164 @@
+//! The command line.
+
+use crate::context::LiveContext;
+use crate::daemon::Daemon;
+use crate::deployment::Example;
+use crate::settings::{LoadError, LogLevel, Settings, load, schema};
+use crate::{demo, logs, metrics};
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use eyre::WrapErr;
+use spindle_http::DrainTrigger;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// The exit code for mistakes in the input.
+const EXIT_INVALID: u8 = 2;
+
+/// Serves language models and companion services on reclaimable instances.
+#[derive(Debug, Parser)]
+#[command(version, after_help = EXAMPLES)]
+pub struct Arguments {
+    /// Overrides the log level of the settings
+    #[arg(long, global = true, value_name = "LEVEL")]
+    log_level: Option<LogLevel>,
+    /// What to do
+    #[command(subcommand)]
+    command: Command,
+}
+
+/// The examples below the help text.
+const EXAMPLES: &str = "\
+Examples:
+  bronzespindle demo --once
+  bronzespindle check --settings examples/vendimia/settings.yaml
+  bronzespindle serve --settings /etc/bronzespindle.yaml --log-level debug
+
+Exit codes:
+  0  done
+  1  failed
+  2  mistakes in the arguments or in a document";
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a daemon until SIGTERM or SIGINT, which drain it
+    Serve {
+        /// The settings, in YAML
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Prints every mistake of a settings file
+    Check {
+        /// The settings, in YAML
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Prints the JSON schema of the settings
+    Schema,
+    /// Runs a whole deployment in one process, with stand-ins for platform and upstreams
+    Demo {
+        /// Which deployment
+        #[arg(long, value_enum, default_value_t)]
+        example: Example,
+        /// Sends a handful of requests, prints what happened, and exits
+        #[arg(long)]
+        once: bool,
+    },
+    /// Prints shell completions
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
+}
+
+impl clap::ValueEnum for LogLevel {
+    fn value_variants<'a>() -> &'a [Self] {
+        &[Self::Off, Self::Error, Self::Warn, Self::Info, Self::Debug, Self::Trace]
+    }
+
+    fn to_possible_value(&self) -> Option<clap::builder::PossibleValue> {
+        Some(clap::builder::PossibleValue::new(<&'static str>::from(*self)))
+    }
+}
+
+/// Parses the arguments and does what they ask for.
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse();
+    match execute(arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(arguments: Arguments) -> eyre::Result<ExitCode> {
+    let level = arguments.log_level;
+    match arguments.command {
+        Command::Serve { settings } => with_settings(&settings, |settings| {
+            logs::start(level.unwrap_or(settings.logs.level));
+            block_on(serve(settings))
+        }),
+        Command::Check { settings } => with_settings(&settings, |_| {
+            println!("no mistakes");
+            Ok(())
+        }),
+        Command::Schema => {
+            println!("{:#}", schema::<Settings>());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Demo { example, once } => {
+            logs::start(level.unwrap_or(LogLevel::Error));
+            if once {
+                block_on(demo::once(example))?
+            } else {
+                block_on(demo::stay(example))?
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "bronzespindle", &mut std::io::stdout());
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn block_on<F: Future<Output = eyre::Result<()>>>(task: F) -> eyre::Result<()> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(task)
+}
+
+/// Loads the settings and goes on with them, or prints every mistake.
+fn with_settings(
+    path: &Path,
+    next: impl FnOnce(Settings) -> eyre::Result<()>,
+) -> eyre::Result<ExitCode> {
+    match load(path) {
+        Ok(settings) => next(settings).map(|()| ExitCode::SUCCESS),
+        Err(error @ LoadError::File { .. }) => Err(error.into()),
+        Err(LoadError::Problems(problems)) => {
+            eprintln!("{problems}");
+            eprintln!("{} mistakes in {}", problems.as_slice().len(), path.display());
+            Ok(ExitCode::from(EXIT_INVALID))
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
+    let metrics_drain = DrainTrigger::new();
+    if let Some(listen) = settings.metrics.listen {
+        let address = metrics::start(listen, metrics_drain.signal()).await?;
+        log::info!("event=metrics_started address={address}");
+    }
+    let context = LiveContext::new(&settings.platform);
+    let daemon = Daemon::start(context, settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+    }
+    daemon.stop().await;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,3 +1,19 @@
 //! bronzespindle serves language models and companion services on reclaimable instances.
 
+pub mod addresses;
+pub mod call;
+pub mod claims;
+pub mod cli;
+pub mod client;
+pub mod context;
+pub mod daemon;
+pub mod demo;
+pub mod deployment;
+pub mod follower;
+pub mod front;
+pub mod generation;
+pub mod logs;
+pub mod metrics;
+pub mod reply;
 pub mod settings;
+pub mod upstreams;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bronzespindle::cli::run()
+}
--- /dev/null
+++ b/src/reply.rs
@@ -0,0 +1,139 @@
+//! Turns the progress of a generation into the caller's response.
+
+use crate::generation::Progress;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use spindle_caller::wire::{Choice, Delta, Message, Reply, Usage};
+use spindle_caller::{Completion, Form, Refusal};
+use spindle_http::reply::with_type;
+use spindle_http::{Body, BodySender, encode_event, json};
+use spindle_types::{Model, RequestId};
+use tokio::sync::mpsc;
+
+/// Events of an answer that a slow caller may lag behind.
+const EVENT_BUFFER: usize = 64;
+
+/// What all events of one answer share.
+#[derive(Clone, Debug)]
+pub struct Head {
+    id: RequestId,
+    model: Model,
+    form: Form,
+}
+
+impl Head {
+    /// The head of the answer to a request.
+    pub fn new(id: RequestId, completion: &Completion) -> Self {
+        Self { id, model: completion.model.clone(), form: completion.form }
+    }
+
+    fn reply(&self, streamed: bool, choice: Choice, usage: Option<Usage>) -> Reply {
+        let object = match (self.form, streamed) {
+            (Form::Chat, true) => "chat.completion.chunk",
+            (Form::Chat, false) => "chat.completion",
+            (Form::Text, _) => "text_completion",
+        };
+        Reply {
+            id: self.id.to_string(),
+            object: object.to_owned(),
+            model: self.model.to_string(),
+            choices: vec![choice],
+            usage,
+        }
+    }
+
+    fn piece(&self, text: String) -> Choice {
+        match self.form {
+            Form::Chat => {
+                Choice { delta: Some(Delta { content: Some(text) }), ..Choice::default() }
+            }
+            Form::Text => Choice { text: Some(text), ..Choice::default() },
+        }
+    }
+
+    fn content(&self, text: String) -> Choice {
+        match self.form {
+            Form::Chat => {
+                let message = Message { role: "assistant".to_owned(), content: text };
+                Choice { message: Some(message), ..Choice::default() }
+            }
+            Form::Text => Choice { text: Some(text), ..Choice::default() },
+        }
+    }
+}
+
+/// Collects a whole answer.
+///
+/// # Errors
+///
+/// The generation was given up.
+pub async fn whole(
+    head: Head,
+    first: Progress,
+    mut rest: mpsc::Receiver<Progress>,
+) -> Result<Response<Body>, Refusal> {
+    let mut content = String::new();
+    let mut next = Some(first);
+    while let Some(progress) = next {
+        match progress {
+            Progress::Text { text, .. } => content.push_str(&text),
+            Progress::Refused(refusal) => return Err(refusal),
+            Progress::Finished { finish, length, recomputed } => {
+                let usage = Usage { completion_tokens: length, recomputed_tokens: recomputed };
+                let finish_reason = Some(finish.to_string());
+                let choice = Choice { finish_reason, ..head.content(content) };
+                return Ok(json(StatusCode::OK, &head.reply(false, choice, Some(usage))));
+            }
+        }
+        next = rest.recv().await;
+    }
+    Err(Refusal::NotFound)
+}
+
+/// Streams an answer as server-sent events whose ids are token offsets.
+pub fn streamed(head: Head, first: Progress, rest: mpsc::Receiver<Progress>) -> Response<Body> {
+    let (sender, body) = Body::pieces(EVENT_BUFFER);
+    tokio::spawn(forward_events(head, first, rest, sender));
+    with_type(StatusCode::OK, "text/event-stream", body)
+}
+
+async fn forward_events(
+    head: Head,
+    first: Progress,
+    mut rest: mpsc::Receiver<Progress>,
+    sender: BodySender,
+) {
+    let mut next = Some(first);
+    while let Some(progress) = next {
+        let finished = matches!(progress, Progress::Finished { .. });
+        let Some(event) = event(&head, progress) else {
+            return;
+        };
+        if sender.send(event).await.is_err() {
+            return;
+        }
+        if finished {
+            if sender.send(encode_event(None, None, "[DONE]")).await.is_ok() {
+                sender.finish().await;
+            }
+            return;
+        }
+        next = rest.recv().await;
+    }
+}
+
+/// The event for a step; none if the answer was given up, which cuts the stream off.
+fn event(head: &Head, progress: Progress) -> Option<Bytes> {
+    let (offset, reply) = match progress {
+        Progress::Text { offset, text } => (offset, head.reply(true, head.piece(text), None)),
+        Progress::Finished { finish, length, recomputed } => {
+            let usage = Usage { completion_tokens: length, recomputed_tokens: recomputed };
+            let finish_reason = Some(finish.to_string());
+            let choice = Choice { finish_reason, ..head.piece(String::new()) };
+            (length, head.reply(true, choice, Some(usage)))
+        }
+        Progress::Refused(_) => return None,
+    };
+    let data = serde_json::to_string(&reply).ok()?;
+    Some(encode_event(None, Some(&offset.to_string()), &data))
+}
