--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -131,7 +131,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         const UNITS: [(u64, &str); 4] =
             [(1 << 40, "TiB"), (1 << 30, "GiB"), (1 << 20, "MiB"), (1 << 10, "KiB")];
-        let exact = UNITS.iter().find(|(unit, _)| self.0 >= *unit && self.0 % unit == 0);
+        let exact = UNITS.iter().find(|(unit, _)| self.0 >= *unit && self.0.is_multiple_of(*unit));
         match exact {
             Some((unit, suffix)) => write!(f, "{}{suffix}", self.0 / unit),
             None => write!(f, "{}B", self.0),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -112,9 +112,9 @@
         Command::Demo { example, once } => {
             logs::start(level.unwrap_or(LogLevel::Error));
             if once {
-                block_on(demo::once(example))?
+                block_on(demo::once(example))?;
             } else {
-                block_on(demo::stay(example))?
+                block_on(demo::stay(example))?;
             }
             Ok(ExitCode::SUCCESS)
         }
