--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,8 @@
-//! Peer package for other daemons.
+//! Peer package for other daemons. Each concern has its own set of calls; a daemon's server merges
+//! them.
 
-pub mod rpc;
+pub mod gossip;
+pub mod transport;
 
-pub use rpc::{Greeting, PeerClient, PeerServer, connect, start_server};
+pub use gossip::{GossipClient, GossipServer, Greeting};
+pub use transport::{PeerConnection, connect, start_server};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod answer;
 pub mod claim;
 pub mod fold;
+pub mod membership;
 pub mod routing;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,12 +4,12 @@
 use crate::context::Context;
 use crate::follower::{self, ConfigWatch};
 use crate::front::Front;
+use crate::members::{self, GossipService, MemberWatch};
 use crate::settings::Settings;
-use crate::upstreams::{self, DaemonWatch, Upstreams};
+use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
-use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{Greeting, PeerServer, start_server};
+use spindle_daemon::{GossipServer, start_server};
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
 use spindle_types::Incarnation;
@@ -35,8 +35,8 @@
     pub config: ConfigWatch,
     /// The router.
     pub upstreams: Upstreams,
-    /// The daemons that the instance list shows.
-    pub daemons: DaemonWatch,
+    /// The daemons, itself included.
+    pub members: MemberWatch,
     /// Claims on calls that must run at most once.
     pub claims: Claims,
     /// Whether the daemon takes no new work.
@@ -73,17 +73,26 @@
             .await
             .wrap_err_with(|| format!("caller.listen {}", settings.caller.listen))?;
         let listen = settings.peer.listen;
+        let gossip =
+            GossipService::new(settings.identity.instance.clone(), incarnation, config.clone());
+        let members = members::start(
+            context.clone(),
+            settings.peer.heartbeat,
+            gossip.clone(),
+            daemons,
+            &upstreams,
+        );
         let shared = Arc::new(Shared {
             context,
             settings,
             incarnation,
             config,
             upstreams,
-            daemons,
+            members,
             claims,
             drain,
         });
-        let (peer, rpc) = start_server(listen, PeerService(Arc::clone(&shared)))
+        let (peer, rpc) = start_server(listen, gossip.into_rpc())
             .await
             .wrap_err_with(|| format!("peer.listen {listen}"))?;
         let limits = ServerLimits {
@@ -160,16 +169,3 @@
         let _ = self.rpc.stop();
     }
 }
-
-struct PeerService<C>(Arc<Shared<C>>);
-
-#[async_trait]
-impl<C: Context> PeerServer for PeerService<C> {
-    async fn greet(&self, _greeting: Greeting) -> RpcResult<Greeting> {
-        Ok(Greeting {
-            instance: self.0.settings.identity.instance.clone(),
-            incarnation: self.0.incarnation,
-            revision: self.0.config.borrow().revision,
-        })
-    }
-}
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -12,6 +12,7 @@
 use serde_json::value::to_raw_value;
 use spindle_cloud::Running;
 use spindle_instances::{Entry, Kind, State};
+use spindle_policy::membership::Member;
 use spindle_standin::engine::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
@@ -214,9 +215,9 @@
             caller: CallerSettings { listen: free_port, ..CallerSettings::default() },
             peer: PeerSettings {
                 listen: free_port,
+                heartbeat: Span::from_millis(100),
                 list_interval: Span::from_millis(200),
                 notice_interval: Span::from_millis(100),
-                ..PeerSettings::default()
             },
             drain: DrainSettings { linger: Span::from_millis(400) },
             logs: LogSettings::default(),
@@ -247,8 +248,12 @@
             for daemon in &self.daemons {
                 let mut config = daemon.shared().config.clone();
                 config.wait_for(|config| config.revision >= revision).await?;
-                let mut daemons = daemon.shared().daemons.clone();
-                daemons.wait_for(|listed| listed.len() >= self.daemons.len()).await?;
+                let mut members = daemon.shared().members.clone();
+                let met = |members: &Arc<Vec<Member>>| {
+                    let heard = members.iter().filter(|member| member.incarnation.is_some());
+                    heard.count() >= self.daemons.len()
+                };
+                members.wait_for(met).await?;
             }
             Ok::<_, tokio::sync::watch::error::RecvError>(())
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod front;
 pub mod generation;
 pub mod logs;
+pub mod members;
 pub mod metrics;
 pub mod reply;
 pub mod settings;
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -59,6 +59,12 @@
         let _ = self.mailbox.send(Message::End { key, end }).await;
     }
 
+    /// Marks an instance as leaving, for good.
+    pub async fn mark_leaving(&self, instance: Instance) {
+        // Without a router nothing is sent to the instance.
+        let _ = self.mailbox.send(Message::Leaving(vec![instance])).await;
+    }
+
     /// The instances that are marked as leaving.
     pub fn leaving(&self) -> LeavingWatch {
         self.leaving.clone()
