--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,119 @@
+//! Daemons as processes of their own, under signals.
+
+use bronzespindle::client::CallerClient;
+use bronzespindle::deployment::{Deployment, Example};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use spindle_instances::{Kind, State};
+use spindle_standin::engine::EngineModel;
+use spindle_standin::whole_answer;
+use spindle_types::Model;
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+use tempfile::TempDir;
+
+const TEAM_KEY: &str = "kano-ministry-key";
+const MODEL: &str = "census-llm";
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A daemon process, killed when dropped.
+struct Process {
+    child: Child,
+    caller: SocketAddr,
+    _directory: TempDir,
+}
+
+impl Process {
+    async fn start(deployment: &Deployment, index: usize) -> Self {
+        let settings = deployment.settings(index).unwrap();
+        let instance = settings.identity.instance.clone();
+        let directory = tempfile::tempdir().unwrap();
+        let path = directory.path().join("settings.yaml");
+        // YAML is a superset of JSON.
+        std::fs::write(&path, serde_json::to_string(&settings).unwrap()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bronzespindle"))
+            .args(["serve", "--log-level", "off", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .spawn()
+            .unwrap();
+        let caller = loop {
+            let entries = deployment.platform.entries();
+            let entry = entries.into_iter().find(|entry| {
+                entry.instance == instance && matches!(entry.kind, Kind::Daemon { .. })
+            });
+            match entry {
+                Some(entry) if entry.state == State::Live => break entry.address,
+                _ => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        };
+        Self { child, caller, _directory: directory }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        kill(pid, signal).unwrap();
+    }
+
+    async fn exit(&mut self) -> ExitStatus {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until the daemon lists a number of addresses.
+    async fn wait_for_addresses(&self, count: usize) {
+        let caller = CallerClient::new(TEAM_KEY);
+        loop {
+            match caller.addresses(self.caller).await {
+                Ok(reply) if reply.addresses.len() == count => return,
+                _ => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have exited.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn standins() -> Deployment {
+    Deployment::start(Example::Kanem, 0, EngineModel::default()).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn termination_cuts_no_stream_off() {
+    let deployment = standins().await;
+    let mut process = Process::start(&deployment, 0).await;
+    process.wait_for_addresses(1).await;
+    let caller = CallerClient::new(TEAM_KEY);
+    let mut stream = caller.chat(process.caller, MODEL, "census narrative", 150).await.unwrap();
+    let mut actual = stream.next().await.unwrap().unwrap();
+    process.signal(Signal::SIGTERM);
+    actual.push_str(&stream.rest().await.unwrap());
+    let model = Model::try_from(MODEL).unwrap();
+    assert_eq!(whole_answer(&model, "user: census narrative\n", 150), actual);
+    drop(stream);
+    assert!(process.exit().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_daemon_leaves_the_address_answers() {
+    let deployment = standins().await;
+    let survivor = Process::start(&deployment, 0).await;
+    let mut killed = Process::start(&deployment, 1).await;
+    survivor.wait_for_addresses(2).await;
+    killed.signal(Signal::SIGKILL);
+    killed.exit().await;
+    survivor.wait_for_addresses(1).await;
+    let reply = CallerClient::new(TEAM_KEY).addresses(survivor.caller).await.unwrap();
+    assert_eq!(survivor.caller, reply.addresses[0].address);
+}
