feat(policy): choose upstreams by expected latency and marginal cost

Cause: upstreams were chosen by own attempts in flight alone.

Change: the router estimates the time to the first token, the interval between tokens and the cost that a request adds at each upstream, from own attempts in flight, load reports aged by their lag, prompt blocks believed cached, and the price. Round robin, least in flight, power of two choices and affinity are selectable. Engines without the model, version, adapter or role asked for are left out. A breaker judges by outcome; new and returning upstreams start slowly; the leaving mark stays even if a stale list shows the instance again. A daemon reads load and cache events of the few engines it uses most. The hash of prompt blocks is defined in spindle-types for engines and router.

The routing tests for the old least-loaded choice are replaced by ones for each strategy; the one for the leaving mark also covers an instance that is listed again after it was gone.

--- /dev/null
+++ b/crates/policy/src/breaker/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+fn at(secs: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(secs * 1_000)
+}
+
+#[test]
+fn opens_after_failures_in_a_row_and_closes_after_one_probe() {
+    let mut breaker = Breaker::default();
+    assert_eq!(Changed::Unchanged, breaker.on_failure(at(0), at(0), Severity::Failed));
+    assert_eq!(Gate::Closed, breaker.gate(at(0)));
+    assert_eq!(Changed::Opened, breaker.on_failure(at(1), at(0), Severity::Failed));
+    assert_eq!(Gate::Open { until: at(2) }, breaker.gate(at(1)));
+    assert_eq!(Gate::Probe, breaker.gate(at(2)));
+    breaker.on_start(at(2));
+    assert_eq!(Gate::Open { until: at(3) }, breaker.gate(at(2)), "one probe at a time");
+    assert_eq!(Changed::Recovered, breaker.on_success());
+    assert_eq!(Gate::Closed, breaker.gate(at(2)));
+}
+
+#[test]
+fn failures_of_attempts_in_flight_count_once() {
+    let mut breaker = Breaker::default();
+    breaker.on_failure(at(5), at(1), Severity::Unreachable);
+    for _ in 0..50 {
+        assert_eq!(Changed::Unchanged, breaker.on_failure(at(5), at(2), Severity::Failed));
+    }
+    assert_eq!(Gate::Open { until: at(6) }, breaker.gate(at(5)));
+}
+
+#[test]
+fn time_open_doubles_with_each_failed_probe_up_to_a_bound() {
+    let mut breaker = Breaker::default();
+    let mut now = at(0);
+    let mut actual = Vec::new();
+    for _ in 0..7 {
+        breaker.on_failure(now, now, Severity::Unreachable);
+        let Gate::Open { until } = breaker.gate(now) else { panic!("not open") };
+        actual.push(until.since(now).as_secs());
+        now = until + Duration::from_millis(1);
+        breaker.on_start(now);
+        now = now + Duration::from_millis(1);
+    }
+    assert_eq!(vec![1, 2, 4, 8, 16, 30, 30], actual);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! where one is needed, a seeded generator are arguments.
 
 pub mod answer;
+pub mod breaker;
 pub mod claim;
 pub mod fold;
 pub mod membership;
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -1,5 +1,10 @@
 use super::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use spindle_types::config::{LatencyTarget, Role};
+use spindle_types::{Adapter, BlockHash, Model};
 use std::net::Ipv4Addr;
+use strum::IntoEnumIterator;
 
 fn upstream(name: &str) -> UpstreamInfo {
     UpstreamInfo {
@@ -8,28 +13,215 @@
         data_centre: DataCentre::try_from("kano-a").unwrap(),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         leaving: false,
+        price: 1.0,
     }
 }
 
-fn chosen(router: &mut Router) -> Option<String> {
-    let pool = Pool::try_from("spindle-pool").unwrap();
-    let route = router.choose(MonotonicInstant::default(), &pool, &[])?;
-    Some(route.instance.to_string())
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(millis)
+}
+
+fn router(strategy: Strategy, names: &[&str]) -> Router {
+    let home = DataCentre::try_from("kano-a").unwrap();
+    let mut router = Router::new(Params { strategy, ..Params::new(home) });
+    router.on_listing(at(0), names.iter().map(|name| upstream(name)).collect());
+    router
+}
+
+fn demand(tokens: u32, blocks: std::ops::Range<u64>) -> Demand {
+    Demand {
+        pools: vec![Pool::try_from("spindle-pool").unwrap()],
+        model: Some(Model::try_from("census-llm").unwrap()),
+        tokens,
+        answer: 100,
+        blocks: blocks.map(BlockHash).collect(),
+        target: LatencyTarget::default(),
+        ..Demand::default()
+    }
+}
+
+fn route(router: &mut Router, now: MonotonicInstant, demand: &Demand) -> Option<Route> {
+    router.choose(now, demand, &[], &mut ChaCha8Rng::seed_from_u64(7))
+}
+
+fn chosen(router: &mut Router, now: MonotonicInstant, demand: &Demand) -> Option<String> {
+    route(router, now, demand).map(|route| route.instance.to_string())
+}
+
+fn name(text: &str) -> Instance {
+    Instance::try_from(text).unwrap()
+}
+
+fn loaded() -> Loaded {
+    Loaded { model: Some(Model::try_from("census-llm").unwrap()), ..Loaded::default() }
+}
+
+fn report(now: MonotonicInstant, running: u32, loaded: Loaded) -> Report {
+    Report { taken: now, running, waiting: 0, queued_tokens: 0, loaded: Some(loaded) }
+}
+
+#[test]
+fn equal_upstreams_share_the_work_in_every_balancing_strategy() {
+    for strategy in [Strategy::RoundRobin, Strategy::LeastInFlight, Strategy::ExpectedCost] {
+        let mut router = router(strategy, &["a", "b", "c"]);
+        let work = demand(400, 0..0);
+        let mut actual: Vec<_> = (0..6).filter_map(|_| chosen(&mut router, at(0), &work)).collect();
+        actual.sort();
+        assert_eq!(vec!["a", "a", "b", "b", "c", "c"], actual, "{strategy}");
+    }
+}
+
+#[test]
+fn leaving_upstream_gets_nothing_in_any_strategy() {
+    for strategy in Strategy::iter() {
+        let mut router = router(strategy, &["a", "b"]);
+        router.on_leaving(&name("a"));
+        let work = demand(400, 0..0);
+        let actual: HashSet<_> = (0..50).map(|_| chosen(&mut router, at(0), &work)).collect();
+        assert_eq!(HashSet::from([Some("b".to_owned())]), actual, "{strategy}");
+    }
+}
+
+#[test]
+fn leaving_mark_survives_stale_listings() {
+    let mut router = router(Strategy::ExpectedCost, &["a"]);
+    router.on_leaving(&name("a"));
+    router.on_listing(at(1), vec![upstream("a")]);
+    assert_eq!(None, chosen(&mut router, at(1), &demand(1, 0..0)));
+    router.on_listing(at(2), vec![]);
+    router.on_listing(at(3), vec![upstream("a")]);
+    assert_eq!(None, chosen(&mut router, at(3), &demand(1, 0..0)), "listed again");
+}
+
+#[test]
+fn cached_prefix_wins_until_its_upstream_misses_the_target() {
+    let mut router = router(Strategy::ExpectedCost, &["a", "b"]);
+    let target = LatencyTarget {
+        token_interval: spindle_types::Span::from_millis(16),
+        ..LatencyTarget::default()
+    };
+    let work = Demand { target, ..demand(1_600, 0..100) };
+    let first = chosen(&mut router, at(0), &work);
+    let mut actual = Vec::new();
+    for step in 1..60 {
+        actual.push(chosen(&mut router, at(step * 100), &work));
+    }
+    let same = actual.iter().take_while(|name| **name == first).count();
+    let batch_max = (0.016 * 0.9 - 0.008) / 0.0003;
+    assert_eq!(batch_max as usize - 1, same, "attempts until the batch is too slow");
+}
+
+#[test]
+fn cheaper_upstream_is_chosen_while_it_meets_the_target() {
+    let mut router = router(Strategy::ExpectedCost, &[]);
+    let dear = UpstreamInfo { price: 3.0, ..upstream("a") };
+    router.on_listing(at(0), vec![dear, upstream("b")]);
+    let work = demand(3_600, 0..0);
+    let actual: Vec<_> = (0..2).filter_map(|_| chosen(&mut router, at(0), &work)).collect();
+    assert_eq!(vec!["b", "a"], actual, "the second would wait for the first's prefill");
+}
+
+#[test]
+fn reported_load_of_others_is_avoided_and_fades() {
+    let mut router = router(Strategy::ExpectedCost, &["a", "b"]);
+    router.on_report(&name("a"), report(at(0), 0, loaded()));
+    router.on_report(&name("a"), report(at(1_000), 30, loaded()));
+    let work = demand(400, 0..0);
+    assert_eq!(Some("b".to_owned()), chosen(&mut router, at(1_000), &work));
+    router.on_report(&name("b"), report(at(1_500), 20, loaded()));
+    assert_eq!(Some("a".to_owned()), chosen(&mut router, at(60_000), &work));
+}
+
+#[test]
+fn own_attempts_are_not_counted_twice_in_a_late_report() {
+    let mut router = router(Strategy::ExpectedCost, &["a"]);
+    let work = demand(16, 0..0);
+    let ended = route(&mut router, at(0), &work).unwrap();
+    for _ in 0..4 {
+        route(&mut router, at(0), &work);
+    }
+    router.on_end(at(900), ended.key, AttemptEnd::Completed);
+    route(&mut router, at(950), &work);
+    router.on_report(&name("a"), report(at(500), 5, loaded()));
+    let key = router.by_instance[&name("a")];
+    assert_eq!(5.0, router.upstreams[key].batch(at(1_000)));
+}
+
+#[test]
+fn engine_without_the_model_version_adapter_or_role_is_left_out() {
+    let version = |text: &str| Some(Version::try_from(text).unwrap());
+    let other = Model::try_from("other").unwrap();
+    let mut router = router(Strategy::LeastInFlight, &["a", "b", "c", "d", "e"]);
+    let adapter = Adapter::try_from("kano").unwrap();
+    let fit = Loaded { version: version("v2"), adapters: vec![adapter.clone()], ..loaded() };
+    let states = [
+        ("a", Loaded { model: Some(other), ..fit.clone() }),
+        ("b", Loaded { version: version("v1"), ..fit.clone() }),
+        ("c", Loaded { adapters: vec![], ..fit.clone() }),
+        ("d", Loaded { role: Role::Decode, ..fit.clone() }),
+        ("e", fit),
+    ];
+    for (instance, state) in states {
+        router.on_report(&name(instance), report(at(1), 0, state));
+    }
+    let work = Demand { version: version("v2"), adapter: Some(adapter), ..demand(16, 0..0) };
+    let actual: Vec<_> = (0..3).map(|_| route(&mut router, at(2), &work).unwrap()).collect();
+    assert!(actual.iter().all(|route| route.instance == name("e")));
+    assert_eq!(version("v2"), actual[0].version);
+}
+
+#[test]
+fn failed_upstream_is_out_until_a_probe_succeeds_and_then_starts_slowly() {
+    let mut router = router(Strategy::LeastInFlight, &["a", "b"]);
+    let work = demand(16, 0..0);
+    let failed = route(&mut router, at(0), &work).unwrap();
+    router.on_end(at(0), failed.key, AttemptEnd::Unreachable);
+    let during: HashSet<_> = (0..9).map(|_| chosen(&mut router, at(500), &work)).collect();
+    assert_eq!(HashSet::from([Some("b".to_owned())]), during);
+    let probe = route(&mut router, at(1_000), &work).unwrap();
+    assert_eq!(name("a"), probe.instance);
+    assert_eq!(Some("b".to_owned()), chosen(&mut router, at(1_000), &work), "one probe");
+    router.on_end(at(1_100), probe.key, AttemptEnd::Completed);
+    let after: Vec<_> = (0..4).filter_map(|_| chosen(&mut router, at(1_100), &work)).collect();
+    assert_eq!(vec!["a", "b", "b", "b"], after);
 }
 
 #[test]
-fn least_loaded_is_chosen() {
-    let mut router = Router::new();
-    router.on_listing(vec![upstream("a"), upstream("b")]);
-    let actual: Vec<_> = (0..3).map(|_| chosen(&mut router)).collect();
-    assert_eq!(vec![Some("a".into()), Some("b".into()), Some("a".into())], actual);
+fn only_upstream_is_used_even_with_an_open_breaker() {
+    let mut router = router(Strategy::ExpectedCost, &["a"]);
+    let work = demand(16, 0..0);
+    let failed = route(&mut router, at(0), &work).unwrap();
+    router.on_end(at(0), failed.key, AttemptEnd::Unreachable);
+    assert_eq!(Some("a".to_owned()), chosen(&mut router, at(1), &work));
 }
 
 #[test]
-fn leaving_mark_survives_a_stale_listing() {
-    let mut router = Router::new();
-    router.on_listing(vec![upstream("a")]);
-    router.on_leaving(&Instance::try_from("a").unwrap());
-    router.on_listing(vec![upstream("a")]);
-    assert_eq!(None, chosen(&mut router));
+fn any_sequence_keeps_counts_exact_and_leaving_upstreams_idle() {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|steps| {
+        let mut router = router(Strategy::ExpectedCost, &["a", "b", "c"]);
+        let mut open = Vec::new();
+        let mut left = HashSet::new();
+        for (step, (kind, pick)) in steps.iter().enumerate() {
+            let now = at(step as u64 * 50);
+            match kind % 4 {
+                0 | 1 => open.extend(route(&mut router, now, &demand(64, 0..4))),
+                2 if !open.is_empty() => {
+                    let route = open.swap_remove(usize::from(*pick) % open.len());
+                    let ends = [AttemptEnd::Completed, AttemptEnd::Failed, AttemptEnd::Cancelled];
+                    router.on_end(now, route.key, ends[usize::from(*pick) % 3]);
+                }
+                3 if *pick < 16 => {
+                    let instance = name(["a", "b", "c"][usize::from(*pick) % 3]);
+                    router.on_leaving(&instance);
+                    left.insert(instance);
+                }
+                _ => {}
+            }
+            let next = route(&mut router, now, &demand(64, 0..4));
+            assert!(next.as_ref().is_none_or(|route| !left.contains(&route.instance)));
+            open.extend(next);
+        }
+        let running: u32 = router.upstreams.values().map(|upstream| upstream.running).sum();
+        assert_eq!(open.len(), running as usize);
+    });
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod id;
 pub mod outcome;
+pub mod prefix;
 pub mod problem;
 pub mod time;
 pub mod unit;
@@ -17,6 +18,7 @@
     Team, Version,
 };
 pub use outcome::{NotRun, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
+pub use prefix::{BLOCK_TOKENS, BlockHash, Blocks, block_tokens};
 pub use problem::{Problem, Problems};
 pub use time::{Clock, MonotonicInstant, SystemClock, UtcInstant};
 pub use unit::{Money, Share, Size, Span, Tokens};
--- a/src/call.rs
+++ b/src/call.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use spindle_caller::{Refusal, Repeatability, problem_response, repeatability};
 use spindle_http::{Body, BodySender};
-use spindle_policy::routing::{AttemptEnd, Route};
+use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_service::headers::remove_hop_by_hop;
 use spindle_service::{CallOutcome, Service};
 use spindle_types::config::{Repeat, ServiceSpec};
@@ -87,10 +87,11 @@
     pool: &Pool,
     mut unsent: Unsent<Call>,
 ) -> Result<Response<Body>, Refusal> {
+    let demand = Demand::call(pool.clone());
     let mut excluded = Vec::new();
     let mut lost = None;
     for _ in 0..ATTEMPTS_MAX {
-        let Some(route) = shared.upstreams.choose(pool, &excluded).await else {
+        let Some(route) = shared.upstreams.choose(&demand, &excluded).await else {
             break;
         };
         excluded.push(route.instance.clone());
@@ -127,7 +128,7 @@
             }
         }
     }
-    let Some(route) = shared.upstreams.choose(pool, &[]).await else {
+    let Some(route) = shared.upstreams.choose(&Demand::call(pool.clone()), &[]).await else {
         let not_run = unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER));
         return Err(Refusal::NotRun(not_run));
     };
@@ -177,7 +178,7 @@
     loop {
         let frame = tokio::select! {
             frame = answer.frame() => frame,
-            () = sender.closed() => return AttemptEnd::Completed,
+            () = sender.closed() => return AttemptEnd::Cancelled,
         };
         match frame {
             None => {
@@ -190,7 +191,7 @@
                     continue;
                 };
                 if sender.send(data).await.is_err() {
-                    return AttemptEnd::Completed;
+                    return AttemptEnd::Cancelled;
                 }
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -65,7 +65,7 @@
     pub async fn start(context: C, settings: Settings) -> eyre::Result<Self> {
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
         let (config, following) = follower::start(context.clone());
-        let (upstreams, daemons) = upstreams::start(context.clone(), &settings.peer);
+        let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
         let claims = claims::start(context.clone(), incarnation);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
--- /dev/null
+++ b/src/demand.rs
@@ -0,0 +1,35 @@
+//! What a generation asks of an engine, from its request and the configuration.
+
+use spindle_caller::Completion;
+use spindle_policy::routing::Demand;
+use spindle_types::config::Role;
+use spindle_types::{Blocks, Configuration, Pool, PoolSpec};
+
+/// The demand of a generation whose first pool is `pool`.
+pub(crate) fn of(config: &Configuration, completion: &Completion, pool: &Pool) -> Demand {
+    let Completion { model, adapter, prompt, max_tokens, .. } = completion;
+    let suits = |spec: &PoolSpec| {
+        spec.role != Role::Decode
+            && adapter.as_ref().is_none_or(|adapter| spec.adapters.contains(adapter))
+    };
+    let suited = config.pools_of(model).filter(|(_, spec)| suits(spec));
+    let mut pools: Vec<_> = suited.map(|(pool, _)| pool.clone()).collect();
+    if pools.is_empty() {
+        pools.push(pool.clone());
+    }
+    let target = config.pools.get(&pools[0]).map(|spec| spec.target).unwrap_or_default();
+    let blocks = Blocks::of(model, adapter.as_ref(), prompt);
+    Demand {
+        pools,
+        model: Some(model.clone()),
+        version: None,
+        adapter: adapter.clone(),
+        tokens: blocks.tokens,
+        answer: *max_tokens,
+        blocks: blocks.hashes,
+        target,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -4,11 +4,12 @@
 
 use crate::context::Context;
 use crate::daemon::Shared;
+use crate::demand;
 use spindle_caller::{Completion, Refusal};
 use spindle_engine::wire::Finish;
 use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, Step};
 use spindle_policy::answer::{Answer, Part, Received};
-use spindle_policy::routing::{AttemptEnd, Route};
+use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_types::{
     Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId, Sent, Unsent,
 };
@@ -57,10 +58,11 @@
 ) -> mpsc::Receiver<Progress> {
     let (progress, receiver) = mpsc::channel(PROGRESS_BUFFER);
     let started = shared.context.clock().now();
+    let demand = demand::of(&shared.config.borrow(), &completion, &pool);
     let driver = Driver {
         shared,
         id,
-        pool,
+        demand,
         progress,
         started,
         answer: Answer::new(id),
@@ -110,7 +112,7 @@
 struct Driver<C> {
     shared: Arc<Shared<C>>,
     id: RequestId,
-    pool: Pool,
+    demand: Demand,
     progress: mpsc::Sender<Progress>,
     started: MonotonicInstant,
     answer: Answer,
@@ -130,7 +132,8 @@
             if now.since(progressed_at) >= self.shared.settings.caller.stall_timeout.get() {
                 return self.refuse(custody.give_up(RefusalReason::NoUpstream)).await;
             }
-            let Some(route) = self.shared.upstreams.choose(&self.pool, &self.excluded).await else {
+            let Some(route) = self.shared.upstreams.choose(&self.demand, &self.excluded).await
+            else {
                 self.excluded.clear();
                 tokio::time::sleep(ROUTE_RETRY_DELAY).await;
                 continue;
@@ -138,11 +141,12 @@
             let (next, attempted) = self.attempt(custody, &route).await;
             custody = next;
             let end = match attempted {
-                Attempted::Finished | Attempted::CallerGone => AttemptEnd::Completed,
+                Attempted::Finished => AttemptEnd::Completed,
+                Attempted::CallerGone => AttemptEnd::Cancelled,
                 Attempted::Failed => AttemptEnd::Failed,
             };
             self.shared.upstreams.end(route.key, end).await;
-            if end == AttemptEnd::Completed {
+            if end != AttemptEnd::Failed {
                 return;
             }
             if self.answer.length() > length {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod context;
 pub mod daemon;
+mod demand;
 pub mod demo;
 pub mod deployment;
 pub mod follower;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod peer;
 mod platform;
+mod routing;
 
 pub use caller::CallerSettings;
 pub use drain::DrainSettings;
@@ -20,6 +21,7 @@
 pub use metrics::MetricsSettings;
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
+pub use routing::RoutingSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -39,6 +41,9 @@
     /// How other daemons are met.
     #[serde(default)]
     pub peer: PeerSettings,
+    /// How upstreams are chosen.
+    #[serde(default)]
+    pub routing: RoutingSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -56,6 +61,7 @@
         let mut problems = Problems::new();
         self.caller.check(&mut problems);
         self.peer.check(&mut problems);
+        self.routing.check(&mut problems);
         self.drain.check(&mut problems);
         problems
     }
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -1,16 +1,23 @@
-//! Owns the router: follows the instance list and reclaim notices, and chooses upstreams.
+//! Owns the router: follows the instance list, reclaim notices, prices, loads and cache events, and
+//! chooses upstreams.
+
+mod poll;
+mod price;
 
 use crate::context::Context;
-use crate::settings::PeerSettings;
-use spindle_cloud::Cloud;
-use spindle_instances::{Entry, Instances, Kind, State};
-use spindle_policy::routing::{AttemptEnd, Route, Router, UpstreamInfo, UpstreamKey};
+use crate::settings::Settings;
+use price::Prices;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use spindle_cloud::wire::Offer;
+use spindle_instances::{Entry, Kind, State};
+use spindle_policy::routing::{
+    AttemptEnd, AttemptKey, CacheChange, Demand, Report, Route, Router, UpstreamInfo,
+};
 use spindle_types::{Clock, Instance, Pool};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::MissedTickBehavior;
 
 /// Messages that may wait for the task.
 const MAILBOX: usize = 1_024;
@@ -31,10 +38,22 @@
 pub type LeavingWatch = watch::Receiver<Arc<Vec<Instance>>>;
 
 enum Message {
-    Choose { pool: Pool, excluded: Vec<Instance>, reply: oneshot::Sender<Option<Route>> },
-    End { key: UpstreamKey, end: AttemptEnd },
+    Choose { demand: Demand, excluded: Vec<Instance>, reply: oneshot::Sender<Option<Route>> },
+    Progress { key: AttemptKey, tokens: u32 },
+    End { key: AttemptKey, end: AttemptEnd },
     Listing(Vec<Entry>),
     Leaving(Vec<Instance>),
+    Offers(Vec<Offer>),
+    Watched { count: usize, reply: oneshot::Sender<Vec<Watched>> },
+    Report { instance: Instance, report: Report },
+    Cache { instance: Instance, next: u64, events: Vec<(u64, CacheChange)> },
+}
+
+/// An upstream whose load and cache events are read.
+struct Watched {
+    instance: Instance,
+    address: SocketAddr,
+    next_event: u64,
 }
 
 /// Talks to the task that owns the router.
@@ -45,16 +64,23 @@
 }
 
 impl Upstreams {
-    /// Chooses an upstream of a pool, if one can take work.
-    pub async fn choose(&self, pool: &Pool, excluded: &[Instance]) -> Option<Route> {
+    /// Chooses an upstream for a request, if one can take it.
+    pub async fn choose(&self, demand: &Demand, excluded: &[Instance]) -> Option<Route> {
         let (reply, answer) = oneshot::channel();
-        let message = Message::Choose { pool: pool.clone(), excluded: excluded.to_vec(), reply };
+        let (demand, excluded) = (demand.clone(), excluded.to_vec());
+        let message = Message::Choose { demand, excluded, reply };
         self.mailbox.send(message).await.ok()?;
         answer.await.ok()?
     }
 
+    /// Records that an attempt has brought a number of tokens in all. Does nothing while the task
+    /// is busy, for the figure only refines estimates.
+    pub fn progress(&self, key: AttemptKey, tokens: u32) {
+        let _ = self.mailbox.try_send(Message::Progress { key, tokens });
+    }
+
     /// Records the end of an attempt.
-    pub async fn end(&self, key: UpstreamKey, end: AttemptEnd) {
+    pub async fn end(&self, key: AttemptKey, end: AttemptEnd) {
         // Without a router there is nothing to record.
         let _ = self.mailbox.send(Message::End { key, end }).await;
     }
@@ -72,67 +98,30 @@
 }
 
 /// Starts the task; it ends when nobody talks to it any more.
-pub fn start<C: Context>(context: C, settings: &PeerSettings) -> (Upstreams, DaemonWatch) {
+pub fn start<C: Context>(context: C, settings: &Settings) -> (Upstreams, DaemonWatch) {
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (daemons, daemon_watch) = watch::channel(Arc::default());
     let (leaving, leaving_watch) = watch::channel(Arc::default());
-    let (list_interval, notice_interval) = (settings.list_interval, settings.notice_interval);
-    tokio::spawn(poll_list(context.clone(), list_interval.get(), mailbox.downgrade()));
-    tokio::spawn(poll_notices(context.clone(), notice_interval.get(), mailbox.downgrade()));
-    tokio::spawn(Task { context, router: Router::new(), daemons, leaving }.run(messages));
+    poll::start(&context, settings, &mailbox);
+    let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
+    let params = settings.routing.params(settings.identity.data_centre.clone());
+    let task = Task {
+        context,
+        router: Router::new(params),
+        generator: StdRng::seed_from_u64(seed),
+        prices: Prices::default(),
+        daemons,
+        leaving,
+    };
+    tokio::spawn(task.run(messages));
     (Upstreams { mailbox, leaving: leaving_watch }, daemon_watch)
 }
 
-async fn poll_list<C: Context>(context: C, every: Duration, mailbox: mpsc::WeakSender<Message>) {
-    let mut ticks = tokio::time::interval(every);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let message = match context.instances().list().await {
-            Ok(listing) => Message::Listing(listing.entries),
-            Err(error) => {
-                log::warn!("event=list_failed error={error:?}");
-                continue;
-            }
-        };
-        if !deliver(&mailbox, message).await {
-            return;
-        }
-    }
-}
-
-async fn poll_notices<C: Context>(context: C, every: Duration, mailbox: mpsc::WeakSender<Message>) {
-    let mut ticks = tokio::time::interval(every);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut next = 1;
-    loop {
-        ticks.tick().await;
-        let notices = match context.cloud().notices(next).await {
-            Ok(notices) => notices.notices,
-            Err(error) => {
-                log::warn!("event=notices_failed error={error:?}");
-                continue;
-            }
-        };
-        next = notices.iter().map(|notice| notice.number + 1).fold(next, u64::max);
-        let leaving = notices.into_iter().map(|notice| notice.instance).collect();
-        if !deliver(&mailbox, Message::Leaving(leaving)).await {
-            return;
-        }
-    }
-}
-
-/// Delivers a message; false if the task has ended.
-async fn deliver(mailbox: &mpsc::WeakSender<Message>, message: Message) -> bool {
-    match mailbox.upgrade() {
-        Some(mailbox) => mailbox.send(message).await.is_ok(),
-        None => false,
-    }
-}
-
 struct Task<C> {
     context: C,
     router: Router,
+    generator: StdRng,
+    prices: Prices,
     daemons: watch::Sender<Arc<Vec<ListedDaemon>>>,
     leaving: watch::Sender<Arc<Vec<Instance>>>,
 }
@@ -147,21 +136,40 @@
     fn on_message(&mut self, message: Message) {
         let now = self.context.clock().now();
         match message {
-            Message::Choose { pool, excluded, reply } => {
-                let route = self.router.choose(now, &pool, &excluded);
+            Message::Choose { demand, excluded, reply } => {
+                let route = self.router.choose(now, &demand, &excluded, &mut self.generator);
                 // A requester that has gone leaves no attempt behind.
                 if let Err(Some(route)) = reply.send(route) {
-                    self.router.on_end(now, route.key, AttemptEnd::Completed);
+                    self.router.on_end(now, route.key, AttemptEnd::Cancelled);
                 }
             }
+            Message::Progress { key, tokens } => self.router.on_progress(now, key, tokens),
             Message::End { key, end } => self.router.on_end(now, key, end),
             Message::Listing(entries) => self.on_listing(entries),
             Message::Leaving(instances) => {
                 instances.iter().for_each(|instance| self.mark_leaving(instance));
             }
+            Message::Offers(offers) => self.prices.on_offers(offers),
+            Message::Watched { count, reply } => {
+                // A reader that has gone needs no answer.
+                let _ = reply.send(self.watched(count));
+            }
+            Message::Report { instance, report } => self.router.on_report(&instance, report),
+            Message::Cache { instance, next, events } => {
+                self.router.on_cache_events(&instance, next, &events);
+            }
         }
     }
 
+    fn watched(&self, count: usize) -> Vec<Watched> {
+        let busiest = self.router.busiest(count).into_iter();
+        let watched = busiest.map(|(instance, address)| {
+            let next_event = self.router.next_event(&instance);
+            Watched { instance, address, next_event }
+        });
+        watched.collect()
+    }
+
     fn on_listing(&mut self, entries: Vec<Entry>) {
         let mut upstreams = Vec::new();
         let mut daemons = Vec::new();
@@ -171,10 +179,13 @@
             }
             match entry.kind.clone() {
                 Kind::Daemon { peer } => daemons.push(ListedDaemon { entry, peer }),
-                Kind::Upstream { pool } => upstreams.push(upstream_info(entry, pool)),
+                Kind::Upstream { pool } => {
+                    upstreams.push(upstream_info(entry, pool, &self.prices));
+                }
             }
         }
-        self.router.on_listing(upstreams);
+        let now = self.context.clock().now();
+        self.router.on_listing(now, upstreams);
         self.daemons.send_replace(Arc::new(daemons));
     }
 
@@ -188,8 +199,9 @@
     }
 }
 
-fn upstream_info(entry: Entry, pool: Pool) -> UpstreamInfo {
+fn upstream_info(entry: Entry, pool: Pool, prices: &Prices) -> UpstreamInfo {
     UpstreamInfo {
+        price: prices.of(&entry),
         instance: entry.instance,
         pool,
         data_centre: entry.data_centre,
--- /dev/null
+++ b/src/upstreams/price.rs
@@ -0,0 +1,39 @@
+//! Prices of instances, from the cloud's offers.
+
+use spindle_cloud::wire::Offer;
+use spindle_instances::Entry;
+use spindle_types::config::Market;
+use spindle_types::{DataCentre, MachineClass};
+use std::collections::BTreeMap;
+
+/// The price an hour where no offer tells one.
+const PRICE_DEFAULT: f64 = 1.0;
+
+/// Prices an hour by data centre, class and market.
+#[derive(Debug, Default)]
+pub(super) struct Prices(BTreeMap<(DataCentre, MachineClass, Market), f64>);
+
+impl Prices {
+    /// Takes over the offers. A price that is no longer offered stays known.
+    pub(super) fn on_offers(&mut self, offers: Vec<Offer>) {
+        for Offer { data_centre, class, market, hourly_price, .. } in offers {
+            self.0.insert((data_centre, class, market), hourly_price.units());
+        }
+    }
+
+    /// The price an hour of an instance; where none is known, the mean of those known.
+    pub(super) fn of(&self, entry: &Entry) -> f64 {
+        let key = (entry.data_centre.clone(), entry.class.clone(), entry.market);
+        self.0.get(&key).copied().unwrap_or_else(|| self.mean())
+    }
+
+    fn mean(&self) -> f64 {
+        if self.0.is_empty() {
+            return PRICE_DEFAULT;
+        }
+        self.0.values().sum::<f64>() / self.0.len() as f64
+    }
+}
+
+#[cfg(test)]
+mod tests;
