feat: publisher, lease, checkpoints, and a follower that peers can bring forward

Cause: no daemon could change the configuration, and one that started in an outage of the log or behind expired records had none. Change: Publisher::publish appends, reads back and settles lost answers; Lease gives a permission that is checked before each order; the holder of the lease appends checkpoints; settings under state.

--- /dev/null
+++ b/src/checkpoints.rs
@@ -0,0 +1,57 @@
+//! Appends the folded configuration again before the records that made it expire. Does nothing at
+//! a daemon that does not hold the lease or has not read everything.
+
+use crate::context::Context;
+use crate::follower::{CONFIG_STREAM, Followed, Follower, stream_name};
+use crate::lease::Lease;
+use spindle_log::Log;
+use spindle_policy::checkpoint::{Due, due};
+use spindle_policy::fold::Standing;
+use spindle_types::{Clock, ConfigRecord, Configuration};
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// The time between two decisions.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts to append checkpoints.
+pub fn start<C: Context>(
+    context: C,
+    follower: Follower,
+    lease: Lease,
+    retention: Duration,
+) -> JoinHandle<()> {
+    tokio::spawn(run(context, follower, lease, retention))
+}
+
+async fn run<C: Context>(context: C, follower: Follower, lease: Lease, retention: Duration) {
+    let mut ticks = tokio::time::interval(CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let now = context.clock().now();
+        if lease.fencing(now).is_none() {
+            continue;
+        }
+        let followed = follower.followed.borrow().clone();
+        let fold = &followed.fold;
+        let (at, offset) = followed.checkpoint.unzip();
+        let records = offset.map_or(0, |offset| fold.covers().0.saturating_sub(offset.0));
+        if fold.standing() == Standing::Current
+            && fold.state().revision.0 > 0
+            && due(now, at, records, retention) == Due::Now
+        {
+            append(&context, &followed).await;
+        }
+    }
+}
+
+async fn append<C: Context>(context: &C, followed: &Followed) {
+    let (covers, state) = (followed.fold.covers(), followed.fold.state());
+    let state = Box::new(Configuration::clone(state));
+    let record = ConfigRecord::Checkpoint { covers, state };
+    match context.log().append_value(&stream_name(CONFIG_STREAM), &record).await {
+        Ok(offset) => log::info!("event=checkpoint offset={offset} covers={covers}"),
+        Err(error) => log::warn!("event=checkpoint_failed error={:?}", error.to_string()),
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,10 +1,13 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
+use crate::checkpoints;
 use crate::claims::{self, Claims};
 use crate::context::Context;
-use crate::follower::{self, ConfigWatch};
+use crate::follower::{self, ConfigWatch, Follower};
 use crate::front::Front;
+use crate::lease::{self, Lease};
 use crate::members::{self, GossipService, MemberWatch};
+use crate::publisher::Publisher;
 use crate::settings::Settings;
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
@@ -33,6 +36,12 @@
     pub incarnation: Incarnation,
     /// The configuration in force.
     pub config: ConfigWatch,
+    /// What has been read of the operators' stream.
+    pub follower: Follower,
+    /// Publishes changes of the configuration.
+    pub publisher: Publisher<C>,
+    /// The lease of the single actor.
+    pub lease: Lease,
     /// The router.
     pub upstreams: Upstreams,
     /// The daemons, itself included.
@@ -52,7 +61,8 @@
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
-    following: JoinHandle<()>,
+    following: Vec<JoinHandle<()>>,
+    leasing: JoinHandle<()>,
     rpc: ServerHandle,
 }
 
@@ -64,11 +74,20 @@
     /// A listen address can't be bound.
     pub async fn start(context: C, settings: Settings) -> eyre::Result<Self> {
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
-        let (config, following) = follower::start(context.clone());
+        let (follower, following) = follower::start(context.clone());
+        let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings.peer);
         let claims = claims::start(context.clone(), incarnation);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
+        let publisher =
+            Publisher::new(context.clone(), follower.clone(), settings.state.publish_timeout.get());
+        let state = &settings.state;
+        let (lease, leasing) = lease::start(context.clone(), state, incarnation, drain.clone());
+        let retention = state.retention.get();
+        let checkpoints =
+            checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
+        let following = vec![following, checkpoints];
         let (listener, caller) = bind(settings.caller.listen)
             .await
             .wrap_err_with(|| format!("caller.listen {}", settings.caller.listen))?;
@@ -87,6 +106,9 @@
             settings,
             incarnation,
             config,
+            follower,
+            publisher,
+            lease,
             upstreams,
             members,
             claims,
@@ -101,7 +123,8 @@
         };
         let front = Front(Arc::clone(&shared));
         let serving = tokio::spawn(serve(listener, front, limits, closing.signal()));
-        let daemon = Self { shared, caller, peer, closing, refusing, serving, following, rpc };
+        let daemon =
+            Self { shared, caller, peer, closing, refusing, serving, following, leasing, rpc };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
         Ok(daemon)
@@ -132,6 +155,8 @@
         self.closing.start();
         // A failure here means that the server panicked, which is logged by the runtime.
         let _ = (&mut self.serving).await;
+        // As above; the lease is given back.
+        let _ = (&mut self.leasing).await;
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
         log::info!("event=stopped incarnation={}", self.shared.incarnation);
@@ -164,7 +189,8 @@
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
-        self.following.abort();
+        self.following.iter().for_each(JoinHandle::abort);
+        self.leasing.abort();
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
     }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -5,7 +5,7 @@
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
     CallerSettings, DrainSettings, IdentitySettings, LogSettings, MetricsSettings, PeerSettings,
-    PlatformSettings, Settings, check_document,
+    PlatformSettings, Settings, StateSettings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -219,6 +219,7 @@
                 list_interval: Span::from_millis(200),
                 notice_interval: Span::from_millis(100),
             },
+            state: StateSettings::default(),
             drain: DrainSettings { linger: Span::from_millis(400) },
             logs: LogSettings::default(),
             metrics: MetricsSettings::default(),
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -1,14 +1,18 @@
 //! Follows the operators' stream and publishes the configuration.
 //!
-//! Does nothing while the log is unavailable: the newest revision stays in force.
+//! Peers hand over what they have read, so that neither an outage of the log nor a slow reader
+//! holds a daemon back. Without news the newest revision stays in force.
 
 use crate::context::Context;
-use spindle_log::{Log, ReadError};
-use spindle_policy::fold::{Fold, Folded};
-use spindle_types::{Configuration, Offset, StreamName};
+use crate::freshness::ContactState;
+use spindle_log::{Batch, Log, ReadError};
+use spindle_policy::fold::{Fold, Folded, Standing};
+use spindle_policy::update::Update;
+use spindle_types::{Clock, ConfigRecord, Configuration, MonotonicInstant, Offset, StreamName};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 
 /// The stream that holds the configuration.
 pub const CONFIG_STREAM: &str = "configuration";
@@ -19,14 +23,57 @@
 /// The pause after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Updates that may wait for the task.
+const MAILBOX: usize = 64;
+
 /// The configuration in force at this daemon.
 pub type ConfigWatch = watch::Receiver<Arc<Configuration>>;
 
+/// What this daemon has read of the operators' stream.
+#[derive(Clone, Debug, Default)]
+pub struct Followed {
+    /// The fold of the records.
+    pub fold: Fold,
+    /// When a checkpoint was seen appended, and its offset.
+    pub checkpoint: Option<(MonotonicInstant, Offset)>,
+}
+
+/// Talks to the task that follows the stream.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    /// The configuration in force.
+    pub config: ConfigWatch,
+    /// What has been read.
+    pub followed: watch::Receiver<Arc<Followed>>,
+    /// When the log and peers were last heard.
+    pub contacts: ContactState,
+    updates: mpsc::Sender<Update>,
+}
+
+impl Follower {
+    /// Hands over what another reader has folded.
+    pub async fn update(&self, update: Update) {
+        // Without the task there is nothing to bring forward.
+        let _ = self.updates.send(update).await;
+    }
+}
+
 /// Starts to follow the stream.
-pub fn start<C: Context>(context: C) -> (ConfigWatch, tokio::task::JoinHandle<()>) {
-    let (sender, receiver) = watch::channel(Arc::default());
-    let follower = Follower { context, fold: Fold::new(), sender };
-    (receiver, tokio::spawn(follower.run()))
+pub fn start<C: Context>(context: C) -> (Follower, JoinHandle<()>) {
+    let (sender, config) = watch::channel(Arc::default());
+    let (followed_sender, followed) = watch::channel(Arc::default());
+    let (updates, receiver) = mpsc::channel(MAILBOX);
+    let contacts = ContactState::default();
+    let follower = Follower { config, followed, contacts: contacts.clone(), updates };
+    let task = Task {
+        context,
+        contacts,
+        state: Followed::default(),
+        caught_up: false,
+        sender,
+        followed: followed_sender,
+    };
+    (follower, tokio::spawn(task.run(receiver)))
 }
 
 /// The name of a stream that is known to be valid.
@@ -34,49 +81,116 @@
     StreamName::try_from(name).expect("stream names in the program are valid")
 }
 
-struct Follower<C> {
+struct Task<C> {
     context: C,
-    fold: Fold,
+    contacts: ContactState,
+    state: Followed,
+    caught_up: bool,
     sender: watch::Sender<Arc<Configuration>>,
+    followed: watch::Sender<Arc<Followed>>,
 }
 
-impl<C: Context> Follower<C> {
-    async fn run(mut self) {
+impl<C: Context> Task<C> {
+    async fn run(mut self, mut updates: mpsc::Receiver<Update>) {
         let stream = stream_name(CONFIG_STREAM);
         while !self.sender.is_closed() {
-            if let Err(error) = self.read(&stream).await {
-                log::warn!("event=config_read_failed error={error:?}");
-                tokio::time::sleep(READ_RETRY_DELAY).await;
+            let context = self.context.clone();
+            let next = self.state.fold.next();
+            tokio::select! {
+                Some(update) = updates.recv() => self.on_update(update),
+                sent = read(&context, &stream, next) => self.on_read(sent),
             }
         }
     }
 
-    async fn read(&mut self, stream: &StreamName) -> Result<(), ReadError> {
-        let batch = self.context.log().read(stream, self.fold.next(), READ_WAIT).await?;
+    fn on_read(&mut self, (sent, batch): Read) {
+        let batch = match batch {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::warn!("event=config_read_failed error={error:?}");
+                return;
+            }
+        };
+        let standing = self.state.fold.standing();
+        self.state.fold.on_oldest(batch.oldest);
         for record in batch.records {
-            self.on_record(record.offset, record.body.get());
+            self.on_record(sent, record.offset, record.body.get());
+        }
+        let now_standing = self.state.fold.standing();
+        if standing != now_standing {
+            log::warn!("event=config_standing standing={now_standing} oldest={}", batch.oldest);
+        }
+        let at_end = self.state.fold.next() >= batch.end;
+        self.caught_up |= at_end;
+        if now_standing == Standing::Current && at_end {
+            self.contacts.on_log(sent);
         }
-        Ok(())
+        self.publish();
     }
 
-    fn on_record(&mut self, offset: Offset, body: &str) {
-        let record = match serde_json::from_str(body) {
+    fn on_record(&mut self, sent: MonotonicInstant, offset: Offset, body: &str) {
+        let record: ConfigRecord = match serde_json::from_str(body) {
             Ok(record) => record,
             Err(error) => {
                 log::warn!("event=config_record_invalid offset={offset} error={error:?}");
-                self.fold.skip(offset);
+                self.state.fold.skip(offset);
                 return;
             }
         };
-        match self.fold.on_record(offset, record) {
-            Folded::Applied { revision } | Folded::Restored { revision } => {
-                log::info!("event=config_in_force revision={revision}");
-                self.sender.send_replace(Arc::clone(self.fold.state()));
-            }
-            Folded::Conflict { winner } => {
-                log::info!("event=config_conflict offset={offset} winner={winner}");
+        if matches!(record, ConfigRecord::Checkpoint { .. }) && self.caught_up {
+            self.state.checkpoint = Some((sent, offset));
+        }
+        let folded = self.state.fold.on_record(offset, record);
+        report(offset, &folded);
+    }
+
+    fn on_update(&mut self, update: Update) {
+        let folded = self.state.fold.on_update(update);
+        report(self.state.fold.covers(), &folded);
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let state = self.state.fold.state();
+        self.followed.send_replace(Arc::new(self.state.clone()));
+        self.sender.send_if_modified(|config| {
+            let newer = state.revision > config.revision;
+            if newer {
+                *config = Arc::clone(state);
             }
-            Folded::Ignored => {}
+            newer
+        });
+    }
+}
+
+/// The instant before a read was sent, and what it brought.
+type Read = (MonotonicInstant, Result<Batch, ReadError>);
+
+/// Reads once; gives the instant before the read was sent, so that a pause of this process never
+/// makes the answer look fresher than it is.
+async fn read<C: Context>(context: &C, stream: &StreamName, from: Offset) -> Read {
+    let sent = context.clock().now();
+    let batch = context.log().read(stream, from, READ_WAIT).await;
+    if batch.is_err() {
+        tokio::time::sleep(READ_RETRY_DELAY).await;
+    }
+    (sent, batch)
+}
+
+fn report(offset: Offset, folded: &Folded) {
+    match folded {
+        Folded::Applied { revision } | Folded::Restored { revision } => {
+            log::info!("event=config_in_force revision={revision}");
+        }
+        Folded::Conflict { winner } => {
+            log::info!("event=config_conflict offset={offset} winner={winner}");
         }
+        Folded::Rejected { problems } => {
+            log::info!("event=config_rejected offset={offset} problems={:?}", problems.to_string());
+        }
+        Folded::Collected | Folded::Ignored => {}
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- /dev/null
+++ b/src/freshness.rs
@@ -0,0 +1,39 @@
+//! Keeps when this daemon last heard the log and its peers, and says whether it may take new work.
+
+use crate::context::Context;
+use spindle_policy::freshness::{Contacts, Freshness, PeerContact};
+use spindle_types::{Clock, MonotonicInstant, Revision};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The contacts of one daemon, shared by the tasks that hear of the log and of peers.
+#[derive(Clone, Debug, Default)]
+pub struct ContactState(Arc<watch::Sender<Contacts>>);
+
+impl ContactState {
+    /// Notes that everything in the log up to `at` has been read.
+    pub fn on_log(&self, at: MonotonicInstant) {
+        self.0.send_modify(|contacts| contacts.on_log(at));
+    }
+
+    /// Notes that a peer was heard at `now`, given the revision in force here.
+    pub fn on_peer(&self, now: MonotonicInstant, own: Revision, contact: PeerContact) {
+        self.0.send_modify(|contacts| contacts.on_peer(now, own, contact));
+    }
+
+    /// Notes that a current instance list shows no other daemon.
+    pub fn on_alone(&self, at: MonotonicInstant) {
+        self.0.send_modify(|contacts| contacts.on_alone(at));
+    }
+
+    /// Whether new work may be taken.
+    pub fn freshness<C: Context>(&self, context: &C) -> Freshness {
+        self.0.borrow().freshness(context.clock().now())
+    }
+
+    /// The time since this daemon knew the newest revision; none if it never did.
+    pub fn age<C: Context>(&self, context: &C) -> Option<Duration> {
+        self.0.borrow().age(context.clock().now())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod addresses;
 pub mod call;
+pub mod checkpoints;
 pub mod claims;
 pub mod cli;
 pub mod client;
@@ -10,11 +11,14 @@
 pub mod demo;
 pub mod deployment;
 pub mod follower;
+pub mod freshness;
 pub mod front;
 pub mod generation;
+pub mod lease;
 pub mod logs;
 pub mod members;
 pub mod metrics;
+pub mod publisher;
 pub mod reply;
 pub mod settings;
 pub mod upstreams;
--- /dev/null
+++ b/src/publisher.rs
@@ -0,0 +1,199 @@
+//! Publishes changes of the configuration: appends a record, and reads on until its effect is
+//! known. A record whose append was not acknowledged is appended again; only the first one counts.
+
+use crate::context::Context;
+use crate::follower::{CONFIG_STREAM, Follower, stream_name};
+use serde_json::value::{RawValue, to_raw_value};
+use spindle_log::{AppendError, Batch, Log};
+use spindle_policy::fold::{Fold, Folded, Standing};
+use spindle_policy::validation::check_change;
+use spindle_types::{Change, Clock, ConfigRecord, MonotonicInstant, Operator, Problems, Revision};
+use std::time::Duration;
+
+/// How long a read waits for the first record.
+const READ_WAIT: Duration = Duration::from_millis(200);
+
+/// The pause after a failed append or read.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// The largest record, in bytes.
+const RECORD_MAX_BYTES: usize = 1024 * 1024;
+
+/// What became of a change.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It was appended, read back, and took effect.
+    Accepted {
+        /// The revision that it made.
+        revision: Revision,
+    },
+    /// It was based on another revision than the newest one, and has no effect.
+    Conflict {
+        /// The newest revision.
+        winner: Revision,
+    },
+    /// It is not valid, and has no effect.
+    Invalid {
+        /// What is wrong with it.
+        problems: Problems,
+    },
+    /// Nothing was appended; the log or this daemon's knowledge of it is not available.
+    Unavailable,
+    /// It may take effect; the configuration shows it if it does.
+    Unknown,
+}
+
+/// Whether the record of a change can be in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Appended {
+    No,
+    Maybe,
+    Yes,
+}
+
+/// Publishes changes from one daemon.
+#[derive(Clone, Debug)]
+pub struct Publisher<C> {
+    context: C,
+    follower: Follower,
+    timeout: Duration,
+}
+
+impl<C: Context> Publisher<C> {
+    /// A publisher that starts from what the follower has read; the effect of a change must be
+    /// known within `timeout`.
+    pub const fn new(context: C, follower: Follower, timeout: Duration) -> Self {
+        Self { context, follower, timeout }
+    }
+
+    /// Publishes a change that was based on a revision.
+    pub async fn publish(&self, base: Revision, operator: Operator, change: Change) -> Outcome {
+        let fold = self.follower.followed.borrow().fold.clone();
+        if let Some(outcome) = refusal(&fold, base, &change) {
+            return outcome;
+        }
+        let nonce = u64::try_from(self.context.random() >> 64).unwrap_or_default();
+        let at = self.context.clock().utc();
+        let record = ConfigRecord::Change { base, operator, at, nonce, change: Box::new(change) };
+        let Ok(body) = to_raw_value(&record) else {
+            return Outcome::Unavailable;
+        };
+        if body.get().len() > RECORD_MAX_BYTES {
+            let mut problems = Problems::new();
+            let allowed = format!("at most {RECORD_MAX_BYTES} bytes");
+            problems.add("change", format!("{} bytes", body.get().len()), allowed);
+            return Outcome::Invalid { problems };
+        }
+        let deadline = self.context.clock().now() + self.timeout;
+        let mut settling = Settling { fold, nonce, appended: Appended::No };
+        let outcome = self.settle(&mut settling, &body, deadline).await;
+        log::info!("event=config_published base={base} nonce={nonce} outcome={outcome:?}");
+        outcome
+    }
+
+    async fn settle(
+        &self,
+        settling: &mut Settling,
+        body: &RawValue,
+        deadline: MonotonicInstant,
+    ) -> Outcome {
+        while self.context.clock().now() < deadline {
+            if settling.appended != Appended::Yes {
+                self.append(settling, body).await;
+            }
+            if let Some(outcome) = self.read(settling).await {
+                return outcome;
+            }
+        }
+        match settling.appended {
+            Appended::No => Outcome::Unavailable,
+            Appended::Maybe | Appended::Yes => Outcome::Unknown,
+        }
+    }
+
+    async fn append(&self, settling: &mut Settling, body: &RawValue) {
+        let stream = stream_name(CONFIG_STREAM);
+        match self.context.log().append(&stream, vec![body.to_owned()]).await {
+            Ok(_) => settling.appended = Appended::Yes,
+            Err(AppendError::Unknown(text)) => {
+                log::warn!("event=config_append_unknown error={text:?}");
+                settling.appended = Appended::Maybe;
+            }
+            Err(AppendError::NotAppended(text)) => {
+                log::warn!("event=config_append_failed error={text:?}");
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    async fn read(&self, settling: &mut Settling) -> Option<Outcome> {
+        if settling.appended == Appended::No {
+            return None;
+        }
+        let stream = stream_name(CONFIG_STREAM);
+        let outcome = match self.context.log().read(&stream, settling.fold.next(), READ_WAIT).await
+        {
+            Ok(batch) => settling.on_batch(batch)?,
+            Err(error) => {
+                log::warn!("event=config_read_failed error={error:?}");
+                tokio::time::sleep(RETRY_DELAY).await;
+                return None;
+            }
+        };
+        let known = self.follower.config.borrow().revision;
+        self.follower.update(settling.fold.update_since(known)).await;
+        Some(outcome)
+    }
+}
+
+/// The outcome of a change that needs no append.
+fn refusal(fold: &Fold, base: Revision, change: &Change) -> Option<Outcome> {
+    let winner = fold.state().revision;
+    if fold.standing() == Standing::Behind {
+        return Some(Outcome::Unavailable);
+    }
+    if base < winner {
+        return Some(Outcome::Conflict { winner });
+    }
+    if base > winner {
+        return None;
+    }
+    check_change(fold.state(), change).err().map(|problems| Outcome::Invalid { problems })
+}
+
+/// A change whose effect is not known yet.
+struct Settling {
+    fold: Fold,
+    nonce: u64,
+    appended: Appended,
+}
+
+impl Settling {
+    fn on_batch(&mut self, batch: Batch) -> Option<Outcome> {
+        self.fold.on_oldest(batch.oldest);
+        for record in batch.records {
+            let Ok(body) = serde_json::from_str::<ConfigRecord>(record.body.get()) else {
+                self.fold.skip(record.offset);
+                continue;
+            };
+            let own = matches!(body, ConfigRecord::Change { nonce, .. } if nonce == self.nonce);
+            let folded = self.fold.on_record(record.offset, body);
+            if own {
+                return Some(outcome(folded));
+            }
+        }
+        None
+    }
+}
+
+fn outcome(folded: Folded) -> Outcome {
+    match folded {
+        Folded::Applied { revision } => Outcome::Accepted { revision },
+        Folded::Conflict { winner } => Outcome::Conflict { winner },
+        Folded::Rejected { problems } => Outcome::Invalid { problems },
+        Folded::Restored { .. } | Folded::Collected | Folded::Ignored => Outcome::Unknown,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/publisher/tests.rs
@@ -0,0 +1,90 @@
+use super::*;
+use crate::context::LiveContext;
+use crate::follower;
+use crate::follower::tests::{context, put_team};
+use spindle_standin::LogStandin;
+use spindle_types::Team;
+
+struct Daemon {
+    publisher: Publisher<LiveContext>,
+    follower: Follower,
+}
+
+fn daemon(log: &LogStandin, timeout: Duration) -> Daemon {
+    let (follower, _) = follower::start(context(log));
+    Daemon { publisher: Publisher::new(context(log), follower.clone(), timeout), follower }
+}
+
+impl Daemon {
+    async fn publish(&self, base: u64, change: Change) -> Outcome {
+        self.publisher.publish(Revision(base), "ana".parse().unwrap(), change).await
+    }
+}
+
+const LONG: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(300);
+
+#[tokio::test]
+async fn one_of_two_racing_operators_wins() {
+    let log = LogStandin::start().await.unwrap();
+    let daemons = [daemon(&log, LONG), daemon(&log, LONG)];
+    let (a, b) =
+        tokio::join!(daemons[0].publish(0, put_team("a")), daemons[1].publish(0, put_team("b")));
+    let winner = match (&a, &b) {
+        (Outcome::Accepted { revision }, Outcome::Conflict { winner })
+        | (Outcome::Conflict { winner }, Outcome::Accepted { revision }) => {
+            assert_eq!(revision, winner);
+            *winner
+        }
+        outcomes => panic!("no single winner: {outcomes:?}"),
+    };
+    for daemon in &daemons {
+        let mut config = daemon.follower.config.clone();
+        let config = config.wait_for(|config| config.revision == winner).await.unwrap();
+        assert_eq!(1, config.teams.len());
+    }
+}
+
+#[tokio::test]
+async fn change_whose_append_answer_is_lost_has_one_effect() {
+    let log = LogStandin::start().await.unwrap();
+    let daemon = daemon(&log, LONG);
+    log.faults().lose_answers(2);
+    let actual = daemon.publish(0, put_team("a")).await;
+    assert_eq!(Outcome::Accepted { revision: Revision(1) }, actual);
+    log.faults().lose_answers(0);
+    let actual = daemon.publish(1, put_team("b")).await;
+    assert!(matches!(actual, Outcome::Accepted { .. }), "{actual:?}");
+    assert_eq!(2, daemon.follower.config.borrow().teams.len());
+}
+
+#[tokio::test]
+async fn refused_append_is_repeated() {
+    let log = LogStandin::start().await.unwrap();
+    let daemon = daemon(&log, LONG);
+    log.faults().refuse(2);
+    let actual = daemon.publish(0, put_team("a")).await;
+    assert_eq!(Outcome::Accepted { revision: Revision(1) }, actual);
+    assert_eq!(1, log.records(CONFIG_STREAM).len());
+}
+
+#[tokio::test]
+async fn invalid_change_is_not_appended() {
+    let log = LogStandin::start().await.unwrap();
+    let change = Change::RemoveTeam { team: Team::try_from("nobody").unwrap() };
+    let actual = daemon(&log, LONG).publish(0, change).await;
+    assert!(matches!(actual, Outcome::Invalid { .. }), "{actual:?}");
+    assert_eq!(0, log.appends());
+}
+
+#[tokio::test]
+async fn outage_appends_nothing_or_leaves_the_outcome_open() {
+    let log = LogStandin::start().await.unwrap();
+    let daemon = daemon(&log, SHORT);
+    log.faults().refuse(u32::MAX);
+    assert_eq!(Outcome::Unavailable, daemon.publish(0, put_team("a")).await);
+    assert_eq!(0, log.records(CONFIG_STREAM).len());
+    log.faults().refuse(0);
+    log.faults().set_down(true);
+    assert_eq!(Outcome::Unknown, daemon.publish(0, put_team("a")).await);
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod peer;
 mod platform;
+mod state;
 
 pub use caller::CallerSettings;
 pub use drain::DrainSettings;
@@ -20,6 +21,7 @@
 pub use metrics::MetricsSettings;
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
+pub use state::StateSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -39,6 +41,9 @@
     /// How other daemons are met.
     #[serde(default)]
     pub peer: PeerSettings,
+    /// How the state that all daemons share is kept.
+    #[serde(default)]
+    pub state: StateSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -56,6 +61,7 @@
         let mut problems = Problems::new();
         self.caller.check(&mut problems);
         self.peer.check(&mut problems);
+        self.state.check(&mut problems);
         self.drain.check(&mut problems);
         problems
     }
