--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,14 @@
 
 pub mod answer;
 pub mod breaker;
+#[cfg(test)]
+mod cases;
+pub mod checkpoint;
 pub mod claim;
 pub mod fold;
+pub mod freshness;
+pub mod lease;
 pub mod membership;
 pub mod routing;
+pub mod update;
+pub mod validation;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 mod peer;
 mod platform;
 mod routing;
+mod state;
 
 pub use caller::CallerSettings;
 pub use drain::DrainSettings;
@@ -22,6 +23,7 @@
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
 pub use routing::RoutingSettings;
+pub use state::StateSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -44,6 +46,9 @@
     /// How upstreams are chosen.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// How the state that all daemons share is kept.
+    #[serde(default)]
+    pub state: StateSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -62,6 +67,7 @@
         self.caller.check(&mut problems);
         self.peer.check(&mut problems);
         self.routing.check(&mut problems);
+        self.state.check(&mut problems);
         self.drain.check(&mut problems);
         problems
     }
