feat(policy): ledger that settles claims, with release, answers and carrying forward

Cause: a claim table alone could not tell a stream read whole from one whose first records had expired, kept a key claimed for ever when its claimant gave up, and lost claims with the log's retention. A claim that arrived after its request had given up still counted. Change: a pure state machine for each claim stream.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod answer;
 pub mod claim;
 pub mod fold;
+pub mod ledger;
 pub mod membership;
 pub mod routing;
