--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -66,7 +66,7 @@
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
         let (config, following) = follower::start(context.clone());
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings.peer);
-        let claims = claims::start(context.clone(), incarnation);
+        let claims = claims::start(&context, incarnation, &settings.claim);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
         let (listener, caller) = bind(settings.caller.listen)
