--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,10 +1,12 @@
-//! A plain service's stand-in: it records each call that ran and echoes it.
+//! A plain service's stand-in: it records each call that ran and echoes it. Reads of its load are
+//! not calls.
 
 use crate::fault::{Faults, lost_answer};
 use crate::server::StandinServer;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
+use spindle_engine::Load;
 use spindle_http::{Body, Handler, json, read_body, text};
 use std::io;
 use std::net::SocketAddr;
@@ -84,6 +86,9 @@
         if state.faults.is_down() || state.faults.takes_refusal() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
+        if request.uri().path() == "/v1/load" {
+            return json(StatusCode::OK, &Load::default());
+        }
         let (head, body) = request.into_parts();
         let body = match read_body(body, CALL_MAX_BYTES, CALL_TIMEOUT).await {
             Ok(body) => String::from_utf8_lossy(&body).into_owned(),
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -4,8 +4,8 @@
 use crate::daemon::Daemon;
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
-    CallerSettings, DrainSettings, IdentitySettings, LogSettings, MetricsSettings, PeerSettings,
-    PlatformSettings, RoutingSettings, Settings, StateSettings, check_document,
+    CallerSettings, DrainSettings, IdentitySettings, PeerSettings, PlatformSettings, Settings,
+    check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -199,19 +199,19 @@
     pub fn settings(&self, index: usize) -> eyre::Result<Settings> {
         let free_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let data_centres = self.example.data_centres();
+        let identity = IdentitySettings {
+            instance: Instance::try_from(format!("entry-{}", index + 1))?,
+            data_centre: DataCentre::try_from(data_centres[index % data_centres.len()])?,
+            region: Region::try_from(self.example.region())?,
+            class: MachineClass::try_from(CLASS)?,
+        };
+        let platform = PlatformSettings {
+            log: self.log.address(),
+            instances: self.platform.list_address(),
+            cloud: self.platform.cloud_address(),
+            weights: self.weights.address(),
+        };
         Ok(Settings {
-            identity: IdentitySettings {
-                instance: Instance::try_from(format!("entry-{}", index + 1))?,
-                data_centre: DataCentre::try_from(data_centres[index % data_centres.len()])?,
-                region: Region::try_from(self.example.region())?,
-                class: MachineClass::try_from(CLASS)?,
-            },
-            platform: PlatformSettings {
-                log: self.log.address(),
-                instances: self.platform.list_address(),
-                cloud: self.platform.cloud_address(),
-                weights: self.weights.address(),
-            },
             caller: CallerSettings { listen: free_port, ..CallerSettings::default() },
             peer: PeerSettings {
                 listen: free_port,
@@ -219,11 +219,8 @@
                 list_interval: Span::from_millis(200),
                 notice_interval: Span::from_millis(100),
             },
-            routing: RoutingSettings::default(),
-            state: StateSettings::default(),
             drain: DrainSettings { linger: Span::from_millis(400) },
-            logs: LogSettings::default(),
-            metrics: MetricsSettings::default(),
+            ..Settings::new(identity, platform)
         })
     }
 
--- a/src/upstreams/poll.rs
+++ b/src/upstreams/poll.rs
@@ -124,13 +124,14 @@
 
 async fn read_engine<C: Context>(context: C, watched: Watched, round: u64, mailbox: Mailbox) {
     let Watched { instance, address, next_event } = watched;
-    // A plain service reports no load; attempts tell whether an upstream has failed.
+    // Without a report, attempts tell whether an upstream has failed.
     let Ok(load) = context.engine().load(address).await else {
         return;
     };
+    let is_engine = load.model.is_some();
     let report = report(context.clock().now(), load);
     deliver(&mailbox, Message::Report { instance: instance.clone(), report }).await;
-    if !round.is_multiple_of(LOADS_PER_EVENTS) {
+    if !is_engine || !round.is_multiple_of(LOADS_PER_EVENTS) {
         return;
     }
     if let Ok(events) = context.engine().cache_events(address, next_event).await {
