feat(load): open-loop load generator that checks every answer by content

Arrivals, teams, kinds of work and prompts are fixed in advance by a seed. Callers ask for addresses, keep the answers for their time to live, retry only what may be retried, pick lost streams up, and compare each answer with the stand-in's pure function of the prompt. Submissions are compared with what the services' stand-ins ran.

--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,7 +4,7 @@
 use crate::server::StandinServer;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use spindle_http::{Body, Handler, json, read_body, text};
 use std::io;
 use std::net::SocketAddr;
@@ -14,11 +14,14 @@
 /// The largest call, in bytes.
 const CALL_MAX_BYTES: usize = 8 * 1024 * 1024;
 
+/// The path at which the calls that ran are listed; asking for it is no call.
+pub const CALLS_PATH: &str = "/-/calls";
+
 /// The time within which a call must arrive.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// One call that ran.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Call {
     /// The method.
     pub method: String,
@@ -80,6 +83,10 @@
 impl Handler for ServiceHandler {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         let state = &self.0;
+        if request.uri().path() == CALLS_PATH {
+            let calls = state.calls.lock().unwrap_or_else(PoisonError::into_inner);
+            return json(StatusCode::OK, &*calls);
+        }
         tokio::time::sleep(state.faults.delay()).await;
         if state.faults.is_down() || state.faults.takes_refusal() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "refused");
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,9 +1,12 @@
 //! The command line.
 
+mod load;
+
+use self::load::LoadArguments;
 use crate::context::LiveContext;
 use crate::daemon::Daemon;
 use crate::deployment::Example;
-use crate::settings::{LoadError, LogLevel, Settings, load, schema};
+use crate::settings::{self, LoadError, LogLevel, Settings, schema};
 use crate::{demo, logs, metrics};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
@@ -65,6 +68,8 @@
         #[arg(long)]
         once: bool,
     },
+    /// Offers load on a fixed schedule and checks every answer
+    Load(LoadArguments),
     /// Prints shell completions
     Completions {
         /// The shell
@@ -118,6 +123,11 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Load(arguments) => {
+            logs::start(level.unwrap_or(LogLevel::Error));
+            block_on(arguments.execute())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "bronzespindle", &mut std::io::stdout());
@@ -135,7 +145,7 @@
     path: &Path,
     next: impl FnOnce(Settings) -> eyre::Result<()>,
 ) -> eyre::Result<ExitCode> {
-    match load(path) {
+    match settings::load(path) {
         Ok(settings) => next(settings).map(|()| ExitCode::SUCCESS),
         Err(error @ LoadError::File { .. }) => Err(error.into()),
         Err(LoadError::Problems(problems)) => {
--- /dev/null
+++ b/src/cli/load.rs
@@ -0,0 +1,114 @@
+//! The subcommands that measure: `load`.
+
+use crate::daemon::Daemon;
+use crate::deployment::{Deployment, Example};
+use crate::load::{self, LoadReport, Progress, Run};
+use crate::settings::{TrafficSettings, check_document};
+use clap::Args;
+use eyre::WrapErr;
+use spindle_standin::EngineModel;
+use spindle_types::{Configuration, Problems, Span};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// What load to offer, and to whom.
+#[derive(Debug, Args)]
+pub(super) struct LoadArguments {
+    /// The load, in YAML; the options below override it
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// The address of a daemon; without any, a deployment is started in this process
+    #[arg(long, value_name = "IP:PORT")]
+    address: Vec<SocketAddr>,
+    /// The address of a plain service's stand-in, which is asked what it ran
+    #[arg(long, value_name = "IP:PORT", requires = "address")]
+    service: Vec<SocketAddr>,
+    /// Whose mix of work is sent
+    #[arg(long, value_enum)]
+    example: Option<Example>,
+    /// The seed of all that is drawn
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Arrivals a second
+    #[arg(long)]
+    rate: Option<f64>,
+    /// The time over which requests arrive, such as 30s
+    #[arg(long)]
+    duration: Option<Span>,
+    /// Daemons of the deployment started in this process
+    #[arg(long, default_value_t = 3, conflicts_with = "address")]
+    daemons: usize,
+    /// Prints the report as JSON
+    #[arg(long)]
+    json: bool,
+    /// Writes a plot of latencies over time
+    #[arg(long, value_name = "SVG FILE")]
+    plot: Option<PathBuf>,
+}
+
+impl LoadArguments {
+    fn traffic(&self) -> eyre::Result<TrafficSettings> {
+        let mut traffic = match &self.settings {
+            Some(path) => {
+                let text =
+                    std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+                check_document(&text)?
+            }
+            None => TrafficSettings::default(),
+        };
+        traffic.example = self.example.unwrap_or(traffic.example);
+        traffic.seed = self.seed.unwrap_or(traffic.seed);
+        traffic.rate = self.rate.unwrap_or(traffic.rate);
+        traffic.duration = self.duration.unwrap_or(traffic.duration);
+        let mut problems = Problems::new();
+        traffic.check(&mut problems);
+        Ok(problems.finish(|| traffic)?)
+    }
+
+    /// Offers the load and prints the report.
+    ///
+    /// # Errors
+    ///
+    /// The settings hold mistakes, or the deployment does not start.
+    pub(super) async fn execute(self) -> eyre::Result<()> {
+        let traffic = self.traffic()?;
+        let configuration = traffic.example.configuration()?;
+        let target = load::target(&traffic, &configuration);
+        let (run, ran) = if self.address.is_empty() {
+            self.run_here(traffic).await?
+        } else {
+            self.run_there(traffic, &configuration).await?
+        };
+        let report = LoadReport::new(&run, target, ran.as_deref());
+        if let Some(path) = &self.plot {
+            load::plot(&run, path)?;
+        }
+        if self.json {
+            println!("{}", serde_json::to_string_pretty(&report)?);
+        } else {
+            load::print(&report);
+        }
+        Ok(())
+    }
+
+    async fn run_here(&self, traffic: TrafficSettings) -> eyre::Result<(Run, Option<Vec<String>>)> {
+        let deployment =
+            Deployment::start(traffic.example, self.daemons, EngineModel::default()).await?;
+        let daemons = deployment.daemons.iter().map(Daemon::caller_address).collect();
+        let run = load::run(traffic, &deployment.configuration, daemons, Progress::Shown).await?;
+        let ran = deployment.submissions();
+        Ok((run, Some(ran)))
+    }
+
+    async fn run_there(
+        &self,
+        traffic: TrafficSettings,
+        configuration: &Configuration,
+    ) -> eyre::Result<(Run, Option<Vec<String>>)> {
+        let run = load::run(traffic, configuration, self.address.clone(), Progress::Shown).await?;
+        if self.service.is_empty() {
+            return Ok((run, None));
+        }
+        Ok((run, Some(load::submissions(&self.service).await?)))
+    }
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,8 +1,9 @@
 //! A client of the callers' interface, which checks streamed answers as it reads them.
 
 use futures_util::StreamExt;
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use serde::Deserialize;
 use serde_json::json;
 use spindle_caller::AddressReply;
 use spindle_caller::request::KEY_HEADER;
@@ -10,6 +11,7 @@
 use spindle_http::client::error_body;
 use spindle_http::event::BodyEvents;
 use spindle_http::{Body, CallError, Client, Event, events, read_body};
+use spindle_types::config::Priority;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -20,17 +22,79 @@
 /// The largest short answer, in bytes.
 const ANSWER_MAX_BYTES: usize = 1024 * 1024;
 
+/// The kind of event by which a daemon asks the caller to go on elsewhere.
+const MOVE_EVENT: &str = "move";
+
 /// Why a call brought no whole answer.
 #[derive(Debug, Error)]
 pub enum ClientError {
-    /// The daemon refused, or its answer was lost.
+    /// The daemon's answer was lost, or no connection to it was made.
     #[error(transparent)]
     Call(#[from] CallError),
+    /// The daemon refused.
+    #[error("refused: {0:?}")]
+    Refused(Refused),
+    /// The daemon asks the caller to go on at another one.
+    #[error("asked to move")]
+    Moved,
     /// The stream is not what the interface promises.
     #[error("stream is not valid: {0}")]
     Stream(String),
 }
 
+/// What a problem document says of the request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It was not run.
+    NotRun,
+    /// It may have run.
+    #[default]
+    #[serde(other)]
+    Unknown,
+}
+
+/// A refusal as a caller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refused {
+    /// The status.
+    pub status: StatusCode,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// When the caller may try again.
+    pub retry_after: Option<Duration>,
+    /// The document, cut off at a few kilobytes.
+    pub document: String,
+}
+
+impl Refused {
+    fn new(status: StatusCode, headers: &HeaderMap, document: String) -> Self {
+        #[derive(Deserialize)]
+        struct Problem {
+            #[serde(default)]
+            outcome: Outcome,
+        }
+        let problem: Option<Problem> = serde_json::from_str(&document).ok();
+        let outcome = problem.map(|problem| problem.outcome).unwrap_or_default();
+        let after = headers.get(header::RETRY_AFTER);
+        let seconds = after.and_then(|value| value.to_str().ok()?.parse().ok());
+        Self { status, outcome, retry_after: seconds.map(Duration::from_secs), document }
+    }
+}
+
+/// A generation to ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct Chat<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// What is said to it.
+    pub prompt: &'a str,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// The order in which it is served.
+    pub priority: Priority,
+}
+
 /// A call to a plain service.
 #[derive(Clone, Copy, Debug)]
 pub struct ServiceCall<'a> {
@@ -63,36 +127,87 @@
     ///
     /// # Errors
     ///
-    /// The daemon refused, or its answer was lost.
+    /// As [`CallerClient::addresses_for`].
     pub async fn addresses(&self, daemon: SocketAddr) -> Result<AddressReply, ClientError> {
-        let request = self.request(Method::GET, daemon, "/v1/addresses", Body::Empty)?;
-        let response = self.client.send(request).await?;
+        self.addresses_for(daemon, "").await
+    }
+
+    /// Asks a daemon which addresses to use; `query` names what for, as in `model=NAME`.
+    ///
+    /// # Errors
+    ///
+    /// The daemon refused, or its answer was lost.
+    pub async fn addresses_for(
+        &self,
+        daemon: SocketAddr,
+        query: &str,
+    ) -> Result<AddressReply, ClientError> {
+        let path = format!("/v1/addresses?{query}");
+        let request = self.request(Method::GET, daemon, &path, Body::Empty)?;
+        let sending = tokio::time::timeout(CALL_TIMEOUT, self.client.send(request)).await;
+        let response = sending.map_err(|_| CallError::Lost("no answer in time".to_owned()))??;
         let content = whole(response).await?;
         serde_json::from_slice(&content).map_err(|e| CallError::Form(e.to_string()).into())
     }
 
-    /// Starts a streamed chat.
+    /// Starts a streamed chat of interactive priority.
     ///
     /// # Errors
     ///
-    /// The daemon refused, or its answer was lost.
+    /// As [`CallerClient::start_chat`].
     pub async fn chat(
         &self,
         daemon: SocketAddr,
         model: &str,
         prompt: &str,
         max_tokens: u32,
+    ) -> Result<ChatStream, ClientError> {
+        let priority = Priority::Interactive;
+        self.start_chat(daemon, Chat { model, prompt, max_tokens, priority }).await
+    }
+
+    /// Starts a streamed chat.
+    ///
+    /// # Errors
+    ///
+    /// The daemon refused, or its answer was lost.
+    pub async fn start_chat(
+        &self,
+        daemon: SocketAddr,
+        chat: Chat<'_>,
     ) -> Result<ChatStream, ClientError> {
         let body = json!({
-            "model": model,
-            "messages": [{ "role": "user", "content": prompt }],
-            "max_tokens": max_tokens,
+            "model": chat.model,
+            "messages": [{ "role": "user", "content": chat.prompt }],
+            "max_tokens": chat.max_tokens,
+            "priority": chat.priority,
             "stream": true,
         });
         let body = Body::from(body.to_string());
         let request = self.request(Method::POST, daemon, "/v1/chat/completions", body)?;
         let response = checked(self.client.send(request).await?).await?;
-        Ok(ChatStream { events: events(response.into_body()), next: 0, usage: None })
+        Ok(ChatStream::new(response, 0))
+    }
+
+    /// Picks a streamed answer up after a lost connection, at any daemon.
+    ///
+    /// # Errors
+    ///
+    /// The daemon does not have the answer, or its own answer was lost.
+    pub async fn pick_up(
+        &self,
+        daemon: SocketAddr,
+        lost: &ChatStream,
+    ) -> Result<ChatStream, ClientError> {
+        let path = format!("/v1/requests/{}", lost.id);
+        let mut request = self.request(Method::GET, daemon, &path, Body::Empty)?;
+        let headers = request.headers_mut();
+        headers.insert(header::ACCEPT, http::HeaderValue::from_static("text/event-stream"));
+        if let Some(last) = lost.last.as_ref().and_then(|last| last.parse().ok()) {
+            headers.insert("last-event-id", last);
+        }
+        let response = checked(self.client.send(request).await?).await?;
+        Ok(ChatStream { id: lost.id.clone(), ..ChatStream::new(response, lost.next) })
     }
 
     /// Calls a plain service and returns the status and the body, whatever the status.
@@ -105,17 +220,39 @@
         daemon: SocketAddr,
         call: ServiceCall<'_>,
     ) -> Result<(StatusCode, String), ClientError> {
+        let response = self.send_call(daemon, call).await?;
+        let status = response.status();
+        let body = read_body(response.into_body(), ANSWER_MAX_BYTES, CALL_TIMEOUT).await;
+        let body = body.map_err(|error| CallError::Lost(error.to_string()))?;
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// Calls a plain service and returns its answer, or the refusal with what it says.
+    ///
+    /// # Errors
+    ///
+    /// The daemon or the service refused, or the answer was lost.
+    pub async fn call_checked(
+        &self,
+        daemon: SocketAddr,
+        call: ServiceCall<'_>,
+    ) -> Result<String, ClientError> {
+        let body = whole(self.send_call(daemon, call).await?).await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
+    async fn send_call(
+        &self,
+        daemon: SocketAddr,
+        call: ServiceCall<'_>,
+    ) -> Result<Response<Incoming>, CallError> {
         let path = format!("/v1/services/{}{}", call.service, call.path);
         let body = Body::from(call.body.to_owned());
         let mut request = self.request(call.method.clone(), daemon, &path, body)?;
         if let Some(key) = call.key.and_then(|key| key.parse().ok()) {
             request.headers_mut().insert(KEY_HEADER, key);
         }
-        let response = self.client.send(request).await?;
-        let status = response.status();
-        let body = read_body(response.into_body(), ANSWER_MAX_BYTES, CALL_TIMEOUT).await;
-        let body = body.map_err(|error| CallError::Lost(error.to_string()))?;
-        Ok((status, String::from_utf8_lossy(&body).into_owned()))
+        self.client.send(request).await
     }
 
     fn request(
@@ -134,39 +271,62 @@
     }
 }
 
-async fn checked(response: Response<Incoming>) -> Result<Response<Incoming>, CallError> {
+async fn checked(response: Response<Incoming>) -> Result<Response<Incoming>, ClientError> {
     let status = response.status();
     if status.is_success() {
         return Ok(response);
     }
-    let body = error_body(response, CALL_TIMEOUT).await;
-    Err(CallError::Status { status, body })
+    let headers = response.headers().clone();
+    let document = error_body(response, CALL_TIMEOUT).await;
+    Err(ClientError::Refused(Refused::new(status, &headers, document)))
 }
 
-async fn whole(response: Response<Incoming>) -> Result<bytes::Bytes, CallError> {
+async fn whole(response: Response<Incoming>) -> Result<bytes::Bytes, ClientError> {
     let body = checked(response).await?.into_body();
     let read = read_body(body, ANSWER_MAX_BYTES, CALL_TIMEOUT).await;
-    read.map_err(|error| CallError::Lost(error.to_string()))
+    read.map_err(|error| CallError::Lost(error.to_string()).into())
 }
 
 /// A streamed chat answer.
 pub struct ChatStream {
     events: BodyEvents,
+    id: String,
+    last: Option<String>,
     next: u32,
+    /// Offsets below this one may be repeated, as they are after a pick-up.
+    known: u32,
     usage: Option<Usage>,
 }
 
 impl ChatStream {
-    /// The text of the next event, or none after the whole answer.
+    fn new(response: Response<Incoming>, next: u32) -> Self {
+        let events = events(response.into_body());
+        Self { events, id: String::new(), last: None, next, known: next, usage: None }
+    }
+
+    /// The request's id, once an event has been read.
+    pub fn id(&self) -> Option<&str> {
+        (!self.id.is_empty()).then_some(self.id.as_str())
+    }
+
+    /// The number of tokens read.
+    pub const fn length(&self) -> u32 {
+        self.next
+    }
+
+    /// The new text of the next event, or none after the whole answer.
     ///
     /// # Errors
     ///
-    /// The stream broke off, repeated or skipped an offset.
+    /// The stream broke off, repeated or skipped an offset, or the daemon asks to move.
     pub async fn next(&mut self) -> Result<Option<String>, ClientError> {
         let Some(event) = self.events.next().await else {
             return Err(ClientError::Stream("it ended before [DONE]".to_owned()));
         };
         let event = event?;
+        if event.event == MOVE_EVENT {
+            return Err(ClientError::Moved);
+        }
         if event.data == "[DONE]" {
             return match self.usage {
                 Some(_) => Ok(None),
@@ -180,17 +340,22 @@
         let invalid = |text: String| ClientError::Stream(text);
         let reply: Reply =
             serde_json::from_str(&event.data).map_err(|error| invalid(error.to_string()))?;
-        if event.id.parse() != Ok(self.next) {
-            return Err(invalid(format!("offset {} in place of {}", event.id, self.next)));
+        let offset: u32 =
+            event.id.parse().map_err(|_| invalid(format!("event id {:?}", event.id)))?;
+        if offset > self.next || (offset < self.next && offset >= self.known) {
+            return Err(invalid(format!("offset {offset} in place of {}", self.next)));
         }
+        self.id = reply.id;
+        self.last = Some(event.id.clone());
         if reply.usage.is_some() {
             self.usage = reply.usage;
         }
         let delta = reply.choices.into_iter().next().and_then(|choice| choice.delta);
         let text = delta.and_then(|delta| delta.content).unwrap_or_default();
-        // Each token of a stand-in starts with a space.
-        self.next += u32::try_from(text.matches(' ').count()).unwrap_or(u32::MAX);
-        Ok(text)
+        let repeated = usize::try_from(self.next - offset).unwrap_or(usize::MAX);
+        let new = after_tokens(&text, repeated);
+        self.next += count_tokens(new);
+        Ok(new.to_owned())
     }
 
     /// Reads the rest and returns it.
@@ -211,3 +376,14 @@
         self.usage
     }
 }
+
+/// The number of a stand-in's tokens in a text; each starts with a space.
+fn count_tokens(text: &str) -> u32 {
+    u32::try_from(text.matches(' ').count()).unwrap_or(u32::MAX)
+}
+
+/// A text without its first tokens.
+fn after_tokens(text: &str, count: usize) -> &str {
+    let start = text.match_indices(' ').nth(count).map_or(text.len(), |(index, _)| index);
+    if count == 0 { text } else { &text[start..] }
+}
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -9,6 +9,8 @@
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use serde_json::value::to_raw_value;
 use spindle_cloud::Running;
 use spindle_instances::{Entry, Kind, State};
@@ -38,8 +40,21 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The deployments that can be started.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq, ValueEnum)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    Eq,
+    JsonSchema,
+    PartialEq,
+    Serialize,
+    ValueEnum,
+)]
 #[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum Example {
     /// Vendimia Clara Sistemas in cr-central.
     #[default]
@@ -142,6 +157,8 @@
     /// The daemons.
     pub daemons: Vec<Daemon<LiveContext>>,
     fleet: Fleet,
+    /// Every upstream ever launched, so that what a stopped one ran is still known.
+    launched: Fleet,
 }
 
 impl Deployment {
@@ -161,17 +178,26 @@
         let (platform, events) = PlatformStandin::start().await?;
         let weights = WeightsStandin::start(WEIGHT_READ_INTERVAL, Size::from_mib(1_024)).await?;
         publish(&log, &configuration)?;
-        let fleet = Fleet::default();
+        let (fleet, launched) = (Fleet::default(), Fleet::default());
         let launcher = Launcher {
             platform: platform.clone(),
             pools: configuration.pools.clone(),
             fleet: Arc::clone(&fleet),
+            launched: Arc::clone(&launched),
             timing,
         };
         launcher.start_all(example).await?;
         tokio::spawn(launcher.run(events));
-        let mut deployment =
-            Self { example, configuration, log, platform, weights, daemons: Vec::new(), fleet };
+        let mut deployment = Self {
+            example,
+            configuration,
+            log,
+            platform,
+            weights,
+            daemons: Vec::new(),
+            fleet,
+            launched,
+        };
         for index in 0..daemons {
             deployment.start_daemon(index).await?;
         }
@@ -242,6 +268,16 @@
             .collect()
     }
 
+    /// The names of the submissions that the plain services ran, each as often as it ran.
+    pub fn submissions(&self) -> Vec<String> {
+        let calls = |upstream: &UpstreamStandin| match upstream {
+            UpstreamStandin::Service(service) => service.calls(),
+            UpstreamStandin::Engine(_) => Vec::new(),
+        };
+        let calls: Vec<_> = lock(&self.launched).values().flat_map(calls).collect();
+        crate::load::submitted(&calls)
+    }
+
     async fn wait_until_ready(&self) -> eyre::Result<()> {
         let revision = Revision(self.configuration.clone().into_changes().len() as u64);
         let ready = async {
@@ -292,6 +328,7 @@
     platform: PlatformStandin,
     pools: BTreeMap<Pool, PoolSpec>,
     fleet: Fleet,
+    launched: Fleet,
     timing: EngineModel,
 }
 
@@ -325,6 +362,7 @@
             kind: Kind::Upstream { pool },
             state: State::Live,
         };
+        lock(&self.launched).insert(instance.clone(), upstream.clone());
         lock(&self.fleet).insert(instance, upstream);
         self.platform.put(entry);
         Ok(())
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,124 @@
+//! An open-loop load generator that checks every answer by content.
+//!
+//! Requests are sent at times fixed in advance, and every time is measured from the intended
+//! arrival, so that a slow system can't hide its delays.
+
+mod audit;
+mod caller;
+mod directory;
+mod plot;
+mod report;
+
+pub use audit::{submissions, submitted};
+pub use caller::{Caller, End, Record};
+pub use directory::Directory;
+pub use plot::plot;
+pub use report::{Audit, LoadReport, Spread, TeamReport, print};
+
+use crate::mix::{Arrival, arrivals};
+use crate::settings::TrafficSettings;
+use indicatif::{ProgressBar, ProgressStyle};
+use spindle_types::config::LatencyTarget;
+use spindle_types::{Configuration, Team};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// How long the generator waits after the last request's patience.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Whether progress is shown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// On the terminal, if standard error is one.
+    Shown,
+    /// Not at all.
+    Hidden,
+}
+
+/// What became of the requests of a run, in order of arrival.
+#[derive(Debug)]
+pub struct Run {
+    /// The settings.
+    pub settings: TrafficSettings,
+    /// What became of each request.
+    pub records: Vec<Record>,
+}
+
+/// Sends the load to the daemons that a first few addresses lead to, and waits for every answer.
+///
+/// # Errors
+///
+/// A name in the configuration is not valid.
+pub async fn run(
+    settings: TrafficSettings,
+    configuration: &Configuration,
+    daemons: Vec<SocketAddr>,
+    progress: Progress,
+) -> eyre::Result<Run> {
+    let arrivals = arrivals(&settings, configuration);
+    let callers = callers(&settings, &arrivals, &daemons);
+    let bar = progress_bar(progress, arrivals.len());
+    let start = Instant::now();
+    let deadline = start + settings.duration.get() + settings.patience.get() + SETTLE_TIME;
+    let mut tasks = JoinSet::new();
+    let mut records = Vec::with_capacity(arrivals.len());
+    for arrival in arrivals {
+        tokio::time::sleep_until(start + arrival.at).await;
+        while let Some(ended) = tasks.try_join_next() {
+            records.extend(ended);
+            bar.inc(1);
+        }
+        if let Some(caller) = callers.get(&arrival.team) {
+            let caller = Arc::clone(caller);
+            tasks.spawn(async move { caller.send(arrival, start).await });
+        }
+    }
+    while let Ok(Some(ended)) = tokio::time::timeout_at(deadline, tasks.join_next()).await {
+        records.extend(ended);
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    records.sort_by_key(|record: &Record| record.at);
+    Ok(Run { settings, records })
+}
+
+fn callers(
+    settings: &TrafficSettings,
+    arrivals: &[Arrival],
+    daemons: &[SocketAddr],
+) -> HashMap<Team, Arc<Caller>> {
+    let mut callers = HashMap::new();
+    for arrival in arrivals {
+        callers
+            .entry(arrival.team.clone())
+            .or_insert_with(|| Arc::new(Caller::new(&arrival.team, settings, daemons.to_vec())));
+    }
+    callers
+}
+
+fn progress_bar(progress: Progress, length: usize) -> ProgressBar {
+    if progress == Progress::Hidden {
+        return ProgressBar::hidden();
+    }
+    let bar = ProgressBar::new(u64::try_from(length).unwrap_or(u64::MAX));
+    let style = ProgressStyle::with_template("{elapsed} {wide_bar} {pos}/{len} answered");
+    if let Ok(style) = style {
+        bar.set_style(style);
+    }
+    bar
+}
+
+/// The latency target of the pool that serves the example's model.
+pub fn target(settings: &TrafficSettings, configuration: &Configuration) -> LatencyTarget {
+    let model = settings.example.model();
+    let mut specs = configuration.pools.values();
+    let spec = specs.find(|spec| spec.model.as_ref().is_some_and(|name| name.as_str() == model));
+    spec.map(|spec| spec.target).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/load/caller.rs
@@ -0,0 +1,344 @@
+//! Sends one request as a careful caller would: retries only what may be retried, waits as long as
+//! it is told to, picks lost streams up, and checks the answer by content.
+
+use crate::client::{CallerClient, Chat, ChatStream, ClientError, Outcome, Refused, ServiceCall};
+use crate::load::directory::Directory;
+use crate::mix::{Arrival, Work};
+use crate::settings::TrafficSettings;
+use http::{Method, StatusCode};
+use serde::Serialize;
+use spindle_http::CallError;
+use spindle_standin::whole_answer;
+use spindle_types::config::Priority;
+use spindle_types::{Model, Team};
+use std::net::SocketAddr;
+use std::time::Duration;
+use strum::{Display, IntoStaticStr};
+use tokio::time::Instant;
+
+/// The wait before a retry when the refusal names none.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd, Serialize)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// The whole answer, as expected.
+    Whole,
+    /// Refused as not run, to the end of the caller's patience.
+    NotRun,
+    /// The outcome is not known, and the system said so.
+    Unknown,
+    /// No whole answer and no statement of the outcome.
+    Lost,
+    /// An answer that is not the one expected.
+    Wrong,
+}
+
+/// What became of one request, with its times from the intended arrival.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// The intended arrival, from the start of the run.
+    pub at: Duration,
+    /// Who sent it.
+    pub team: Team,
+    /// The kind of work.
+    pub kind: &'static str,
+    /// The name of the submission, if it was one.
+    pub submission: Option<String>,
+    /// What became of it.
+    pub end: End,
+    /// What was wrong, if anything was.
+    pub detail: String,
+    /// The time to the first token.
+    pub first_token: Option<Duration>,
+    /// The times between two events of the stream, each with the number of tokens it brought.
+    pub intervals: Vec<(Duration, u32)>,
+    /// The time to the end.
+    pub total: Duration,
+    /// Tokens of the answer.
+    pub tokens: u32,
+    /// Tokens computed again.
+    pub recomputed: u32,
+    /// Times that it was sent again.
+    pub retries: u32,
+    /// Times that a lost stream was picked up.
+    pub pickups: u32,
+}
+
+/// The caller of one team.
+#[derive(Debug)]
+pub struct Caller {
+    client: CallerClient,
+    directory: Directory,
+    model: Model,
+    service: &'static str,
+    patience: Duration,
+}
+
+/// What to do after one try.
+enum Next {
+    End(End, String),
+    Retry(Duration, End, String),
+}
+
+/// A generation to ask for.
+#[derive(Clone, Copy)]
+struct Prompt<'a> {
+    text: &'a str,
+    max_tokens: u32,
+    priority: Priority,
+}
+
+impl Caller {
+    /// A caller that knows only a first few addresses.
+    pub fn new(team: &Team, settings: &TrafficSettings, daemons: Vec<SocketAddr>) -> Self {
+        let first = team.as_str().len();
+        Self {
+            client: CallerClient::new(format!("{team}-key")),
+            directory: Directory::new(daemons, first),
+            model: settings.example.model_name(),
+            service: settings.example.service(),
+            patience: settings.patience.get(),
+        }
+    }
+
+    /// Sends a request, and again as often as that is allowed and there is time.
+    pub async fn send(&self, arrival: Arrival, start: Instant) -> Record {
+        let Arrival { at, team, kind, work } = arrival;
+        let submission = match &work {
+            Work::Call { key, .. } => key.clone(),
+            Work::Generation { .. } => None,
+        };
+        let mut record = Record {
+            at,
+            team,
+            kind,
+            submission,
+            end: End::Lost,
+            detail: String::new(),
+            first_token: None,
+            intervals: Vec::new(),
+            total: Duration::ZERO,
+            tokens: 0,
+            recomputed: 0,
+            retries: 0,
+            pickups: 0,
+        };
+        let began = start + at;
+        let tries = self.tries(&work, began, &mut record);
+        if tokio::time::timeout_at(began + self.patience, tries).await.is_err()
+            && record.end == End::Whole
+        {
+            record.end = End::Lost;
+        }
+        record.total = began.elapsed();
+        record
+    }
+
+    /// Tries until an end is reached; the record holds the end of the newest try at all times.
+    async fn tries(&self, work: &Work, began: Instant, record: &mut Record) {
+        loop {
+            record.end = End::Lost;
+            "no answer within the caller's patience".clone_into(&mut record.detail);
+            let next = match work {
+                Work::Generation { prompt, family, max_tokens, priority } => {
+                    let query = format!("model={}&prefix={}", self.model, encoded(family));
+                    let (text, priority) = (prompt.as_str(), *priority);
+                    let prompt = Prompt { text, max_tokens: *max_tokens, priority };
+                    self.generate(&query, prompt, began, record).await
+                }
+                Work::Call { method, path, key, body } => {
+                    let (service, key) = (self.service, key.as_deref());
+                    self.call(ServiceCall { service, method, path, key, body }).await
+                }
+            };
+            match next {
+                Next::End(end, detail) => {
+                    record.end = end;
+                    record.detail = detail;
+                    return;
+                }
+                Next::Retry(delay, end, detail) => {
+                    record.end = end;
+                    record.detail = detail;
+                    tokio::time::sleep(delay).await;
+                    record.retries += 1;
+                }
+            }
+        }
+    }
+
+    async fn generate(
+        &self,
+        query: &str,
+        prompt: Prompt<'_>,
+        began: Instant,
+        record: &mut Record,
+    ) -> Next {
+        record.first_token = None;
+        record.intervals.clear();
+        let Prompt { text, max_tokens, priority } = prompt;
+        let chat = Chat { model: self.model.as_str(), prompt: text, max_tokens, priority };
+        let mut failure = Next::Retry(RETRY_DELAY, End::Lost, "no address".to_owned());
+        for daemon in self.directory.addresses(&self.client, query).await {
+            match self.client.start_chat(daemon, chat).await {
+                Ok(stream) => return self.follow(query, prompt, stream, began, record).await,
+                Err(ClientError::Call(CallError::NotSent(error))) => {
+                    self.directory.forget(query).await;
+                    failure = Next::Retry(RETRY_DELAY, End::NotRun, error);
+                }
+                Err(error) => return after_error(error, Repeats::Allowed),
+            }
+        }
+        failure
+    }
+
+    /// Reads a stream to its end, and picks it up wherever it breaks off.
+    async fn follow(
+        &self,
+        query: &str,
+        prompt: Prompt<'_>,
+        mut stream: ChatStream,
+        began: Instant,
+        record: &mut Record,
+    ) -> Next {
+        let mut content = String::new();
+        loop {
+            let Err(error) = read(&mut stream, &mut content, began, record).await else {
+                break;
+            };
+            let detail = error.to_string();
+            if matches!(&error, ClientError::Stream(text) if text.starts_with("offset")) {
+                return Next::End(End::Wrong, detail);
+            }
+            self.directory.forget(query).await;
+            match self.pick_up(query, &stream).await {
+                Some(picked) => stream = picked,
+                // A generation is repeatable, so it may be asked for anew.
+                None => return Next::Retry(RETRY_DELAY, End::Lost, detail),
+            }
+            record.pickups += 1;
+        }
+        let usage = stream.usage().unwrap_or_default();
+        record.tokens = usage.completion_tokens;
+        record.recomputed += usage.recomputed_tokens;
+        let heard = format!("user: {}\n", prompt.text);
+        if content == whole_answer(&self.model, &heard, prompt.max_tokens) {
+            return Next::End(End::Whole, String::new());
+        }
+        Next::End(End::Wrong, format!("{} tokens differ from those expected", stream.length()))
+    }
+
+    async fn pick_up(&self, query: &str, lost: &ChatStream) -> Option<ChatStream> {
+        lost.id()?;
+        for daemon in self.directory.addresses(&self.client, query).await {
+            if let Ok(stream) = self.client.pick_up(daemon, lost).await {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    async fn call(&self, call: ServiceCall<'_>) -> Next {
+        let query = format!("service={}", call.service);
+        let mut failure = Next::Retry(RETRY_DELAY, End::NotRun, "no address".to_owned());
+        for daemon in self.directory.addresses(&self.client, &query).await {
+            match self.client.call_checked(daemon, call).await {
+                Ok(echo) => return check_echo(call, &echo),
+                Err(ClientError::Call(CallError::NotSent(error))) => {
+                    self.directory.forget(&query).await;
+                    failure = Next::Retry(RETRY_DELAY, End::NotRun, error);
+                }
+                Err(error) => {
+                    let repeats = Repeats::of(call.method);
+                    return after_error(error, repeats);
+                }
+            }
+        }
+        failure
+    }
+}
+
+/// Whether a request whose outcome is not known may be sent again.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Repeats {
+    Allowed,
+    Never,
+}
+
+impl Repeats {
+    fn of(method: &Method) -> Self {
+        if *method == Method::GET { Self::Allowed } else { Self::Never }
+    }
+}
+
+fn after_error(error: ClientError, repeats: Repeats) -> Next {
+    let detail = error.to_string();
+    let ClientError::Refused(Refused { status, outcome, retry_after, .. }) = error else {
+        return match repeats {
+            Repeats::Allowed => Next::Retry(RETRY_DELAY, End::Lost, detail),
+            Repeats::Never => Next::End(End::Lost, detail),
+        };
+    };
+    let delay = retry_after.unwrap_or(RETRY_DELAY);
+    let may_help = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
+    match (outcome, repeats) {
+        (Outcome::NotRun, _) if may_help => Next::Retry(delay, End::NotRun, detail),
+        (Outcome::NotRun, _) => Next::End(End::NotRun, detail),
+        (Outcome::Unknown, Repeats::Allowed) => Next::Retry(delay, End::Unknown, detail),
+        (Outcome::Unknown, Repeats::Never) => Next::End(End::Unknown, detail),
+    }
+}
+
+fn check_echo(call: ServiceCall<'_>, echo: &str) -> Next {
+    #[derive(serde::Deserialize)]
+    struct Echo {
+        method: String,
+        path: String,
+        body: String,
+    }
+    let same = serde_json::from_str(echo).is_ok_and(|echo: Echo| {
+        echo.method == call.method.as_str() && echo.path == call.path && echo.body == call.body
+    });
+    if same {
+        return Next::End(End::Whole, String::new());
+    }
+    Next::End(End::Wrong, format!("echo {echo:?}"))
+}
+
+async fn read(
+    stream: &mut ChatStream,
+    content: &mut String,
+    began: Instant,
+    record: &mut Record,
+) -> Result<(), ClientError> {
+    let mut last = None;
+    loop {
+        let length = stream.length();
+        let Some(text) = stream.next().await? else {
+            return Ok(());
+        };
+        content.push_str(&text);
+        let count = stream.length() - length;
+        if count == 0 {
+            continue;
+        }
+        let now = Instant::now();
+        match (last, record.first_token) {
+            (Some(last), _) => record.intervals.push((now.duration_since(last), count)),
+            (None, Some(first)) => {
+                let since = record.intervals.iter().fold(first, |sum, (gap, _)| sum + *gap);
+                record.intervals.push((began.elapsed().saturating_sub(since), count));
+            }
+            (None, None) => record.first_token = Some(began.elapsed()),
+        }
+        last = Some(now);
+    }
+}
+
+/// A text as part of a query.
+fn encoded(text: &str) -> String {
+    text.replace('/', "%2F")
+}
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,289 @@
+//! What a run showed, as a value, a table and a plot.
+
+use super::{End, Record, Run};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use spindle_types::Team;
+use spindle_types::config::LatencyTarget;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tabled::builder::Builder;
+use tabled::settings::Style;
+
+/// The longest time that a histogram holds, in microseconds.
+const TIME_MAX_US: u64 = 3_600_000_000;
+
+/// The significant digits that a histogram keeps.
+const DIGITS: u8 = 3;
+
+/// The quantiles of a set of times, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// How many times were measured.
+    pub count: u64,
+    /// The median.
+    pub p50: f64,
+    /// The 95th percentile.
+    pub p95: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+    /// The 99.9th percentile.
+    pub p999: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+impl Spread {
+    fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+        Self {
+            count: histogram.len(),
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            p999: at(0.999),
+            max: histogram.max() as f64 / 1_000.0,
+        }
+    }
+}
+
+/// What the records of plain services say of submissions.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Audit {
+    /// Submissions compared with the services' records.
+    pub submissions: u64,
+    /// Submissions that ran more than once.
+    pub duplicates: u64,
+    /// Submissions said not to have run that ran.
+    pub false_not_run: u64,
+    /// Submissions said to have run that did not.
+    pub missing: u64,
+}
+
+/// What the requests of one team met.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct TeamReport {
+    /// Requests sent.
+    pub offered: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Whole answers within the latency target.
+    pub in_target: u64,
+    /// Times to the first token.
+    pub first_token: Spread,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// The deployment.
+    pub example: String,
+    /// The seed.
+    pub seed: u64,
+    /// Arrivals a second asked for.
+    pub rate: f64,
+    /// Requests sent.
+    pub offered: u64,
+    /// Requests by what became of them.
+    pub ends: BTreeMap<End, u64>,
+    /// Whole answers within the latency target.
+    pub in_target: u64,
+    /// Whole answers within the latency target, a second.
+    pub goodput: f64,
+    /// Tokens of whole answers, a second.
+    pub token_rate: f64,
+    /// Tokens computed again after an upstream was lost.
+    pub recomputed: u64,
+    /// Times that a request was sent again.
+    pub retries: u64,
+    /// Times that a lost stream was picked up.
+    pub pickups: u64,
+    /// Times to the first token.
+    pub first_token: Spread,
+    /// Times between two tokens.
+    pub token_interval: Spread,
+    /// Times to the end of whole answers.
+    pub total: Spread,
+    /// What the services' records say.
+    pub audit: Option<Audit>,
+    /// The teams.
+    pub teams: BTreeMap<Team, TeamReport>,
+}
+
+struct Times(Histogram<u64>);
+
+impl Times {
+    fn new() -> Self {
+        Self(Histogram::new_with_bounds(1, TIME_MAX_US, DIGITS).expect("the bounds are valid"))
+    }
+
+    fn add(&mut self, time: Duration, count: u32) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.0.saturating_record_n(micros, u64::from(count));
+    }
+}
+
+impl LoadReport {
+    /// Sums a run up; `ran` lists the submissions that the services ran, if they could be asked.
+    pub fn new(run: &Run, target: LatencyTarget, ran: Option<&[String]>) -> Self {
+        let records = &run.records;
+        let seconds = run.settings.duration.get().as_secs_f64();
+        let in_target = count(records, |record| meets(record, target));
+        let whole = || records.iter().filter(|record| record.end == End::Whole);
+        let tokens: u64 = whole().map(|record| u64::from(record.tokens)).sum();
+        let mut ends = BTreeMap::new();
+        for record in records {
+            *ends.entry(record.end).or_default() += 1;
+        }
+        let mut teams: BTreeMap<Team, Vec<Record>> = BTreeMap::new();
+        for record in records {
+            teams.entry(record.team.clone()).or_default().push(record.clone());
+        }
+        let teams = teams.into_iter().map(|(team, records)| (team, team_report(&records, target)));
+        Self {
+            example: run.settings.example.to_string(),
+            seed: run.settings.seed,
+            rate: run.settings.rate,
+            offered: records.len() as u64,
+            ends,
+            in_target,
+            goodput: in_target as f64 / seconds,
+            token_rate: tokens as f64 / seconds,
+            recomputed: records.iter().map(|record| u64::from(record.recomputed)).sum(),
+            retries: records.iter().map(|record| u64::from(record.retries)).sum(),
+            pickups: records.iter().map(|record| u64::from(record.pickups)).sum(),
+            first_token: first_token(records),
+            token_interval: token_interval(records),
+            total: totals(records),
+            audit: ran.map(|ran| audit(records, ran)),
+            teams: teams.collect(),
+        }
+    }
+
+    /// The number of requests with an end.
+    pub fn ended(&self, end: End) -> u64 {
+        self.ends.get(&end).copied().unwrap_or(0)
+    }
+}
+
+fn count(records: &[Record], holds: impl Fn(&Record) -> bool) -> u64 {
+    records.iter().filter(|record| holds(record)).count() as u64
+}
+
+/// Whether an answer is whole and within the target; a call has no tokens, so its end counts.
+fn meets(record: &Record, target: LatencyTarget) -> bool {
+    if record.end != End::Whole {
+        return false;
+    }
+    let first = record.first_token.unwrap_or(record.total);
+    let tokens: u32 = record.intervals.iter().map(|(_, count)| count).sum();
+    let time: Duration = record.intervals.iter().map(|(gap, _)| *gap).sum();
+    first <= target.first_token.get() && time <= target.token_interval.get() * tokens
+}
+
+fn team_report(records: &[Record], target: LatencyTarget) -> TeamReport {
+    TeamReport {
+        offered: records.len() as u64,
+        whole: count(records, |record| record.end == End::Whole),
+        in_target: count(records, |record| meets(record, target)),
+        first_token: first_token(records),
+    }
+}
+
+fn first_token(records: &[Record]) -> Spread {
+    let mut times = Times::new();
+    records.iter().filter_map(|record| record.first_token).for_each(|time| times.add(time, 1));
+    Spread::of(&times.0)
+}
+
+fn token_interval(records: &[Record]) -> Spread {
+    let mut times = Times::new();
+    for (gap, count) in records.iter().flat_map(|record| &record.intervals) {
+        times.add(*gap / (*count).max(1), *count);
+    }
+    Spread::of(&times.0)
+}
+
+fn totals(records: &[Record]) -> Spread {
+    let mut times = Times::new();
+    let whole = records.iter().filter(|record| record.end == End::Whole);
+    whole.for_each(|record| times.add(record.total, 1));
+    Spread::of(&times.0)
+}
+
+/// Compares what callers were told of submissions with what ran.
+fn audit(records: &[Record], ran: &[String]) -> Audit {
+    let mut runs: BTreeMap<&str, u64> = BTreeMap::new();
+    for name in ran {
+        *runs.entry(name).or_default() += 1;
+    }
+    let mut audit = Audit::default();
+    for record in records {
+        let Some(name) = record.submission.as_deref() else {
+            continue;
+        };
+        let runs = runs.get(name).copied().unwrap_or(0);
+        audit.submissions += 1;
+        audit.duplicates += u64::from(runs > 1);
+        audit.false_not_run += u64::from(record.end == End::NotRun && runs > 0);
+        audit.missing += u64::from(record.end == End::Whole && runs == 0);
+    }
+    audit
+}
+
+/// Prints a report as tables.
+pub fn print(report: &LoadReport) {
+    println!(
+        "{} at {}/s, seed {}: {} requests, {:.1}/s in target, {:.0} tokens/s",
+        report.example, report.rate, report.seed, report.offered, report.goodput, report.token_rate
+    );
+    let ends = report.ends.iter().map(|(end, count)| format!("{end} {count}"));
+    println!("{}", ends.collect::<Vec<_>>().join(", "));
+    println!(
+        "recomputed tokens {}, retries {}, pick-ups {}",
+        report.recomputed, report.retries, report.pickups
+    );
+    if let Some(audit) = report.audit {
+        println!(
+            "submissions {}: ran twice {}, false not_run {}, missing {}",
+            audit.submissions, audit.duplicates, audit.false_not_run, audit.missing
+        );
+    }
+    println!("{}", times_table(report));
+    println!("{}", team_table(report));
+}
+
+fn times_table(report: &LoadReport) -> tabled::Table {
+    let mut table = Builder::default();
+    table.push_record(["ms", "count", "p50", "p95", "p99", "p99.9", "max"]);
+    let rows = [
+        ("first token", report.first_token),
+        ("token interval", report.token_interval),
+        ("total", report.total),
+    ];
+    for (name, spread) in rows {
+        let Spread { count, p50, p95, p99, p999, max } = spread;
+        let times = [p50, p95, p99, p999, max].map(|time| format!("{time:.1}"));
+        table.push_record([name.to_owned(), count.to_string()].into_iter().chain(times));
+    }
+    let mut table = table.build();
+    table.with(Style::markdown());
+    table
+}
+
+fn team_table(report: &LoadReport) -> tabled::Table {
+    let mut table = Builder::default();
+    table.push_record(["team", "offered", "whole", "in target", "first token p95 ms"]);
+    for (team, row) in &report.teams {
+        table.push_record([
+            team.to_string(),
+            row.offered.to_string(),
+            row.whole.to_string(),
+            row.in_target.to_string(),
+            format!("{:.1}", row.first_token.p95),
+        ]);
+    }
+    let mut table = table.build();
+    table.with(Style::markdown());
+    table
+}
--- /dev/null
+++ b/src/load/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use crate::daemon::Daemon;
+use crate::deployment::{Deployment, Example};
+use spindle_standin::EngineModel;
+use spindle_types::Span;
+
+fn record(end: End, submission: Option<&str>, first_ms: u64) -> Record {
+    Record {
+        at: Duration::ZERO,
+        team: Team::try_from("casa-limon").unwrap(),
+        kind: "enquiry",
+        submission: submission.map(str::to_owned),
+        end,
+        detail: String::new(),
+        first_token: submission.is_none().then(|| Duration::from_millis(first_ms)),
+        intervals: vec![(Duration::from_millis(20), 1); 10],
+        total: Duration::from_millis(first_ms + 200),
+        tokens: 11,
+        recomputed: 0,
+        retries: 0,
+        pickups: 0,
+    }
+}
+
+#[test]
+fn the_audit_finds_what_callers_were_told_wrongly() {
+    let records = vec![
+        record(End::Whole, Some("once"), 5),
+        record(End::Whole, Some("twice"), 5),
+        record(End::NotRun, Some("ran-after-all"), 5),
+        record(End::NotRun, Some("not-run"), 5),
+        record(End::Whole, Some("missing"), 5),
+        record(End::Unknown, Some("unknown"), 5),
+    ];
+    let run = Run { settings: TrafficSettings::default(), records };
+    let ran = ["once", "twice", "twice", "ran-after-all", "unknown"].map(str::to_owned);
+    let report = LoadReport::new(&run, LatencyTarget::default(), Some(&ran));
+    let expected = Audit { submissions: 6, duplicates: 1, false_not_run: 1, missing: 1 };
+    assert_eq!(report.audit, Some(expected));
+}
+
+#[test]
+fn only_whole_answers_within_the_target_are_goodput() {
+    let records = vec![
+        record(End::Whole, None, 400),
+        record(End::Whole, None, 420),
+        record(End::Wrong, None, 10),
+    ];
+    let run = Run { settings: TrafficSettings::default(), records };
+    let report = LoadReport::new(&run, LatencyTarget::default(), None);
+    assert_eq!(report.in_target, 1);
+    assert_eq!(report.ended(End::Wrong), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_calm_deployment_answers_everything() {
+    let fast = EngineModel {
+        step_base: Duration::from_micros(500),
+        step_slope: Duration::ZERO,
+        ..EngineModel::default()
+    };
+    for example in [Example::Vendimia, Example::Kanem] {
+        let deployment = Deployment::start(example, 2, fast).await.unwrap();
+        let duration = Span::from_secs(2);
+        let settings =
+            TrafficSettings { example, rate: 10.0, duration, ..TrafficSettings::default() };
+        let daemons = deployment.daemons.iter().map(Daemon::caller_address).collect();
+        let configuration = &deployment.configuration;
+        let run = run(settings, configuration, daemons, Progress::Hidden).await.unwrap();
+        let ran = deployment.submissions();
+        let report = LoadReport::new(&run, LatencyTarget::default(), Some(&ran));
+        assert_eq!(report.ended(End::Whole), report.offered, "{run:?}");
+        let audit = report.audit.unwrap();
+        assert!(audit.submissions > 0);
+        assert_eq!((audit.duplicates, audit.false_not_run, audit.missing), (0, 0, 0));
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod peer;
 mod platform;
+mod traffic;
 
 pub use caller::CallerSettings;
 pub use drain::DrainSettings;
@@ -20,6 +21,7 @@
 pub use metrics::MetricsSettings;
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
+pub use traffic::TrafficSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
