feat(standin): engine service times by continuous batching with a limited prefix cache

Prefill by uncached tokens in chunks that share the step with decoding, decoding by batch, a queue by priority when all slots are taken, an evicting prefix cache whose events are late and have gaps, and load reports with a lag.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,12 +1,17 @@
-//! A model engine's stand-in with a small service-time model.
+//! A model engine's stand-in, whose times follow the model of [`crate::batch`].
 
+mod scheduler;
+
+use self::scheduler::{Output, Scheduler};
 use crate::answer::{natural_length, token};
+use crate::batch::{EngineModel, Job};
+use crate::blocks::Blocks;
 use crate::fault::Faults;
 use crate::server::{StandinServer, query_number};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::to_string;
-use spindle_engine::{CacheEvents, Chunk, Finish, Generate, Load, Order, OrderReply};
+use spindle_engine::{Chunk, Finish, Generate, Load, Order, OrderReply};
 use spindle_http::reply::with_type;
 use spindle_http::{Body, BodySender, Handler, encode_event, json, read_json, text};
 use spindle_types::{Fencing, Model};
@@ -15,6 +20,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// The largest request, in bytes.
 const REQUEST_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -22,33 +28,9 @@
 /// The time within which a request must arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Events that a slow receiver may lag behind.
+/// Events that a slow receiver may lag behind before they wait in memory.
 const EVENT_BUFFER: usize = 64;
 
-/// The parameters of the service-time model.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineModel {
-    /// Prompt tokens computed a second.
-    pub prefill_rate: f64,
-    /// The time of one decoding step with an empty batch.
-    pub step_base: Duration,
-    /// The time that each running generation adds to a step.
-    pub step_slope: Duration,
-    /// Generations that run at once.
-    pub slots: u32,
-}
-
-impl Default for EngineModel {
-    fn default() -> Self {
-        Self {
-            prefill_rate: 20_000.0,
-            step_base: Duration::from_millis(8),
-            step_slope: Duration::from_micros(300),
-            slots: 32,
-        }
-    }
-}
-
 /// What an engine has done since its start.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct EngineCounts {
@@ -62,7 +44,7 @@
 
 #[derive(Debug)]
 struct State {
-    model: EngineModel,
+    scheduler: Scheduler,
     loaded: Mutex<Load>,
     fencing: Mutex<Fencing>,
     checks_fencing: bool,
@@ -77,10 +59,6 @@
     fn loaded(&self) -> MutexGuard<'_, Load> {
         self.loaded.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn step(&self) -> Duration {
-        self.model.step_base + self.model.step_slope * self.running.load(Ordering::Relaxed)
-    }
 }
 
 /// An engine that serves one model.
@@ -102,7 +80,7 @@
         checks_fencing: bool,
     ) -> io::Result<Self> {
         let state = Arc::new(State {
-            model: timing,
+            scheduler: Scheduler::start(timing),
             loaded: Mutex::new(Load { model: Some(model), ..Load::default() }),
             fencing: Mutex::default(),
             checks_fencing,
@@ -135,7 +113,7 @@
         }
     }
 
-    /// Generations being computed.
+    /// Generations being computed or waiting.
     pub fn running(&self) -> u32 {
         self.state.running.load(Ordering::Relaxed)
     }
@@ -162,7 +140,7 @@
             (&Method::GET, "/v1/load") => json(StatusCode::OK, &self.load()),
             (&Method::GET, "/v1/cache/events") => {
                 let next = query_number(request.uri(), "from").unwrap_or(0);
-                json(StatusCode::OK, &CacheEvents { next, events: Vec::new() })
+                json(StatusCode::OK, &state.scheduler.cache_events(next))
             }
             _ => text(StatusCode::NOT_FOUND, "no such path"),
         }
@@ -171,8 +149,7 @@
 
 impl EngineHandler {
     fn load(&self) -> Load {
-        let running = self.0.running.load(Ordering::Relaxed);
-        Load { running, ..self.0.loaded().clone() }
+        self.0.scheduler.load(self.0.loaded().clone())
     }
 
     async fn order(&self, request: Request<Incoming>) -> Response<Body> {
@@ -204,13 +181,13 @@
         if state.loaded().model.as_ref() != Some(&request.model) {
             return text(StatusCode::NOT_FOUND, "model is not loaded");
         }
-        if state.running.fetch_add(1, Ordering::Relaxed) >= state.model.slots {
-            state.running.fetch_sub(1, Ordering::Relaxed);
-            return text(StatusCode::SERVICE_UNAVAILABLE, "all slots are taken");
-        }
+        let Ok(outputs) = state.scheduler.submit(job(&request)) else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "the queue is full");
+        };
         state.started.fetch_add(1, Ordering::Relaxed);
+        state.running.fetch_add(1, Ordering::Relaxed);
         let (sender, body) = Body::pieces(EVENT_BUFFER);
-        tokio::spawn(produce(Slot(Arc::clone(state)), request, sender));
+        tokio::spawn(produce(Slot(Arc::clone(state)), request, outputs, sender));
         with_type(StatusCode::OK, "text/event-stream", body)
     }
 }
@@ -224,29 +201,55 @@
     }
 }
 
-async fn produce(slot: Slot, request: Generate, sender: BodySender) {
+/// The offset after the last token of an answer.
+fn answer_end(request: &Generate) -> u32 {
+    natural_length(&request.prompt).min(request.max_tokens)
+}
+
+fn job(request: &Generate) -> Job {
+    let heard = format!("{}{}", request.prompt, request.produced.concat());
+    Job {
+        blocks: Blocks::of(&request.model, request.adapter.as_ref(), &heard),
+        imported: 0,
+        first: u32::try_from(request.produced.len()).unwrap_or(u32::MAX),
+        end: answer_end(request),
+        priority: request.priority,
+    }
+}
+
+/// Sends what a generation brings; when the receiver has gone, the generation is cancelled.
+async fn produce(
+    slot: Slot,
+    request: Generate,
+    mut outputs: mpsc::UnboundedReceiver<Output>,
+    sender: BodySender,
+) {
     let state = &slot.0;
-    let prompt_tokens = request.prompt.split_whitespace().count() + request.produced.len();
-    let prefilled = u32::try_from(prompt_tokens).unwrap_or(u32::MAX);
-    state.prefilled.fetch_add(u64::from(prefilled), Ordering::Relaxed);
-    tokio::time::sleep(Duration::from_secs_f64(f64::from(prefilled) / state.model.prefill_rate))
-        .await;
-    let end = natural_length(&request.prompt);
-    let finish = if end <= request.max_tokens { Finish::Stop } else { Finish::Length };
-    let end = end.min(request.max_tokens);
-    let first = u32::try_from(request.produced.len()).unwrap_or(u32::MAX);
-    for offset in first..end {
-        tokio::time::sleep(state.step()).await;
-        let tokens = vec![token(&request.model, &request.prompt, offset)];
-        let prefilled = (offset == first).then_some(prefilled);
-        let chunk = Chunk { tokens, prefilled, ..blank_chunk(&request, offset) };
-        state.generated.fetch_add(1, Ordering::Relaxed);
-        if send(&sender, &chunk).await.is_err() {
+    loop {
+        let output = tokio::select! {
+            output = outputs.recv() => output,
+            () = sender.closed() => return,
+        };
+        let Some(Output { offset, prefilled, ended }) = output else {
             return;
+        };
+        state.prefilled.fetch_add(prefilled.unwrap_or(0).into(), Ordering::Relaxed);
+        if let Some(offset) = offset {
+            let tokens = vec![token(&request.model, &request.prompt, offset)];
+            let chunk = Chunk { tokens, prefilled, ..blank_chunk(&request, offset) };
+            state.generated.fetch_add(1, Ordering::Relaxed);
+            if send(&sender, &chunk).await.is_err() {
+                return;
+            }
+        }
+        if ended {
+            break;
         }
     }
-    let last = Chunk { finish: Some(finish), ..blank_chunk(&request, end) };
-    if send(&sender, &last).await.is_ok() {
+    let end = answer_end(&request);
+    let stopped = natural_length(&request.prompt) <= request.max_tokens;
+    let finish = Some(if stopped { Finish::Stop } else { Finish::Length });
+    if send(&sender, &Chunk { finish, ..blank_chunk(&request, end) }).await.is_ok() {
         sender.finish().await;
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,16 +4,20 @@
 //! [`Faults`].
 
 pub mod answer;
+pub mod batch;
+pub mod blocks;
 pub mod engine;
 pub mod fault;
 pub mod log;
 pub mod platform;
+pub mod prefix;
 pub mod server;
 pub mod service;
 pub mod weights;
 
 pub use answer::whole_answer;
-pub use engine::{EngineModel, EngineStandin};
+pub use batch::EngineModel;
+pub use engine::EngineStandin;
 pub use fault::Faults;
 pub use log::LogStandin;
 pub use platform::PlatformStandin;
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -15,7 +15,7 @@
 use spindle_cloud::Running;
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::membership::Member;
-use spindle_standin::engine::EngineModel;
+use spindle_standin::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
 use spindle_types::config::{FencingCheck, Market, PoolSpec};
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -3,8 +3,7 @@
 use bronzespindle::client::{CallerClient, ClientError, ServiceCall};
 use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
 use http::{Method, StatusCode};
-use spindle_standin::engine::EngineModel;
-use spindle_standin::whole_answer;
+use spindle_standin::{EngineModel, whole_answer};
 use spindle_types::Model;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +14,7 @@
     prefill_rate: 1_000_000.0,
     step_base: Duration::from_micros(500),
     step_slope: Duration::ZERO,
-    slots: 32,
+    ..EngineModel::DEFAULT
 };
 
 async fn deployment() -> (Deployment, SocketAddr) {
