--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod routing;
 mod state;
+mod traffic;
 
 pub use caller::CallerSettings;
 pub use claim::ClaimSettings;
@@ -26,6 +27,7 @@
 pub use platform::PlatformSettings;
 pub use routing::RoutingSettings;
 pub use state::StateSettings;
+pub use traffic::TrafficSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -4,7 +4,7 @@
 use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
-use spindle_standin::engine::EngineModel;
+use spindle_standin::EngineModel;
 use spindle_standin::service::ServiceStandin;
 use std::net::SocketAddr;
 use std::time::Duration;
