--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fold;
 pub mod freshness;
 pub mod lease;
+pub mod ledger;
 pub mod membership;
 pub mod routing;
 pub mod update;
