fix(call): a lost attempt is never unsent again, and keyed calls keep their answer

Cause: a repeatable call whose attempt was lost was wrapped as unsent once more, so its type forgot that it may have run. A keyed call told every repeat 'unknown', was cut off with its caller, and burnt its key when no upstream could be reached. Change: one custody type for generations and calls, in which a lost attempt stays sent. A keyed call runs under a permit that releases its claim when unused, goes on without its caller, and has its answer recorded: a repeat at any daemon gets that answer, by the same team for the same request only. Refusals proved by the transport are followed by another upstream.

--- a/crates/caller/src/problem.rs
+++ b/crates/caller/src/problem.rs
@@ -42,6 +42,13 @@
     }
 }
 
+fn unknown_status(unknown: &Unknown) -> StatusCode {
+    match unknown.reason() {
+        Some(RefusalReason::KeyExpired) => StatusCode::CONFLICT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
 /// The response for a refusal.
 pub fn problem_response(refusal: &Refusal) -> Response<Body> {
     match refusal {
@@ -53,8 +60,12 @@
             add_retry_after(&mut response, not_run.retry_after());
             response
         }
-        Refusal::Unknown(_) => {
-            respond(StatusCode::BAD_GATEWAY, document("outcome unknown", "unknown"))
+        Refusal::Unknown(unknown) => {
+            let reason = unknown.reason().map(Into::into);
+            let document = Document { reason, ..document("outcome unknown", "unknown") };
+            let mut response = respond(unknown_status(unknown), document);
+            add_retry_after(&mut response, unknown.retry_after());
+            response
         }
         Refusal::Invalid(problems) => {
             let document =
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -43,6 +43,8 @@
     ClaimUnavailable,
     /// No replica holds the request.
     ReplicaUnavailable,
+    /// Another attempt under the same key has the right to run, and its answer is not known.
+    KeyClaimed,
     /// The key is older than the replay window.
     KeyExpired,
     /// The upstream refused the request before starting it.
@@ -71,6 +73,11 @@
         NotRun { reason, retry_after }
     }
 
+    /// Gives the request up unsent although another attempt under the same key may have run.
+    pub fn doubt(self, reason: RefusalReason, retry_after: Option<Duration>) -> Unknown {
+        Unknown { reason: Some(reason), retry_after }
+    }
+
     /// Marks the request as sent, from just before its first byte leaves.
     pub fn send(self) -> (R, Sent) {
         (self.request, Sent { _private: () })
@@ -86,7 +93,7 @@
 impl Sent {
     /// Gives the request up after its answer was lost.
     pub fn lose(self) -> Unknown {
-        Unknown { _private: () }
+        Unknown { reason: None, retry_after: None }
     }
 
     /// Turns back into a refusal, given the upstream's own word that nothing was started.
@@ -140,9 +147,22 @@
 }
 
 /// The request may or may not have run.
-#[derive(Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Unknown {
-    _private: (),
+    reason: Option<RefusalReason>,
+    retry_after: Option<Duration>,
+}
+
+impl Unknown {
+    /// Why it can't be told whether the request ran, if there is more to say than a lost answer.
+    pub const fn reason(&self) -> Option<RefusalReason> {
+        self.reason
+    }
+
+    /// When the caller may ask again with the same key, if that is known.
+    pub const fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
 }
 
 #[cfg(test)]
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -102,6 +102,11 @@
 pub struct Size(pub u64);
 
 impl Size {
+    /// A size of whole kibibytes.
+    pub const fn from_kib(kib: u64) -> Self {
+        Self(kib * 1024)
+    }
+
     /// A size of whole mebibytes.
     pub const fn from_mib(mib: u64) -> Self {
         Self(mib * 1024 * 1024)
--- a/src/call.rs
+++ b/src/call.rs
@@ -1,33 +1,32 @@
 //! Forwards one call to a plain service.
 //!
-//! A call that may be repeated is tried at other upstreams until one answers. Any other is sent at
-//! most once; with an idempotency key, only after its claim in the log has won.
+//! An upstream that refuses before it starts is followed by another one. After a lost answer, only
+//! a call that may be repeated is tried again. A call with an idempotency key goes through
+//! [`crate::once`].
 
-use crate::claims::Claimed;
 use crate::context::Context;
+use crate::custody::Custody;
 use crate::daemon::Shared;
+use crate::once;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, header};
 use http_body_util::BodyExt;
 use spindle_caller::{Refusal, Repeatability, problem_response, repeatability};
 use spindle_http::{Body, BodySender};
+use spindle_policy::claim::CallKey;
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_service::headers::remove_hop_by_hop;
 use spindle_service::{CallOutcome, Service};
 use spindle_types::config::{Repeat, ServiceSpec};
-use spindle_types::{IdempotencyKey, Pool, RefusalReason, Sent, Team, Unsent};
+use spindle_types::{IdempotencyKey, Pool, RefusalReason, Team};
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Pieces of an answer that a slow caller may lag behind.
 const ANSWER_BUFFER: usize = 16;
 
-/// The most upstreams at which a repeatable call is tried.
+/// The most upstreams at which a call is tried.
 const ATTEMPTS_MAX: usize = 4;
 
-/// The delay after which a refused caller may try again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// A call to forward.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -67,108 +66,102 @@
         Repeatability::Never => Repeat::Never,
         Repeatability::Unstated => spec.repeat(call.method.as_str(), &call.path),
     };
-    let unsent = Unsent::new(call);
-    let result = match repeat {
-        Repeat::Allowed => forward_repeatable(&shared, &spec.pool, unsent).await,
-        Repeat::Never => forward_once(&shared, team, key, &spec.pool, unsent).await,
+    let result = match key {
+        Some(key) => {
+            let key = CallKey { team: team.clone(), key };
+            once::forward(shared, key, spec.pool.clone(), repeat, call).await
+        }
+        None => forward_unkeyed(&shared, &spec.pool, repeat, call).await,
     };
     result.unwrap_or_else(|refusal| problem_response(&refusal))
 }
 
-/// What one attempt led to.
-enum Attempt {
-    Answered(Response<Body>),
-    Refused(Unsent<Call>),
-    Lost(Call, Sent),
+/// Forwards a call without a key and relays the answer.
+///
+/// # Errors
+///
+/// No upstream answered.
+pub async fn forward_unkeyed<C: Context>(
+    shared: &Shared<C>,
+    pool: &Pool,
+    repeat: Repeat,
+    call: Call,
+) -> Result<Response<Body>, Refusal> {
+    let Answered { response, route } = deliver(shared, pool, repeat, call).await?;
+    let (head, answer) = response.into_parts();
+    let (sender, body) = Body::pieces(ANSWER_BUFFER);
+    let upstreams = shared.upstreams.clone();
+    tokio::spawn(async move {
+        let end = relay(answer, sender).await;
+        upstreams.end(route.key, end).await;
+    });
+    Ok(Response::from_parts(head, body))
+}
+
+/// An upstream's answer, whose body is still to come. The attempt counts as in flight until its
+/// end is told to the router.
+#[derive(Debug)]
+pub struct Answered<A> {
+    /// The answer.
+    pub response: Response<A>,
+    /// The upstream.
+    pub route: Route,
 }
 
-async fn forward_repeatable<C: Context>(
+type ServiceAnswer<C> = <<C as Context>::Service as Service>::Answer;
+
+/// Sends a call to upstreams of a pool until one answers.
+///
+/// # Errors
+///
+/// No upstream answered; the refusal tells whether the call may have run.
+pub async fn deliver<C: Context>(
     shared: &Shared<C>,
     pool: &Pool,
-    mut unsent: Unsent<Call>,
-) -> Result<Response<Body>, Refusal> {
+    repeat: Repeat,
+    call: Call,
+) -> Result<Answered<ServiceAnswer<C>>, Refusal> {
     let demand = Demand::call(pool.clone());
+    let mut custody = Custody::new(call);
     let mut excluded = Vec::new();
-    let mut lost = None;
     for _ in 0..ATTEMPTS_MAX {
         let Some(route) = shared.upstreams.choose(&demand, &excluded).await else {
             break;
         };
         excluded.push(route.instance.clone());
-        unsent = match attempt(shared, &route, unsent).await {
-            Attempt::Answered(response) => return Ok(response),
-            Attempt::Refused(unsent) => unsent,
-            Attempt::Lost(call, sent) => {
-                lost = Some(sent);
-                Unsent::new(call)
-            }
+        custody = match attempt(shared, route, custody).await {
+            Ok(answered) => return Ok(answered),
+            Err(custody) => custody,
         };
+        if repeat == Repeat::Never && matches!(custody, Custody::Sent(..)) {
+            break;
+        }
     }
-    Err(match lost {
-        Some(sent) => Refusal::Unknown(sent.lose()),
-        None => Refusal::NotRun(unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER))),
-    })
+    Err(custody.give_up(RefusalReason::NoUpstream))
 }
 
-async fn forward_once<C: Context>(
+async fn attempt<C: Context>(
     shared: &Shared<C>,
-    team: &Team,
-    key: Option<IdempotencyKey>,
-    pool: &Pool,
-    unsent: Unsent<Call>,
-) -> Result<Response<Body>, Refusal> {
-    if let Some(key) = key {
-        let nonce = u64::try_from(shared.context.random() >> 64).unwrap_or_default();
-        match shared.claims.claim(team.clone(), key, nonce).await {
-            Claimed::Won => {}
-            Claimed::Lost(_) => return Err(Refusal::Unknown(unsent.send().1.lose())),
-            Claimed::Unsettled => {
-                let reason = RefusalReason::ClaimUnavailable;
-                return Err(Refusal::NotRun(unsent.refuse(reason, Some(RETRY_AFTER))));
-            }
-        }
-    }
-    let Some(route) = shared.upstreams.choose(&Demand::call(pool.clone()), &[]).await else {
-        let not_run = unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER));
-        return Err(Refusal::NotRun(not_run));
+    route: Route,
+    custody: Custody<Call>,
+) -> Result<Answered<ServiceAnswer<C>>, Custody<Call>> {
+    let Ok(request) = custody.request().request() else {
+        shared.upstreams.end(route.key, AttemptEnd::Cancelled).await;
+        return Err(custody);
     };
-    match attempt(shared, &route, unsent).await {
-        Attempt::Answered(response) => Ok(response),
-        Attempt::Refused(unsent) => {
-            Err(Refusal::NotRun(unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER))))
-        }
-        Attempt::Lost(_, sent) => Err(Refusal::Unknown(sent.lose())),
-    }
-}
-
-async fn attempt<C: Context>(shared: &Shared<C>, route: &Route, unsent: Unsent<Call>) -> Attempt {
-    let Ok(request) = unsent.request().request() else {
-        return Attempt::Refused(unsent);
+    let (call, flight) = custody.send();
+    let stall = shared.settings.caller.stall_timeout.get();
+    let calling = shared.context.service().call(route.address, request);
+    let outcome = tokio::time::timeout(stall, calling).await;
+    let (custody, text) = match outcome {
+        Ok(CallOutcome::Answered(response)) => return Ok(Answered { response, route }),
+        Ok(CallOutcome::NotSent { proof, text }) => (flight.refused(proof, call), text),
+        Ok(CallOutcome::Lost(text)) => (flight.lost(call), text),
+        Err(_) => (flight.lost(call), "no answer before the stall timeout".to_owned()),
     };
-    let (call, sent) = unsent.send();
-    match shared.context.service().call(route.address, request).await {
-        CallOutcome::Answered(response) => {
-            let (head, answer) = response.into_parts();
-            let (sender, body) = Body::pieces(ANSWER_BUFFER);
-            let upstreams = shared.upstreams.clone();
-            let key = route.key;
-            tokio::spawn(async move {
-                let end = relay(answer, sender).await;
-                upstreams.end(key, end).await;
-            });
-            Attempt::Answered(Response::from_parts(head, body))
-        }
-        CallOutcome::NotSent { proof, text } => {
-            log::info!("event=call_not_sent instance={} error={text:?}", route.instance);
-            shared.upstreams.end(route.key, AttemptEnd::Failed).await;
-            Attempt::Refused(sent.restore(proof, call))
-        }
-        CallOutcome::Lost(text) => {
-            log::info!("event=call_lost instance={} error={text:?}", route.instance);
-            shared.upstreams.end(route.key, AttemptEnd::Failed).await;
-            Attempt::Lost(call, sent)
-        }
-    }
+    log::info!("event=call_failed instance={} error={text:?}", route.instance);
+    shared.upstreams.end(route.key, AttemptEnd::Failed).await;
+    Err(custody)
 }
 
 async fn relay<B>(mut answer: B, sender: BodySender) -> AttemptEnd
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -1,161 +1,374 @@
 //! Claims in the log for calls that must run at most once.
 //!
-//! One append carries every claim that waits. A claim is answered once every record below its own
-//! offset has been read.
+//! A task for each claim stream owns its ledger: it appends what the ledger gathers, reads while
+//! requests wait, and now and then besides, so that no record expires unread.
 
 use crate::context::Context;
-use crate::follower::stream_name;
+use crate::settings::ClaimSettings;
 use serde_json::value::{RawValue, to_raw_value};
-use spindle_log::{AppendError, Log, ReadError};
-use spindle_policy::claim::{Claim, ClaimTable, Winner};
-use spindle_types::{Clock, IdempotencyKey, Incarnation, MonotonicInstant, StreamName, Team};
+use spindle_log::{AppendError, Batch, Log, ReadError};
+use spindle_policy::claim::{CallKey, ClaimRecord, Claimant, Continuity, Page, RecordedAnswer};
+use spindle_policy::ledger::{AppendEnd, Ledger, LedgerLimits, Verdict};
+use spindle_types::{Clock, Incarnation, MonotonicInstant, Offset, StreamName};
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
 
-/// The stream that holds the claims.
+/// The prefix of the streams that hold claims.
 pub const CLAIM_STREAM: &str = "claims";
 
-/// Claims that may wait for the task.
-const MAILBOX: usize = 1_024;
-
-/// The most claims that one append carries.
-const GROUP_MAX: usize = 256;
-
-/// The time within which a claim must be settled.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Messages that may wait for a task.
+const MAILBOX: usize = 4_096;
 
 /// How long a read waits for the first record.
 const READ_WAIT: Duration = Duration::from_millis(200);
 
-/// The pause after a failed read.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The pause after a failed read or append.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// The time between two reads while nobody waits.
+const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+
+/// The steps by which daemons spread the carrying of claims, so that mostly one does it.
+const CARRY_STEPS: u32 = 64;
 
 /// What became of a claim.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Claimed {
-    /// This request may send the call, now and once.
-    Won,
-    /// Another request has the right; the call may have run.
-    Lost(Winner),
+#[derive(Debug)]
+pub enum Outcome {
+    /// This request may send the call, once.
+    Won(Permit),
+    /// The call has been answered.
+    Answered(RecordedAnswer),
+    /// Another request has the right, and its answer is not known.
+    Lost,
+    /// The key was used for a different request.
+    Mismatch,
+    /// The key is older than the replay window.
+    Expired,
     /// The log could not settle the claim in time; this request must not send the call.
     Unsettled,
 }
 
-struct Request {
-    claim: Claim,
-    reply: oneshot::Sender<Claimed>,
+/// The right to send a call once. Dropping it unused gives the right up for good.
+#[derive(Debug)]
+pub struct Permit {
+    call: Option<CallKey>,
+    claimant: Claimant,
+    mailbox: mpsc::Sender<Message>,
+}
+
+/// A call that has been sent under a permit.
+#[derive(Debug)]
+pub struct Run {
+    call: CallKey,
+    claimant: Claimant,
+    mailbox: mpsc::Sender<Message>,
+}
+
+impl Permit {
+    /// Uses the right, from just before the first byte leaves.
+    pub fn start(mut self) -> Option<Run> {
+        let call = self.call.take()?;
+        Some(Run { call, claimant: self.claimant, mailbox: self.mailbox.clone() })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(call) = self.call.take() {
+            // A full mailbox leaves the key claimed, which is safe: repeats are told `unknown`.
+            let _ = self.mailbox.try_send(Message::Release { call, claimant: self.claimant });
+        }
+    }
 }
 
-/// Talks to the task that owns the claims.
+impl Run {
+    /// Gives the right back: the upstream started nothing.
+    pub fn release(self) {
+        drop(Permit { call: Some(self.call), claimant: self.claimant, mailbox: self.mailbox });
+    }
+
+    /// Records the answer for repeats of the key.
+    pub async fn record(self, answer: RecordedAnswer) {
+        let message = Message::Answer { call: self.call, claimant: self.claimant, answer };
+        // Without a task, repeats are told that the outcome is unknown.
+        let _ = self.mailbox.send(message).await;
+    }
+}
+
+#[derive(Debug)]
+enum Message {
+    Call { call: CallKey, claimant: Claimant, digest: u64, reply: oneshot::Sender<Outcome> },
+    Release { call: CallKey, claimant: Claimant },
+    Answer { call: CallKey, claimant: Claimant, answer: RecordedAnswer },
+}
+
+/// Talks to the tasks that own the claims.
 #[derive(Clone, Debug)]
 pub struct Claims {
-    mailbox: mpsc::Sender<Request>,
+    partitions: Arc<[mpsc::Sender<Message>]>,
     incarnation: Incarnation,
 }
 
 impl Claims {
-    /// Claims a call; `nonce` must be new for each request.
-    pub async fn claim(&self, team: Team, key: IdempotencyKey, nonce: u64) -> Claimed {
+    /// Claims a call; `nonce` must be new for each request, `digest` tells requests apart.
+    pub async fn claim(&self, call: CallKey, nonce: u64, digest: u64) -> Outcome {
+        let count = u32::try_from(self.partitions.len()).unwrap_or(u32::MAX);
+        let index = usize::try_from(call.partition(count)).unwrap_or_default();
+        let claimant = Claimant { incarnation: self.incarnation, nonce };
         let (reply, answer) = oneshot::channel();
-        let claim = Claim { team, key, incarnation: self.incarnation, nonce };
-        if self.mailbox.send(Request { claim, reply }).await.is_err() {
-            return Claimed::Unsettled;
+        let message = Message::Call { call, claimant, digest, reply };
+        if self.partitions[index].send(message).await.is_err() {
+            return Outcome::Unsettled;
         }
-        answer.await.unwrap_or(Claimed::Unsettled)
+        answer.await.unwrap_or(Outcome::Unsettled)
     }
 }
 
-/// Starts the task; it ends when nobody talks to it any more.
-pub fn start<C: Context>(context: C, incarnation: Incarnation) -> Claims {
-    let (mailbox, requests) = mpsc::channel(MAILBOX);
-    let stream = stream_name(CLAIM_STREAM);
-    tokio::spawn(Task { context, stream, table: ClaimTable::new() }.run(requests));
-    Claims { mailbox, incarnation }
+/// Starts the tasks; they end when nobody talks to them any more.
+pub fn start<C: Context>(
+    context: &C,
+    incarnation: Incarnation,
+    settings: &ClaimSettings,
+) -> Claims {
+    let limits = limits(incarnation, settings);
+    let partitions = (0..settings.partitions.max(1)).map(|index| {
+        let (mailbox, messages) = mpsc::channel(MAILBOX);
+        let stream = StreamName::try_from(format!("{CLAIM_STREAM}-{index}"))
+            .expect("names of claim streams are valid");
+        let task = Task {
+            context: context.clone(),
+            stream,
+            ledger: Ledger::new(limits),
+            mailbox: mailbox.downgrade(),
+            replies: HashMap::new(),
+            jobs: JoinSet::new(),
+            reading: false,
+            read_at: MonotonicInstant::default(),
+            append_at: MonotonicInstant::default(),
+        };
+        tokio::spawn(task.run(messages));
+        mailbox
+    });
+    Claims { partitions: partitions.collect(), incarnation }
+}
+
+/// Claims are carried between half and three quarters of the retention time, at a moment that
+/// differs from daemon to daemon.
+fn limits(incarnation: Incarnation, settings: &ClaimSettings) -> LedgerLimits {
+    let step = u32::try_from(incarnation.0 % u64::from(CARRY_STEPS)).unwrap_or_default();
+    let retention = settings.log_retention.get();
+    LedgerLimits {
+        window: settings.replay_window.get(),
+        carry: retention / 2 + retention / 4 * step / CARRY_STEPS,
+        settle: settings.settle_timeout.get(),
+    }
+}
+
+enum Done {
+    Appended(AppendEnd),
+    Read(Result<Batch, ReadError>),
+    Fetched(oneshot::Sender<Outcome>, Option<RecordedAnswer>),
 }
 
 struct Task<C> {
     context: C,
     stream: StreamName,
-    table: ClaimTable,
+    ledger: Ledger,
+    mailbox: mpsc::WeakSender<Message>,
+    replies: HashMap<Claimant, (CallKey, oneshot::Sender<Outcome>)>,
+    jobs: JoinSet<Done>,
+    reading: bool,
+    read_at: MonotonicInstant,
+    append_at: MonotonicInstant,
 }
 
 impl<C: Context> Task<C> {
-    async fn run(mut self, mut requests: mpsc::Receiver<Request>) {
-        let mut group = Vec::new();
-        while requests.recv_many(&mut group, GROUP_MAX).await > 0 {
-            self.settle(std::mem::take(&mut group)).await;
+    async fn run(mut self, mut messages: mpsc::Receiver<Message>) {
+        loop {
+            self.start_jobs();
+            let pause = self.pause();
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.on_message(message),
+                    None => return,
+                },
+                Some(Ok(done)) = self.jobs.join_next() => self.on_done(done),
+                () = tokio::time::sleep(pause) => {}
+            }
+            self.ledger.on_time(self.context.clock().now());
+            self.deliver();
         }
     }
 
-    async fn settle(&mut self, group: Vec<Request>) {
-        let deadline = self.context.clock().now() + SETTLE_TIMEOUT;
-        let records =
-            group.iter().filter_map(|request| to_raw_value(&request.claim).ok()).collect();
-        if !self.append(records).await {
-            for request in group {
-                // A requester that has gone needs no answer.
-                let _ = request.reply.send(Claimed::Unsettled);
-            }
+    /// The time until something has to be done though nothing happens.
+    fn pause(&self) -> Duration {
+        let now = self.context.clock().now();
+        let moments = [
+            self.ledger.deadline(),
+            (!self.reading).then_some(self.read_at),
+            (self.append_at > now).then_some(self.append_at),
+        ];
+        let next = moments.into_iter().flatten().min();
+        next.map_or(IDLE_INTERVAL, |next| next.since(now))
+    }
+
+    fn start_jobs(&mut self) {
+        let now = self.context.clock().now();
+        if now >= self.append_at {
+            self.start_append();
+        }
+        let wanted = self.ledger.is_waiting() || !self.ledger.table().is_current();
+        let due = now >= self.read_at || (wanted && self.read_at.since(now) > RETRY_DELAY);
+        if !self.reading && due {
+            self.start_read(wanted);
+        }
+    }
+
+    fn start_append(&mut self) {
+        let group = self.ledger.next_append(self.context.clock().utc());
+        if group.is_empty() {
             return;
         }
-        self.read_until_settled(&group, deadline).await;
-        for Request { claim, reply } in group {
-            let _ = reply.send(self.outcome(&claim));
+        let (context, stream) = (self.context.clone(), self.stream.clone());
+        self.jobs.spawn(async move { Done::Appended(append(&context, &stream, &group).await) });
+    }
+
+    fn start_read(&mut self, wanted: bool) {
+        self.reading = true;
+        let (context, stream) = (self.context.clone(), self.stream.clone());
+        let next = self.ledger.next();
+        let wait = if wanted { READ_WAIT } else { Duration::ZERO };
+        self.jobs.spawn(async move { Done::Read(context.log().read(&stream, next, wait).await) });
+    }
+
+    fn on_message(&mut self, message: Message) {
+        let clock = self.context.clock();
+        let (now, utc) = (clock.now(), clock.utc());
+        match message {
+            Message::Call { call, claimant, digest, reply } => {
+                self.replies.insert(claimant, (call.clone(), reply));
+                self.ledger.on_call(now, utc, claimant, call, digest);
+            }
+            Message::Release { call, claimant } => self.ledger.on_release(claimant, call),
+            Message::Answer { call, claimant, answer } => {
+                self.ledger.write(ClaimRecord::Answer { call, claimant, answer });
+            }
         }
     }
 
-    async fn append(&self, records: Vec<Box<RawValue>>) -> bool {
-        match self.context.log().append(&self.stream, records).await {
-            Ok(_) => true,
-            Err(AppendError::Unknown(text)) => {
-                log::warn!("event=claim_append_unknown error={text:?}");
-                true
+    fn on_done(&mut self, done: Done) {
+        let now = self.context.clock().now();
+        match done {
+            Done::Appended(end) => {
+                if end != AppendEnd::Appended {
+                    self.append_at = now + RETRY_DELAY;
+                }
+                self.ledger.on_append(end);
             }
-            Err(AppendError::NotAppended(text)) => {
-                log::warn!("event=claim_append_failed error={text:?}");
-                false
+            Done::Read(read) => {
+                self.reading = false;
+                self.on_read(now, read);
+            }
+            Done::Fetched(reply, answer) => {
+                // A requester that has gone needs no answer.
+                let _ = reply.send(answer.map_or(Outcome::Lost, Outcome::Answered));
             }
         }
     }
 
-    async fn read_until_settled(&mut self, group: &[Request], deadline: MonotonicInstant) {
-        let settled = |table: &ClaimTable| {
-            group
-                .iter()
-                .all(|Request { claim, .. }| table.winner(&claim.team, &claim.key).is_some())
-        };
-        while !settled(&self.table) && self.context.clock().now() < deadline {
-            if let Err(error) = self.read().await {
-                log::warn!("event=claim_read_failed error={error:?}");
-                tokio::time::sleep(READ_RETRY_DELAY).await;
+    fn on_read(&mut self, now: MonotonicInstant, read: Result<Batch, ReadError>) {
+        let batch = match read {
+            Ok(batch) => batch,
+            Err(error) => {
+                log::warn!("event=claim_read_failed stream={} error={error:?}", self.stream);
+                self.read_at = now + RETRY_DELAY;
+                return;
             }
+        };
+        let end = batch.end;
+        if self.ledger.on_page(page(batch)) == Continuity::Gap {
+            log::warn!("event=claim_gap stream={} next={}", self.stream, self.ledger.next());
         }
+        let behind = self.ledger.next() < end || self.ledger.is_waiting();
+        self.read_at = if behind { now } else { now + IDLE_INTERVAL };
     }
 
-    async fn read(&mut self) -> Result<(), ReadError> {
-        let batch = self.context.log().read(&self.stream, self.table.next(), READ_WAIT).await?;
-        for record in batch.records {
-            match serde_json::from_str(record.body.get()) {
-                Ok(claim) => {
-                    self.table.on_claim(record.offset, claim);
+    fn deliver(&mut self) {
+        for (claimant, verdict) in self.ledger.take_verdicts() {
+            let Some((call, reply)) = self.replies.remove(&claimant) else {
+                continue;
+            };
+            let outcome = match verdict {
+                Verdict::Won => match self.permit(call, claimant) {
+                    Some(permit) => Outcome::Won(permit),
+                    None => Outcome::Unsettled,
+                },
+                Verdict::Answered(offset) => {
+                    self.fetch(call, offset, reply);
+                    continue;
                 }
-                Err(error) => {
-                    log::warn!("event=claim_invalid offset={} error={error:?}", record.offset);
-                }
-            }
+                Verdict::Lost => Outcome::Lost,
+                Verdict::Mismatch => Outcome::Mismatch,
+                Verdict::Expired => Outcome::Expired,
+                Verdict::Unsettled => Outcome::Unsettled,
+            };
+            // A requester that has gone drops its permit, which releases the claim.
+            let _ = reply.send(outcome);
         }
-        Ok(())
     }
 
-    fn outcome(&self, claim: &Claim) -> Claimed {
-        match self.table.winner(&claim.team, &claim.key) {
-            None => Claimed::Unsettled,
-            Some(winner)
-                if winner.incarnation == claim.incarnation && winner.nonce == claim.nonce =>
-            {
-                Claimed::Won
-            }
-            Some(winner) => Claimed::Lost(winner),
+    fn permit(&self, call: CallKey, claimant: Claimant) -> Option<Permit> {
+        let mailbox = self.mailbox.upgrade()?;
+        Some(Permit { call: Some(call), claimant, mailbox })
+    }
+
+    /// Reads a recorded answer and hands it to the requester.
+    fn fetch(&mut self, call: CallKey, offset: Offset, reply: oneshot::Sender<Outcome>) {
+        let (context, stream) = (self.context.clone(), self.stream.clone());
+        self.jobs.spawn(async move {
+            let batch = context.log().read(&stream, offset, Duration::ZERO).await.ok();
+            let answer = batch.and_then(|batch| answer_at(batch, offset, &call));
+            Done::Fetched(reply, answer)
+        });
+    }
+}
+
+async fn append<C: Context>(context: &C, stream: &StreamName, group: &[ClaimRecord]) -> AppendEnd {
+    let records: Result<Vec<Box<RawValue>>, _> = group.iter().map(to_raw_value).collect();
+    let Ok(records) = records else {
+        return AppendEnd::NotAppended;
+    };
+    match context.log().append(stream, records).await {
+        Ok(_) => AppendEnd::Appended,
+        Err(AppendError::Unknown(text)) => {
+            log::warn!("event=claim_append_unknown stream={stream} error={text:?}");
+            AppendEnd::Unknown
         }
+        Err(AppendError::NotAppended(text)) => {
+            log::warn!("event=claim_append_failed stream={stream} error={text:?}");
+            AppendEnd::NotAppended
+        }
+    }
+}
+
+fn page(batch: Batch) -> Page {
+    let records = batch.records.into_iter().map(|record| {
+        let parsed = serde_json::from_str(record.body.get());
+        if let Err(error) = &parsed {
+            log::warn!("event=claim_invalid offset={} error={error:?}", record.offset);
+        }
+        (record.offset, record.at, parsed.ok())
+    });
+    Page { oldest: batch.oldest, end: batch.end, records: records.collect() }
+}
+
+fn answer_at(batch: Batch, offset: Offset, expected: &CallKey) -> Option<RecordedAnswer> {
+    let record = batch.records.into_iter().find(|record| record.offset == offset)?;
+    match serde_json::from_str(record.body.get()).ok()? {
+        ClaimRecord::Answer { call, answer, .. } if call == *expected => Some(answer),
+        _ => None,
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -77,7 +77,7 @@
         let (follower, following) = follower::start(context.clone());
         let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
-        let claims = claims::start(context.clone(), incarnation);
+        let claims = claims::start(&context, incarnation, &settings.claim);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
         let publisher =
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -4,8 +4,8 @@
 use crate::daemon::Daemon;
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
-    CallerSettings, DrainSettings, IdentitySettings, LogSettings, MetricsSettings, PeerSettings,
-    PlatformSettings, RoutingSettings, Settings, StateSettings, check_document,
+    CallerSettings, ClaimSettings, DrainSettings, IdentitySettings, LogSettings, MetricsSettings,
+    PeerSettings, PlatformSettings, RoutingSettings, Settings, StateSettings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -213,6 +213,7 @@
                 weights: self.weights.address(),
             },
             caller: CallerSettings { listen: free_port, ..CallerSettings::default() },
+            claim: ClaimSettings::default(),
             peer: PeerSettings {
                 listen: free_port,
                 heartbeat: Span::from_millis(100),
--- a/src/front.rs
+++ b/src/front.rs
@@ -131,7 +131,8 @@
         let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
         let body = self.read(body).await?;
         let call = Call { method: head.method, path, headers: head.headers, body };
-        if self.0.drain.started() {
+        // Under a key, an earlier attempt may have run: its claim decides, also while leaving.
+        if self.0.drain.started() && key.is_none() {
             let not_run = Unsent::new(call).refuse(RefusalReason::Leaving, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -3,6 +3,7 @@
 //! A broken attempt is resumed at another upstream from the prompt and the tokens produced so far.
 
 use crate::context::Context;
+use crate::custody::Custody;
 use crate::daemon::Shared;
 use crate::demand;
 use spindle_caller::{Completion, Refusal};
@@ -10,9 +11,7 @@
 use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, Step};
 use spindle_policy::answer::{Answer, Part, Received};
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
-use spindle_types::{
-    Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId, Sent, Unsent,
-};
+use spindle_types::{Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -23,9 +22,6 @@
 /// The pause before the pool is asked again when no upstream can take work.
 const ROUTE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The delay after which a refused caller may try again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// What a generation tells its caller.
 #[derive(Debug)]
 pub enum Progress {
@@ -69,39 +65,10 @@
         excluded: Vec::new(),
         recomputed: 0,
     };
-    tokio::spawn(driver.run(Custody::Unsent(Unsent::new(completion))));
+    tokio::spawn(driver.run(Custody::new(completion)));
     receiver
 }
 
-/// The request with its proof of whether it may have run.
-enum Custody {
-    Unsent(Unsent<Completion>),
-    Sent(Completion, Sent),
-}
-
-impl Custody {
-    fn completion(&self) -> &Completion {
-        match self {
-            Self::Unsent(unsent) => unsent.request(),
-            Self::Sent(completion, _) => completion,
-        }
-    }
-
-    fn send(self) -> (Completion, Sent) {
-        match self {
-            Self::Unsent(unsent) => unsent.send(),
-            Self::Sent(completion, sent) => (completion, sent),
-        }
-    }
-
-    fn give_up(self, reason: RefusalReason) -> Refusal {
-        match self {
-            Self::Unsent(unsent) => Refusal::NotRun(unsent.refuse(reason, Some(RETRY_AFTER))),
-            Self::Sent(_, sent) => Refusal::Unknown(sent.lose()),
-        }
-    }
-}
-
 /// How an attempt ended.
 enum Attempted {
     Finished,
@@ -121,7 +88,7 @@
 }
 
 impl<C: Context> Driver<C> {
-    async fn run(mut self, mut custody: Custody) {
+    async fn run(mut self, mut custody: Custody<Completion>) {
         let mut progressed_at = self.started;
         loop {
             if self.progress.is_closed() {
@@ -162,28 +129,26 @@
         let _ = self.progress.send(Progress::Refused(refusal)).await;
     }
 
-    async fn attempt(&mut self, custody: Custody, route: &Route) -> (Custody, Attempted) {
+    async fn attempt(
+        &mut self,
+        custody: Custody<Completion>,
+        route: &Route,
+    ) -> (Custody<Completion>, Attempted) {
         let number = self.answer.start_attempt();
-        let request = self.request(custody.completion(), number);
-        let was_unsent = matches!(custody, Custody::Unsent(_));
-        let (completion, sent) = custody.send();
+        let request = self.request(custody.request(), number);
+        let (completion, flight) = custody.send();
         match self.shared.context.engine().generate(route.address, &request).await {
             Ok(stream) => {
                 let attempted = self.follow(stream, number).await;
-                (Custody::Sent(completion, sent), attempted)
+                (flight.lost(completion), attempted)
             }
             Err(GenerateError::Refused { proof, text }) => {
                 self.log_failure(route, number, &text);
-                let custody = if was_unsent {
-                    Custody::Unsent(sent.restore(proof, completion))
-                } else {
-                    Custody::Sent(completion, sent)
-                };
-                (custody, Attempted::Failed)
+                (flight.refused(proof, completion), Attempted::Failed)
             }
             Err(GenerateError::Lost(text)) => {
                 self.log_failure(route, number, &text);
-                (Custody::Sent(completion, sent), Attempted::Failed)
+                (flight.lost(completion), Attempted::Failed)
             }
         }
     }
--- /dev/null
+++ b/src/once.rs
@@ -0,0 +1,200 @@
+//! Forwards calls that carry an idempotency key.
+//!
+//! The call is sent only after its claim in the log has won. From then on it goes on to its end
+//! even if the caller goes away, and its answer is recorded for repeats of the key. While the
+//! claim can't be settled, the caller is told `unknown` and not `not_run`: an earlier attempt
+//! under the same key may have run elsewhere. A repeatable call is forwarded all the same.
+
+use crate::call::{Answered, Call, deliver, forward_unkeyed};
+use crate::claims::{Outcome, Permit, Run};
+use crate::context::Context;
+use crate::custody::Custody;
+use crate::daemon::Shared;
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Response, StatusCode, response};
+use http_body_util::BodyExt;
+use spindle_caller::Refusal;
+use spindle_caller::request::KEY_HEADER;
+use spindle_http::{Body, BodySender};
+use spindle_policy::claim::{CallKey, RecordedAnswer};
+use spindle_policy::routing::AttemptEnd;
+use spindle_types::config::Repeat;
+use spindle_types::{Pool, Problems, RefusalReason};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Pieces of an answer that a slow caller may lag behind.
+const ANSWER_BUFFER: usize = 16;
+
+/// The largest headers that are recorded with an answer, in bytes.
+const HEADERS_MAX_BYTES: usize = 8 * 1024;
+
+/// Forwards a call under its key.
+///
+/// # Errors
+///
+/// The call was refused, or its outcome is not known.
+pub async fn forward<C: Context>(
+    shared: Arc<Shared<C>>,
+    key: CallKey,
+    pool: Pool,
+    repeat: Repeat,
+    call: Call,
+) -> Result<Response<Body>, Refusal> {
+    let nonce = u64::try_from(shared.context.random() >> 64).unwrap_or_default();
+    let reason = match shared.claims.claim(key, nonce, digest(&call)).await {
+        Outcome::Won(permit) => return run(shared, permit, pool, repeat, call).await,
+        Outcome::Answered(answer) => return replay(answer),
+        Outcome::Mismatch => return Err(mismatch()),
+        Outcome::Lost => RefusalReason::KeyClaimed,
+        Outcome::Expired => RefusalReason::KeyExpired,
+        Outcome::Unsettled => RefusalReason::ClaimUnavailable,
+    };
+    match repeat {
+        Repeat::Allowed => forward_unkeyed(&shared, &pool, repeat, call).await,
+        Repeat::Never => Err(Custody::new(call).doubt(reason)),
+    }
+}
+
+/// Distinguishes requests under one key.
+fn digest(call: &Call) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in [call.method.as_str().as_bytes(), call.path.as_bytes(), &call.body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+fn mismatch() -> Refusal {
+    let mut problems = Problems::new();
+    problems.add(KEY_HEADER, "used for a different request", "a new key for each request");
+    Refusal::Invalid(problems)
+}
+
+fn replay(answer: RecordedAnswer) -> Result<Response<Body>, Refusal> {
+    let mut response = Response::new(Body::Whole(answer.body.into()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for (name, value) in answer.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    Ok(response)
+}
+
+/// Runs a claimed call in a task of its own, which a caller that goes away does not stop.
+async fn run<C: Context>(
+    shared: Arc<Shared<C>>,
+    permit: Permit,
+    pool: Pool,
+    repeat: Repeat,
+    call: Call,
+) -> Result<Response<Body>, Refusal> {
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(run_to_end(shared, permit, pool, repeat, call, sender));
+    receiver.await.unwrap_or(Err(Refusal::NotFound))
+}
+
+async fn run_to_end<C: Context>(
+    shared: Arc<Shared<C>>,
+    permit: Permit,
+    pool: Pool,
+    repeat: Repeat,
+    call: Call,
+    sender: oneshot::Sender<Result<Response<Body>, Refusal>>,
+) {
+    let Some(run) = permit.start() else {
+        return;
+    };
+    let Answered { response, route } = match deliver(&shared, &pool, repeat, call).await {
+        Ok(answered) => answered,
+        Err(refusal) => {
+            if matches!(refusal, Refusal::NotRun(_)) {
+                run.release();
+            }
+            // A caller that has gone needs no refusal.
+            let _ = sender.send(Err(refusal));
+            return;
+        }
+    };
+    let (head, answer) = response.into_parts();
+    let record = Record::new(&head, shared.settings.claim.answer_max.bytes());
+    let (pieces, body) = Body::pieces(ANSWER_BUFFER);
+    let _ = sender.send(Ok(Response::from_parts(head, body)));
+    let stall = shared.settings.caller.stall_timeout.get();
+    let end = relay_recorded(answer, pieces, record, run, stall).await;
+    shared.upstreams.end(route.key, end).await;
+}
+
+/// The answer as far as it has been relayed; none once it is too large to keep.
+struct Record {
+    answer: Option<RecordedAnswer>,
+    max: usize,
+}
+
+impl Record {
+    fn new(head: &response::Parts, max: usize) -> Self {
+        let mut bytes = 0;
+        let headers = head.headers.iter().filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            bytes += name.as_str().len() + value.len();
+            (bytes <= HEADERS_MAX_BYTES).then(|| (name.to_string(), value.to_owned()))
+        });
+        let headers = headers.collect();
+        let answer = RecordedAnswer { status: head.status.as_u16(), headers, body: Vec::new() };
+        Self { answer: Some(answer), max }
+    }
+
+    fn push(&mut self, data: &Bytes) {
+        let Some(answer) = &mut self.answer else {
+            return;
+        };
+        if answer.body.len() + data.len() > self.max {
+            self.answer = None;
+            return;
+        }
+        answer.body.extend_from_slice(data);
+    }
+}
+
+/// Relays an answer and records it once it is whole. A caller that goes away stops the relay, not
+/// the recording.
+async fn relay_recorded<B>(
+    mut answer: B,
+    sender: BodySender,
+    mut record: Record,
+    run: Run,
+    stall: Duration,
+) -> AttemptEnd
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    let mut sender = Some(sender);
+    loop {
+        match tokio::time::timeout(stall, answer.frame()).await {
+            Ok(None) => break,
+            Ok(Some(Ok(frame))) => {
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
+                record.push(&data);
+                if let Some(relay) = &sender
+                    && !matches!(tokio::time::timeout(stall, relay.send(data)).await, Ok(Ok(())))
+                {
+                    sender = None;
+                }
+            }
+            Err(_) | Ok(Some(Err(_))) => return AttemptEnd::Failed,
+        }
+    }
+    if let Some(answer) = record.answer {
+        run.record(answer).await;
+    }
+    if let Some(sender) = sender {
+        sender.finish().await;
+    }
+    AttemptEnd::Completed
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! from these types.
 
 mod caller;
+mod claim;
 mod drain;
 mod identity;
 mod load;
@@ -15,6 +16,7 @@
 mod state;
 
 pub use caller::CallerSettings;
+pub use claim::ClaimSettings;
 pub use drain::DrainSettings;
 pub use identity::IdentitySettings;
 pub use load::{LoadError, check_document, load, schema};
@@ -40,6 +42,9 @@
     /// How callers are served.
     #[serde(default)]
     pub caller: CallerSettings,
+    /// How claims on calls that must run at most once are kept and settled.
+    #[serde(default)]
+    pub claim: ClaimSettings,
     /// How other daemons are met.
     #[serde(default)]
     pub peer: PeerSettings,
@@ -65,6 +70,7 @@
     fn check(&self) -> Problems {
         let mut problems = Problems::new();
         self.caller.check(&mut problems);
+        self.claim.check(&mut problems);
         self.peer.check(&mut problems);
         self.routing.check(&mut problems);
         self.state.check(&mut problems);
