feat(policy): answers that contradict themselves are given up, and leaving streams are planned

Cause: a last chunk before the end of what was received finished the answer, tokens that differed from those received were dropped in silence, an engine could exceed the length asked for, and one event could grow without bound. Change: a contradiction gives the attempt up and leaves the answer alone; events are bounded at 256 KiB. The plan for the streams of a leaving upstream (stay, transfer, resume) is a pure function of the notice, the sizes and the rate. Checked: cargo test -p spindle-policy -p spindle-http; property over repeated, reordered, foreign and late chunks (2000 iterations).

--- a/crates/http/src/event.rs
+++ b/crates/http/src/event.rs
@@ -1,4 +1,4 @@
-//! Server-sent events.
+//! Server-sent events, bounded in size.
 
 use crate::client::CallError;
 use bytes::Bytes;
@@ -11,9 +11,69 @@
 
 pub use eventsource_stream::Event;
 
-/// The events of a body. A body that is cut off ends with an error.
+/// The largest event, in bytes.
+pub const EVENT_MAX_BYTES: usize = 256 * 1024;
+
+/// The events of a body. A body that is cut off, or that holds an event larger than
+/// [`EVENT_MAX_BYTES`], ends with an error.
 pub struct BodyEvents {
-    events: Pin<Box<EventStream<BodyDataStream<Incoming>>>>,
+    events: Pin<Box<EventStream<Bounded<BodyDataStream<Incoming>>>>>,
+}
+
+/// Passes data on while no event exceeds the bound.
+struct Bounded<S> {
+    data: S,
+    open: OpenEvent,
+}
+
+/// The event that is still open at the end of the data seen so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct OpenEvent {
+    length: usize,
+    line: usize,
+}
+
+impl OpenEvent {
+    /// Counts data in; an empty line ends an event.
+    fn add(&mut self, data: &[u8]) {
+        for byte in data {
+            self.length += 1;
+            match byte {
+                b'\n' if self.line == 0 => self.length = 0,
+                b'\n' => self.line = 0,
+                b'\r' => {}
+                _ => self.line += 1,
+            }
+        }
+    }
+}
+
+impl<S, E> Stream for Bounded<S>
+where
+    S: Stream<Item = Result<Bytes, E>> + Unpin,
+    E: std::fmt::Display,
+{
+    type Item = Result<Bytes, CallError>;
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, CallError>>> {
+        let data = match self.data.poll_next_unpin(context) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Ready(Some(Err(error))) => {
+                return Poll::Ready(Some(Err(CallError::Lost(error.to_string()))));
+            }
+            Poll::Ready(Some(Ok(data))) => data,
+        };
+        self.open.add(&data);
+        if self.open.length > EVENT_MAX_BYTES {
+            let text = format!("an event exceeds {EVENT_MAX_BYTES} bytes");
+            return Poll::Ready(Some(Err(CallError::Form(text))));
+        }
+        Poll::Ready(Some(Ok(data)))
+    }
 }
 
 impl Stream for BodyEvents {
@@ -27,16 +87,17 @@
     }
 }
 
-fn checked(event: Result<Event, EventStreamError<hyper::Error>>) -> Result<Event, CallError> {
+fn checked(event: Result<Event, EventStreamError<CallError>>) -> Result<Event, CallError> {
     event.map_err(|error| match error {
-        EventStreamError::Transport(error) => CallError::Lost(error.to_string()),
+        EventStreamError::Transport(error) => error,
         other => CallError::Form(other.to_string()),
     })
 }
 
 /// Decodes a body as server-sent events.
 pub fn events(body: Incoming) -> BodyEvents {
-    BodyEvents { events: Box::pin(BodyDataStream::new(body).eventsource()) }
+    let data = Bounded { data: BodyDataStream::new(body), open: OpenEvent::default() };
+    BodyEvents { events: Box::pin(data.eventsource()) }
 }
 
 /// Encodes an event; `data` must hold no line break.
@@ -55,3 +116,6 @@
     text.push_str("\n\n");
     text.into()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/answer.rs
+++ b/crates/policy/src/answer.rs
@@ -1,7 +1,8 @@
 //! Assembly of one whole answer from the chunks of one or more attempts.
 //!
 //! Each token has an offset in the whole answer. Chunks of another request or of an attempt that
-//! has been given up are dropped, repeated tokens are dropped, and a gap is never bridged.
+//! has been given up are dropped, repeated tokens are dropped, and a gap is never bridged. An
+//! attempt that contradicts what was received, or itself, is given up.
 
 use spindle_types::{Attempt, RequestId};
 
@@ -36,6 +37,9 @@
     Foreign,
     /// Tokens before the chunk are missing; the attempt must be given up.
     Gap,
+    /// The chunk contradicts the tokens received, its end is not theirs, or the answer would exceed
+    /// the length asked for; nothing of it is taken and the attempt must be given up.
+    Contradiction,
     /// The chunk comes after the end.
     AfterEnd,
 }
@@ -46,13 +50,29 @@
     request: RequestId,
     attempt: Attempt,
     tokens: Vec<String>,
+    max: u32,
     finished: bool,
 }
 
 impl Answer {
-    /// An answer without tokens, before its first attempt.
-    pub const fn new(request: RequestId) -> Self {
-        Self { request, attempt: Attempt(0), tokens: Vec::new(), finished: false }
+    /// An answer without tokens, before its first attempt, of at most `max` tokens.
+    pub const fn new(request: RequestId, max: u32) -> Self {
+        Self::resumed(request, Attempt(0), Vec::new(), max)
+    }
+
+    /// An answer of which another daemon received the first tokens, by attempts up to one.
+    pub const fn resumed(
+        request: RequestId,
+        attempt: Attempt,
+        tokens: Vec<String>,
+        max: u32,
+    ) -> Self {
+        Self { request, attempt, tokens, max, finished: false }
+    }
+
+    /// The newest attempt.
+    pub const fn attempt(&self) -> Attempt {
+        self.attempt
     }
 
     /// Starts the next attempt; chunks of earlier ones are foreign from now on.
@@ -84,7 +104,14 @@
             return Received::Gap;
         }
         let known = usize::try_from(length - part.offset).unwrap_or(usize::MAX);
+        let end = usize::try_from(part.offset).unwrap_or(usize::MAX) + part.tokens.len();
+        if !self.agrees(&part, known) || end > usize::try_from(self.max).unwrap_or(usize::MAX) {
+            return Received::Contradiction;
+        }
         let before = self.tokens.len();
+        if part.last && end < before {
+            return Received::Contradiction;
+        }
         self.tokens.extend(part.tokens.into_iter().skip(known));
         if part.last {
             self.finished = true;
@@ -93,6 +120,13 @@
         let count = u32::try_from(self.tokens.len() - before).unwrap_or(u32::MAX);
         Received::Tokens { offset: length, count }
     }
+
+    /// Whether the tokens that were already received are the same in a chunk that starts `known`
+    /// tokens before the end.
+    fn agrees(&self, part: &Part, known: usize) -> bool {
+        let start = self.tokens.len() - known.min(self.tokens.len());
+        self.tokens[start..].iter().zip(&part.tokens).all(|(ours, theirs)| ours == theirs)
+    }
 }
 
 #[cfg(test)]
--- a/crates/policy/src/answer/tests.rs
+++ b/crates/policy/src/answer/tests.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn repeated_and_late_chunks_are_dropped() {
-    let mut answer = Answer::new(RequestId(1));
+    let mut answer = Answer::new(RequestId(1), 100_000);
     answer.start_attempt();
     let first = answer.on_part(part(1, 0, &["a", "b"], false));
     let repeated = answer.on_part(part(1, 1, &["b", "c"], false));
@@ -31,7 +31,7 @@
 #[test]
 fn any_order_yields_a_prefix_of_the_answer() {
     bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|chunks| {
-        let mut answer = Answer::new(RequestId(1));
+        let mut answer = Answer::new(RequestId(1), 100_000);
         answer.start_attempt();
         for (offset, count) in chunks {
             let tokens = (0..u32::from(*count)).map(|i| (u32::from(*offset) + i).to_string());
@@ -44,3 +44,62 @@
         assert_eq!(expected, answer.tokens());
     });
 }
+
+#[test]
+fn contradictions_give_the_attempt_up_and_leave_the_answer_alone() {
+    let mut answer = Answer::new(RequestId(1), 4);
+    answer.start_attempt();
+    answer.on_part(part(1, 0, &["a", "b", "c"], false));
+    let other_token = answer.on_part(part(1, 1, &["x", "c"], false));
+    let early_end = answer.on_part(part(1, 1, &["b"], true));
+    let too_long = answer.on_part(part(1, 3, &["d", "e"], false));
+    let expected = vec![Received::Contradiction; 3];
+    assert_eq!(expected, [other_token, early_end, too_long]);
+    assert_eq!(["a", "b", "c"], answer.tokens());
+    assert_eq!(Received::Finished, answer.on_part(part(1, 3, &["d"], true)));
+}
+
+/// The true answers: the token at an offset of a request.
+fn truth(request: u128, offset: u32) -> String {
+    format!("{request}:{offset}")
+}
+
+/// Chunks as an engine may deliver them: any order, any repetition, any attempt, and chunks of
+/// other requests; those of this request hold true tokens.
+fn chunk(request: u128, attempt: u8, offset: u8, count: u8, length: u32) -> Part {
+    let offset = u32::from(offset);
+    let end = (offset + u32::from(count)).min(length);
+    let tokens = (offset..end).map(|offset| truth(request, offset)).collect();
+    let last = offset <= length && end == length;
+    Part { request: RequestId(request), attempt: Attempt(attempt.into()), offset, tokens, last }
+}
+
+#[test]
+fn answer_is_exactly_one_whole_answer_of_its_own_request() {
+    let steps = bolero::check!().with_iterations(2_000).with_type::<(u8, Vec<(u8, u8, u8, u8)>)>();
+    steps.for_each(|(length, steps)| {
+        let length = u32::from(*length);
+        let mut answer = Answer::new(RequestId(1), length);
+        let mut attempt = answer.start_attempt();
+        let mut finished = 0;
+        for (kind, of, offset, count) in steps {
+            let received = match kind % 8 {
+                0 => {
+                    attempt = answer.start_attempt();
+                    continue;
+                }
+                1 => answer.on_part(chunk(2, attempt.0 as u8, *offset, *count, length)),
+                2 => answer.on_part(chunk(1, *of, *offset, *count, length)),
+                _ => {
+                    let next = answer.length().saturating_sub(u32::from(of % 4)) as u8;
+                    answer.on_part(chunk(1, attempt.0 as u8, next, count % 16, length))
+                }
+            };
+            finished += u32::from(received == Received::Finished);
+            let expected: Vec<_> = (0..answer.length()).map(|offset| truth(1, offset)).collect();
+            assert_eq!(expected, answer.tokens());
+            assert!(finished == 0 || answer.length() == length, "finished before the end");
+        }
+        assert!(finished <= 1);
+    });
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod routing;
 pub mod update;
 pub mod validation;
+pub mod survival;
--- /dev/null
+++ b/crates/policy/src/survival/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+
+/// 1 ms a token.
+const MODEL: TransferModel =
+    TransferModel { token_bytes: 100_000, rate: 100_000_000, margin: Duration::from_millis(200) };
+
+fn leaver(key: u32, deadline_ms: u64, prompt: u32, produced: u32, rest: u32) -> Leaver<u32> {
+    Leaver {
+        key,
+        deadline: MonotonicInstant::from_millis(deadline_ms),
+        prompt,
+        produced,
+        rest,
+        interval: (produced > 1).then_some(Duration::from_millis(10)),
+    }
+}
+
+fn moves(notice_ms: u64, leavers: Vec<Leaver<u32>>) -> Vec<(u32, Move)> {
+    let now = MonotonicInstant::from_millis(1_000);
+    plan(now, now + Duration::from_millis(notice_ms), &MODEL, leavers)
+}
+
+#[test]
+fn each_notice_has_its_moves() {
+    let leavers = || {
+        vec![
+            leaver(1, 30, 500, 100, 400),
+            leaver(2, 20, 2_000, 50, 400),
+            leaver(3, 10, 300, 20, 60),
+            leaver(4, 40, 300, 0, 100),
+        ]
+    };
+    let actual =
+        [0, 1_000, 5_000, 30_000].map(|notice_ms| (notice_ms, moves(notice_ms, leavers())));
+    insta::assert_debug_snapshot!(actual);
+}
+
+#[test]
+fn without_a_rate_nothing_is_transferred() {
+    let model = TransferModel { rate: 0, ..MODEL };
+    let now = MonotonicInstant::from_millis(1_000);
+    let actual = plan(now, now + Duration::from_secs(5), &model, vec![leaver(1, 0, 10, 10, 9_000)]);
+    assert_eq!(vec![(1, Move::Resume)], actual);
+}
+
+#[test]
+fn transfers_together_fit_into_the_notice() {
+    let check = bolero::check!().with_iterations(1_000);
+    check.with_type::<(u16, Vec<(u8, u16, u8, u8)>)>().for_each(|(notice_ms, streams)| {
+        let leavers: Vec<_> = (0..)
+            .zip(streams)
+            .map(|(key, (deadline, prompt, produced, rest))| {
+                leaver(
+                    key,
+                    (*deadline).into(),
+                    (*prompt).into(),
+                    (*produced).into(),
+                    (*rest).into(),
+                )
+            })
+            .collect();
+        let by_key = leavers.clone();
+        let moves = moves((*notice_ms).into(), leavers);
+        assert_eq!(by_key.len(), moves.len());
+        let usable = Duration::from_millis((*notice_ms).into()).saturating_sub(MODEL.margin);
+        let duration = |(key, _): &(u32, Move)| {
+            let leaver = by_key[*key as usize];
+            MODEL.duration(u64::from(leaver.prompt) + u64::from(leaver.produced)).unwrap()
+        };
+        let moved = moves.iter().filter(|(_, kind)| *kind == Move::Transfer);
+        assert!(moved.map(duration).sum::<Duration>() <= usable);
+        let deadlines = moves.iter().map(|(key, _)| by_key[*key as usize].deadline);
+        assert!(deadlines.is_sorted());
+    });
+}
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -61,7 +61,7 @@
         demand,
         progress,
         started,
-        answer: Answer::new(id),
+        answer: Answer::new(id, completion.max_tokens),
         excluded: Vec::new(),
         recomputed: 0,
     };
@@ -209,7 +209,7 @@
         }
         match received {
             Received::Finished => Some(self.finish(finish.unwrap_or(Finish::Stop)).await),
-            Received::Gap => Some(Attempted::Failed),
+            Received::Gap | Received::Contradiction => Some(Attempted::Failed),
             Received::Tokens { .. } | Received::Foreign | Received::AfterEnd => None,
         }
     }
