fix(standin): reads of a service's load are not calls that run

Cause: since routing reads the load of every upstream, a plain service's stand-in counted those reads as calls and spent its faults on them; tests/callers.rs and tests/at_most_once.rs failed. Change: the stand-in reports its running calls at /v1/load and has no cache events.

--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -5,9 +5,11 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
+use spindle_engine::Load;
 use spindle_http::{Body, Handler, json, read_body, text};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -31,9 +33,40 @@
 #[derive(Debug, Default)]
 struct State {
     calls: Mutex<Vec<Call>>,
+    running: AtomicU32,
     faults: Faults,
 }
 
+impl State {
+    /// The answer to a read of the load or of cache events, which is not a call that runs.
+    fn report(&self, path: &str) -> Option<Response<Body>> {
+        match path {
+            "/v1/load" => {
+                let running = self.running.load(Ordering::Relaxed);
+                Some(json(StatusCode::OK, &Load { running, ..Load::default() }))
+            }
+            "/v1/cache/events" => Some(text(StatusCode::NOT_FOUND, "a service has no cache")),
+            _ => None,
+        }
+    }
+}
+
+/// One running call, counted until dropped.
+struct Running<'a>(&'a State);
+
+impl<'a> Running<'a> {
+    fn start(state: &'a State) -> Self {
+        state.running.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// A service that runs every call it receives.
 #[derive(Clone, Debug)]
 pub struct ServiceStandin {
@@ -80,10 +113,17 @@
 impl Handler for ServiceHandler {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
         let state = &self.0;
-        tokio::time::sleep(state.faults.delay()).await;
-        if state.faults.is_down() || state.faults.takes_refusal() {
+        if state.faults.is_down() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
+        if let Some(response) = state.report(request.uri().path()) {
+            return response;
+        }
+        if state.faults.takes_refusal() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        }
+        let _running = Running::start(state);
+        tokio::time::sleep(state.faults.delay()).await;
         let (head, body) = request.into_parts();
         let body = match read_body(body, CALL_MAX_BYTES, CALL_TIMEOUT).await {
             Ok(body) => String::from_utf8_lossy(&body).into_owned(),
