--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,6 @@
 pub mod ledger;
 pub mod membership;
 pub mod routing;
+pub mod survival;
 pub mod update;
 pub mod validation;
-pub mod survival;
