--- a/src/call.rs
+++ b/src/call.rs
@@ -121,8 +121,8 @@
     repeat: Repeat,
     call: Call,
 ) -> Result<Answered<ServiceAnswer<C>>, Refusal> {
-    let mut custody = Custody::new(call);
     let demand = Demand::call(pool.clone());
+    let mut custody = Custody::new(call);
     let mut excluded = Vec::new();
     for _ in 0..ATTEMPTS_MAX {
         let Some(route) = shared.upstreams.choose(&demand, &excluded).await else {
@@ -146,7 +146,7 @@
     custody: Custody<Call>,
 ) -> Result<Answered<ServiceAnswer<C>>, Custody<Call>> {
     let Ok(request) = custody.request().request() else {
-        shared.upstreams.end(route.key, AttemptEnd::Completed).await;
+        shared.upstreams.end(route.key, AttemptEnd::Cancelled).await;
         return Err(custody);
     };
     let (call, flight) = custody.send();
