feat(load): stand-ins as a process of their own, processes' cost, generations sent direct

`standin` runs platform and upstream stand-ins with any number of engines, daemons inside the process and configuration changes a second, and writes settings files for `serve`. `load` reports the processor time, memory and descriptors of daemons' processes, and can send generations to engines without a daemon.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,10 @@
 //! The command line.
 
 mod load;
+mod standin;
 
 use self::load::LoadArguments;
+use self::standin::StandinArguments;
 use crate::context::LiveContext;
 use crate::daemon::Daemon;
 use crate::deployment::Example;
@@ -70,6 +72,8 @@
     },
     /// Offers load on a fixed schedule and checks every answer
     Load(LoadArguments),
+    /// Runs the stand-ins of platform and upstreams, for daemons that `serve` runs
+    Standin(StandinArguments),
     /// Prints shell completions
     Completions {
         /// The shell
@@ -128,6 +132,11 @@
             block_on(arguments.execute())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Standin(arguments) => {
+            logs::start(level.unwrap_or(LogLevel::Error));
+            block_on(arguments.execute())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "bronzespindle", &mut std::io::stdout());
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -1,8 +1,8 @@
 //! The subcommands that measure: `load`.
 
-use crate::daemon::Daemon;
 use crate::deployment::{Deployment, Example};
-use crate::load::{self, LoadReport, Progress, Run};
+use crate::load::{self, LoadReport, Progress, Run, Targets};
+use crate::process::{ProcessReport, Usage};
 use crate::settings::{TrafficSettings, check_document};
 use clap::Args;
 use eyre::WrapErr;
@@ -10,6 +10,7 @@
 use spindle_types::{Configuration, Problems, Span};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 /// What load to offer, and to whom.
 #[derive(Debug, Args)]
@@ -23,6 +24,12 @@
     /// The address of a plain service's stand-in, which is asked what it ran
     #[arg(long, value_name = "IP:PORT", requires = "address")]
     service: Vec<SocketAddr>,
+    /// The address of an engine; generations go to the engines in turn, without a daemon
+    #[arg(long, value_name = "IP:PORT", requires = "address")]
+    engine: Vec<SocketAddr>,
+    /// A daemon's process, whose processor time and memory are reported
+    #[arg(long, value_name = "PID")]
+    process: Vec<u32>,
     /// Whose mix of work is sent
     #[arg(long, value_enum)]
     example: Option<Example>,
@@ -35,6 +42,12 @@
     /// The time over which requests arrive, such as 30s
     #[arg(long)]
     duration: Option<Span>,
+    /// The most tokens of any answer
+    #[arg(long)]
+    max_tokens: Option<u32>,
+    /// The one kind of work that is sent, by name
+    #[arg(long)]
+    kind: Option<String>,
     /// Daemons of the deployment started in this process
     #[arg(long, default_value_t = 3, conflicts_with = "address")]
     daemons: usize,
@@ -60,6 +73,8 @@
         traffic.seed = self.seed.unwrap_or(traffic.seed);
         traffic.rate = self.rate.unwrap_or(traffic.rate);
         traffic.duration = self.duration.unwrap_or(traffic.duration);
+        traffic.max_tokens = self.max_tokens.or(traffic.max_tokens);
+        traffic.kind = self.kind.clone().or(traffic.kind);
         let mut problems = Problems::new();
         traffic.check(&mut problems);
         Ok(problems.finish(|| traffic)?)
@@ -74,12 +89,15 @@
         let traffic = self.traffic()?;
         let configuration = traffic.example.configuration()?;
         let target = load::target(&traffic, &configuration);
+        let before = self.usages()?;
+        let began = Instant::now();
         let (run, ran) = if self.address.is_empty() {
             self.run_here(traffic).await?
         } else {
             self.run_there(traffic, &configuration).await?
         };
-        let report = LoadReport::new(&run, target, ran.as_deref());
+        let mut report = LoadReport::new(&run, target, ran.as_deref());
+        report.processes = self.process_reports(&before, began.elapsed())?;
         if let Some(path) = &self.plot {
             load::plot(&run, path)?;
         }
@@ -91,11 +109,28 @@
         Ok(())
     }
 
+    fn usages(&self) -> eyre::Result<Vec<Usage>> {
+        self.process.iter().map(|pid| Usage::of(*pid)).collect()
+    }
+
+    fn process_reports(
+        &self,
+        before: &[Usage],
+        time: Duration,
+    ) -> eyre::Result<Vec<ProcessReport>> {
+        let after = self.usages()?;
+        let readings = before.iter().zip(after).zip(&self.process);
+        let between = |((before, after), pid): ((&Usage, Usage), &u32)| {
+            ProcessReport::between(*pid, *before, after, time)
+        };
+        Ok(readings.map(between).collect())
+    }
+
     async fn run_here(&self, traffic: TrafficSettings) -> eyre::Result<(Run, Option<Vec<String>>)> {
         let deployment =
             Deployment::start(traffic.example, self.daemons, EngineModel::default()).await?;
-        let daemons = deployment.daemons.iter().map(Daemon::caller_address).collect();
-        let run = load::run(traffic, &deployment.configuration, daemons, Progress::Shown).await?;
+        let targets = Targets::daemons(&deployment);
+        let run = load::run(traffic, &deployment.configuration, targets, Progress::Shown).await?;
         let ran = deployment.submissions();
         Ok((run, Some(ran)))
     }
@@ -105,7 +140,8 @@
         traffic: TrafficSettings,
         configuration: &Configuration,
     ) -> eyre::Result<(Run, Option<Vec<String>>)> {
-        let run = load::run(traffic, configuration, self.address.clone(), Progress::Shown).await?;
+        let targets = Targets { daemons: self.address.clone(), engines: self.engine.clone() };
+        let run = load::run(traffic, configuration, targets, Progress::Shown).await?;
         if self.service.is_empty() {
             return Ok((run, None));
         }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -18,10 +18,10 @@
 use spindle_standin::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
-use spindle_types::config::{FencingCheck, Market, PoolSpec};
+use spindle_types::config::{Change, FencingCheck, Market, PoolSpec, TeamSpec};
 use spindle_types::{
     ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Operator, Pool, Region,
-    Revision, Size, Span, UtcInstant,
+    Revision, Size, Span, Team, UtcInstant,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -123,7 +123,16 @@
         }
     }
 
-    fn address(&self) -> SocketAddr {
+    /// Whether it is an engine or a service, as a word.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Engine(_) => "engine",
+            Self::Service(_) => "service",
+        }
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
         match self {
             Self::Engine(engine) => engine.address(),
             Self::Service(service) => service.address(),
@@ -138,6 +147,15 @@
     }
 }
 
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sizes {
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines; none takes the example's number.
+    pub engines: Option<usize>,
+}
+
 /// The upstreams by instance.
 pub type Fleet = Arc<Mutex<BTreeMap<Instance, UpstreamStandin>>>;
 
@@ -172,6 +190,19 @@
         example: Example,
         daemons: usize,
         timing: EngineModel,
+    ) -> eyre::Result<Self> {
+        Self::start_sized(example, Sizes { daemons, engines: None }, timing).await
+    }
+
+    /// Starts a deployment of another size than the example's.
+    ///
+    /// # Errors
+    ///
+    /// As [`Deployment::start`].
+    pub async fn start_sized(
+        example: Example,
+        sizes: Sizes,
+        timing: EngineModel,
     ) -> eyre::Result<Self> {
         let configuration = example.configuration()?;
         let log = LogStandin::start().await?;
@@ -186,7 +217,7 @@
             launched: Arc::clone(&launched),
             timing,
         };
-        launcher.start_all(example).await?;
+        launcher.start_all(example, sizes.engines).await?;
         tokio::spawn(launcher.run(events));
         let mut deployment = Self {
             example,
@@ -198,7 +229,7 @@
             fleet,
             launched,
         };
-        for index in 0..daemons {
+        for index in 0..sizes.daemons {
             deployment.start_daemon(index).await?;
         }
         deployment.wait_until_ready().await?;
@@ -267,6 +298,25 @@
             .collect()
     }
 
+    /// Every upstream that runs.
+    pub fn all_upstreams(&self) -> Vec<(Instance, UpstreamStandin)> {
+        lock(&self.fleet).iter().map(|(id, upstream)| (id.clone(), upstream.clone())).collect()
+    }
+
+    /// Publishes the `number`th change after the start: a new weight of a team.
+    ///
+    /// # Errors
+    ///
+    /// A name is not valid.
+    pub fn publish_weight(&self, team: &Team, number: u64) -> eyre::Result<()> {
+        let spec = self.configuration.teams.get(team).cloned().unwrap_or_default();
+        let weight = spec.weight + u32::try_from(number % 2)?;
+        let change = Change::PutTeam { team: team.clone(), spec: TeamSpec { weight, ..spec } };
+        let first = self.configuration.clone().into_changes().len() as u64;
+        append(&self.log, first + number - 1, change)?;
+        Ok(())
+    }
+
     /// The names of the submissions that the plain services ran, each as often as it ran.
     pub fn submissions(&self) -> Vec<String> {
         let calls = |upstream: &UpstreamStandin| match upstream {
@@ -304,20 +354,24 @@
 }
 
 fn publish(log: &LogStandin, configuration: &Configuration) -> eyre::Result<()> {
-    let operator = Operator::try_from("demo")?;
     for (base, change) in (0..).zip(configuration.clone().into_changes()) {
-        let record = ConfigRecord::Change {
-            base: Revision(base),
-            operator: operator.clone(),
-            at: UtcInstant::default(),
-            nonce: base,
-            change: Box::new(change),
-        };
-        log.append(CONFIG_STREAM, to_raw_value(&record)?);
+        append(log, base, change)?;
     }
     Ok(())
 }
 
+fn append(log: &LogStandin, base: u64, change: Change) -> eyre::Result<()> {
+    let record = ConfigRecord::Change {
+        base: Revision(base),
+        operator: Operator::try_from("demo")?,
+        at: UtcInstant::default(),
+        nonce: base,
+        change: Box::new(change),
+    };
+    log.append(CONFIG_STREAM, to_raw_value(&record)?);
+    Ok(())
+}
+
 fn lock(fleet: &Fleet) -> MutexGuard<'_, BTreeMap<Instance, UpstreamStandin>> {
     fleet.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -332,9 +386,11 @@
 }
 
 impl Launcher {
-    async fn start_all(&self, example: Example) -> eyre::Result<()> {
+    async fn start_all(&self, example: Example, engines: Option<usize>) -> eyre::Result<()> {
         let data_centres = example.data_centres();
         for (pool, count) in example.upstreams() {
+            let serves_model = self.pools.get(pool).is_some_and(|spec| spec.model.is_some());
+            let count = engines.filter(|_| serves_model).unwrap_or(count);
             for index in 0..count {
                 let instance = Instance::try_from(format!("{pool}-{index:02}"))?;
                 let data_centre = DataCentre::try_from(data_centres[index % data_centres.len()])?;
--- a/src/load.rs
+++ b/src/load.rs
@@ -5,6 +5,7 @@
 
 mod audit;
 mod caller;
+mod direct;
 mod directory;
 mod plot;
 mod report;
@@ -15,6 +16,8 @@
 pub use plot::plot;
 pub use report::{Audit, LoadReport, Spread, TeamReport, print};
 
+use crate::daemon::Daemon;
+use crate::deployment::Deployment;
 use crate::mix::{Arrival, arrivals};
 use crate::settings::TrafficSettings;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -39,6 +42,23 @@
     Hidden,
 }
 
+/// Where the load goes.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    /// The daemons that callers know at first.
+    pub daemons: Vec<SocketAddr>,
+    /// Engines to which generations go in turn, without a daemon, if there are any.
+    pub engines: Vec<SocketAddr>,
+}
+
+impl Targets {
+    /// The daemons of a deployment.
+    pub fn daemons(deployment: &Deployment) -> Self {
+        let daemons = deployment.daemons.iter().map(Daemon::caller_address).collect();
+        Self { daemons, engines: Vec::new() }
+    }
+}
+
 /// What became of the requests of a run, in order of arrival.
 #[derive(Debug)]
 pub struct Run {
@@ -56,11 +76,11 @@
 pub async fn run(
     settings: TrafficSettings,
     configuration: &Configuration,
-    daemons: Vec<SocketAddr>,
+    targets: Targets,
     progress: Progress,
 ) -> eyre::Result<Run> {
     let arrivals = arrivals(&settings, configuration);
-    let callers = callers(&settings, &arrivals, &daemons);
+    let callers = callers(&settings, &arrivals, &targets);
     let bar = progress_bar(progress, arrivals.len());
     let start = Instant::now();
     let deadline = start + settings.duration.get() + settings.patience.get() + SETTLE_TIME;
@@ -89,13 +109,13 @@
 fn callers(
     settings: &TrafficSettings,
     arrivals: &[Arrival],
-    daemons: &[SocketAddr],
+    targets: &Targets,
 ) -> HashMap<Team, Arc<Caller>> {
     let mut callers = HashMap::new();
     for arrival in arrivals {
         callers
             .entry(arrival.team.clone())
-            .or_insert_with(|| Arc::new(Caller::new(&arrival.team, settings, daemons.to_vec())));
+            .or_insert_with(|| Arc::new(Caller::new(&arrival.team, settings, targets)));
     }
     callers
 }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -2,6 +2,8 @@
 //! it is told to, picks lost streams up, and checks the answer by content.
 
 use crate::client::{CallerClient, Chat, ChatStream, ClientError, Outcome, Refused, ServiceCall};
+use crate::load::Targets;
+use crate::load::direct::Direct;
 use crate::load::directory::Directory;
 use crate::mix::{Arrival, Work};
 use crate::settings::TrafficSettings;
@@ -11,7 +13,6 @@
 use spindle_standin::whole_answer;
 use spindle_types::config::Priority;
 use spindle_types::{Model, Team};
-use std::net::SocketAddr;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
 use tokio::time::Instant;
@@ -55,6 +56,8 @@
     pub first_token: Option<Duration>,
     /// The times between two events of the stream, each with the number of tokens it brought.
     pub intervals: Vec<(Duration, u32)>,
+    /// The time to the newest token.
+    pub last_token: Duration,
     /// The time to the end.
     pub total: Duration,
     /// Tokens of the answer.
@@ -75,32 +78,35 @@
     model: Model,
     service: &'static str,
     patience: Duration,
+    direct: Option<Direct>,
 }
 
 /// What to do after one try.
-enum Next {
+pub(super) enum Next {
     End(End, String),
     Retry(Duration, End, String),
 }
 
 /// A generation to ask for.
 #[derive(Clone, Copy)]
-struct Prompt<'a> {
-    text: &'a str,
-    max_tokens: u32,
-    priority: Priority,
+pub(super) struct Prompt<'a> {
+    pub(super) text: &'a str,
+    pub(super) max_tokens: u32,
+    pub(super) priority: Priority,
 }
 
 impl Caller {
     /// A caller that knows only a first few addresses.
-    pub fn new(team: &Team, settings: &TrafficSettings, daemons: Vec<SocketAddr>) -> Self {
+    pub fn new(team: &Team, settings: &TrafficSettings, targets: &Targets) -> Self {
         let first = team.as_str().len();
+        let engines = targets.engines.clone();
         Self {
             client: CallerClient::new(format!("{team}-key")),
-            directory: Directory::new(daemons, first),
+            directory: Directory::new(targets.daemons.clone(), first),
             model: settings.example.model_name(),
             service: settings.example.service(),
             patience: settings.patience.get(),
+            direct: (!engines.is_empty()).then(|| Direct::new(engines)),
         }
     }
 
@@ -120,6 +126,7 @@
             detail: String::new(),
             first_token: None,
             intervals: Vec::new(),
+            last_token: Duration::ZERO,
             total: Duration::ZERO,
             tokens: 0,
             recomputed: 0,
@@ -181,6 +188,9 @@
         record.intervals.clear();
         let Prompt { text, max_tokens, priority } = prompt;
         let chat = Chat { model: self.model.as_str(), prompt: text, max_tokens, priority };
+        if let Some(direct) = &self.direct {
+            return direct.generate(&self.model, prompt, began, record).await;
+        }
         let mut failure = Next::Retry(RETRY_DELAY, End::Lost, "no address".to_owned());
         for daemon in self.directory.addresses(&self.client, query).await {
             match self.client.start_chat(daemon, chat).await {
@@ -224,11 +234,7 @@
         let usage = stream.usage().unwrap_or_default();
         record.tokens = usage.completion_tokens;
         record.recomputed += usage.recomputed_tokens;
-        let heard = format!("user: {}\n", prompt.text);
-        if content == whole_answer(&self.model, &heard, prompt.max_tokens) {
-            return Next::End(End::Whole, String::new());
-        }
-        Next::End(End::Wrong, format!("{} tokens differ from those expected", stream.length()))
+        check_answer(&self.model, prompt, &content)
     }
 
     async fn pick_up(&self, query: &str, lost: &ChatStream) -> Option<ChatStream> {
@@ -292,6 +298,23 @@
     }
 }
 
+/// Compares an answer with the one expected.
+pub(super) fn check_answer(model: &Model, prompt: Prompt<'_>, content: &str) -> Next {
+    let expected = whole_answer(model, &prompt.heard(), prompt.max_tokens);
+    if content == expected {
+        return Next::End(End::Whole, String::new());
+    }
+    let (actual, expected) = (content.len(), expected.len());
+    Next::End(End::Wrong, format!("{actual} bytes differ from the {expected} expected"))
+}
+
+impl Prompt<'_> {
+    /// The prompt as the engine receives it.
+    pub(super) fn heard(&self) -> String {
+        format!("user: {}\n", self.text)
+    }
+}
+
 fn check_echo(call: ServiceCall<'_>, echo: &str) -> Next {
     #[derive(serde::Deserialize)]
     struct Echo {
@@ -314,27 +337,28 @@
     began: Instant,
     record: &mut Record,
 ) -> Result<(), ClientError> {
-    let mut last = None;
     loop {
         let length = stream.length();
         let Some(text) = stream.next().await? else {
             return Ok(());
         };
         content.push_str(&text);
-        let count = stream.length() - length;
+        record.on_tokens(began.elapsed(), stream.length() - length);
+    }
+}
+
+impl Record {
+    /// Notes that tokens came at a time after the intended arrival.
+    pub(super) fn on_tokens(&mut self, at: Duration, count: u32) {
         if count == 0 {
-            continue;
+            return;
         }
-        let now = Instant::now();
-        match (last, record.first_token) {
-            (Some(last), _) => record.intervals.push((now.duration_since(last), count)),
-            (None, Some(first)) => {
-                let since = record.intervals.iter().fold(first, |sum, (gap, _)| sum + *gap);
-                record.intervals.push((began.elapsed().saturating_sub(since), count));
-            }
-            (None, None) => record.first_token = Some(began.elapsed()),
+        if self.first_token.is_none() {
+            self.first_token = Some(at);
+        } else {
+            self.intervals.push((at.saturating_sub(self.last_token), count));
         }
-        last = Some(now);
+        self.last_token = at;
     }
 }
 
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -1,6 +1,7 @@
 //! What a run showed, as a value, a table and a plot.
 
 use super::{End, Record, Run};
+use crate::process::ProcessReport;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use spindle_types::Team;
@@ -90,6 +91,8 @@
     pub in_target: u64,
     /// Whole answers within the latency target, a second.
     pub goodput: f64,
+    /// Tokens of whole answers.
+    pub tokens: u64,
     /// Tokens of whole answers, a second.
     pub token_rate: f64,
     /// Tokens computed again after an upstream was lost.
@@ -106,6 +109,8 @@
     pub total: Spread,
     /// What the services' records say.
     pub audit: Option<Audit>,
+    /// What daemons' processes used.
+    pub processes: Vec<ProcessReport>,
     /// The teams.
     pub teams: BTreeMap<Team, TeamReport>,
 }
@@ -148,6 +153,7 @@
             ends,
             in_target,
             goodput: in_target as f64 / seconds,
+            tokens,
             token_rate: tokens as f64 / seconds,
             recomputed: records.iter().map(|record| u64::from(record.recomputed)).sum(),
             retries: records.iter().map(|record| u64::from(record.retries)).sum(),
@@ -156,6 +162,7 @@
             token_interval: token_interval(records),
             total: totals(records),
             audit: ran.map(|ran| audit(records, ran)),
+            processes: Vec::new(),
             teams: teams.collect(),
         }
     }
@@ -249,6 +256,13 @@
             audit.submissions, audit.duplicates, audit.false_not_run, audit.missing
         );
     }
+    for ProcessReport { pid, cpu, core_share, resident, descriptors } in &report.processes {
+        println!(
+            "process {pid}: {cpu:.2} s of processor time, {:.1}% of a core, {resident} KiB, \
+             {descriptors} descriptors",
+            core_share * 100.0
+        );
+    }
     println!("{}", times_table(report));
     println!("{}", team_table(report));
 }
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -1,6 +1,5 @@
 use super::*;
-use crate::daemon::Daemon;
-use crate::deployment::{Deployment, Example};
+use crate::deployment::Example;
 use spindle_standin::EngineModel;
 use spindle_types::Span;
 
@@ -14,6 +13,7 @@
         detail: String::new(),
         first_token: submission.is_none().then(|| Duration::from_millis(first_ms)),
         intervals: vec![(Duration::from_millis(20), 1); 10],
+        last_token: Duration::ZERO,
         total: Duration::from_millis(first_ms + 200),
         tokens: 11,
         recomputed: 0,
@@ -64,9 +64,9 @@
         let duration = Span::from_secs(2);
         let settings =
             TrafficSettings { example, rate: 10.0, duration, ..TrafficSettings::default() };
-        let daemons = deployment.daemons.iter().map(Daemon::caller_address).collect();
+        let targets = Targets::daemons(&deployment);
         let configuration = &deployment.configuration;
-        let run = run(settings, configuration, daemons, Progress::Hidden).await.unwrap();
+        let run = run(settings, configuration, targets, Progress::Hidden).await.unwrap();
         let ran = deployment.submissions();
         let report = LoadReport::new(&run, LatencyTarget::default(), Some(&ran));
         assert_eq!(report.ended(End::Whole), report.offered, "{run:?}");
--- a/src/mix.rs
+++ b/src/mix.rs
@@ -176,8 +176,9 @@
 
 /// Draws the arrivals of one team.
 struct Draw<'a> {
-    example: Example,
+    kinds: Vec<Kind>,
     seed: u64,
+    max_tokens: u32,
     team: &'a Team,
     random: ChaCha8Rng,
     count: u64,
@@ -187,7 +188,10 @@
     fn new(settings: &TrafficSettings, team: &'a Team, index: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         random.set_stream(index);
-        Self { example: settings.example, seed: settings.seed, team, random, count: 0 }
+        let mut kinds = settings.example.kinds().to_vec();
+        kinds.retain(|kind| settings.kind.as_ref().is_none_or(|name| name == kind.name));
+        let max_tokens = settings.max_tokens.unwrap_or(u32::MAX);
+        Self { kinds, seed: settings.seed, max_tokens, team, random, count: 0 }
     }
 
     fn fill(&mut self, rate: f64, duration: Duration, all: &mut Vec<Arrival>) {
@@ -213,6 +217,7 @@
                     self.random.random_range(0..TEMPLATES)
                 );
                 let prompt = self.prompt(&family, shared_words, own_words);
+                let max_tokens = max_tokens.min(self.max_tokens);
                 Work::Generation { prompt, family, max_tokens, priority }
             }
             Form::Read { path } => {
@@ -230,16 +235,15 @@
     }
 
     fn kind(&mut self) -> Kind {
-        let kinds = self.example.kinds();
-        let total: u32 = kinds.iter().map(|kind| kind.weight).sum();
+        let total: u32 = self.kinds.iter().map(|kind| kind.weight).sum();
         let mut drawn = self.random.random_range(0..total);
-        for kind in kinds {
+        for kind in &self.kinds {
             if drawn < kind.weight {
                 return *kind;
             }
             drawn -= kind.weight;
         }
-        kinds[0]
+        self.kinds[0]
     }
 
     fn prompt(&mut self, family: &str, shared: u32, own: u32) -> String {
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -27,6 +27,10 @@
     pub duration: Span,
     /// The time after its arrival at which a caller gives a request up.
     pub patience: Span,
+    /// The most tokens of any answer; none leaves the mix as it is.
+    pub max_tokens: Option<u32>,
+    /// The one kind of work that is sent, by name; none sends the whole mix.
+    pub kind: Option<String>,
     /// Extra traffic of single teams, as a multiple of their ordinary share.
     pub floods: BTreeMap<Team, f64>,
 }
@@ -39,6 +43,8 @@
             rate: 20.0,
             duration: Span::from_secs(10),
             patience: Span::from_secs(30),
+            max_tokens: None,
+            kind: None,
             floods: BTreeMap::new(),
         }
     }
@@ -53,6 +59,13 @@
         if self.duration.get().is_zero() || self.duration > DURATION_MAX {
             problems.add("duration", self.duration, "more than 0s, at most 1h");
         }
+        if self.max_tokens == Some(0) {
+            problems.add("max_tokens", 0, "1 or more");
+        }
+        let names: Vec<&str> = self.example.kinds().iter().map(|kind| kind.name).collect();
+        if let Some(kind) = self.kind.as_deref().filter(|kind| !names.contains(kind)) {
+            problems.add("kind", kind, names.join(", "));
+        }
         for (team, factor) in &self.floods {
             if !(1.0..=1_000.0).contains(factor) {
                 problems.add(format!("floods.{team}"), factor, "a number from 1 to 1000");
--- /dev/null
+++ b/src/standins.rs
@@ -0,0 +1,97 @@
+//! The stand-ins of platform and upstreams as a process of their own, for daemons that run as
+//! processes of their own.
+
+use crate::deployment::{Deployment, Example, Sizes};
+use crate::settings::{PeerSettings, Settings};
+use eyre::WrapErr;
+use spindle_standin::EngineModel;
+use spindle_types::{Span, Team};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Which deployment.
+    pub example: Example,
+    /// Settings files to write for daemons that run as processes of their own.
+    pub outside: usize,
+    /// Daemons that run inside the process of the stand-ins.
+    pub inside: usize,
+    /// Engines; none takes the example's number.
+    pub engines: Option<usize>,
+    /// Configuration changes a second.
+    pub changes: f64,
+    /// Where settings files are written.
+    pub directory: PathBuf,
+    /// The engines' service times.
+    pub timing: EngineModel,
+}
+
+/// Starts the stand-ins, writes the settings files, prints what was started, and stays until the
+/// process is interrupted.
+///
+/// # Errors
+///
+/// A port can't be bound or a file can't be written.
+pub async fn stay(plan: Plan) -> eyre::Result<()> {
+    let sizes = Sizes { daemons: plan.inside, engines: plan.engines };
+    let deployment = Deployment::start_sized(plan.example, sizes, plan.timing).await?;
+    for index in 0..plan.outside {
+        let settings = outside_settings(&deployment, plan.inside + index)?;
+        let path = write(&plan.directory, &settings)?;
+        println!("daemon {} {}", settings.caller.listen, path.display());
+    }
+    for daemon in &deployment.daemons {
+        println!("inside {}", daemon.caller_address());
+    }
+    println!("instances {}", deployment.platform.list_address());
+    for (instance, upstream) in deployment.all_upstreams() {
+        println!("{} {} {instance}", upstream.kind(), upstream.address());
+    }
+    println!("ready");
+    tokio::select! {
+        stopped = tokio::signal::ctrl_c() => stopped?,
+        published = publish(&deployment, plan.changes) => published?,
+    }
+    Ok(())
+}
+
+/// Ordinary settings, but for loopback ports that were free a moment ago.
+fn outside_settings(deployment: &Deployment, index: usize) -> eyre::Result<Settings> {
+    let mut settings = deployment.settings(index)?;
+    settings.caller.listen = free_port()?;
+    settings.peer = PeerSettings { listen: free_port()?, ..PeerSettings::default() };
+    settings.drain.linger = Span::from_secs(2);
+    Ok(settings)
+}
+
+fn free_port() -> eyre::Result<SocketAddr> {
+    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+}
+
+fn write(directory: &Path, settings: &Settings) -> eyre::Result<PathBuf> {
+    let path = directory.join(format!("{}.yaml", settings.identity.instance));
+    std::fs::write(&path, serde_norway::to_string(settings)?)
+        .wrap_err_with(|| path.display().to_string())?;
+    Ok(path)
+}
+
+/// Publishes a change of a team's weight at a steady rate; never returns if the rate is 0.
+async fn publish(deployment: &Deployment, rate: f64) -> eyre::Result<()> {
+    if rate <= 0.0 {
+        return std::future::pending().await;
+    }
+    let mut teams: Vec<Team> = deployment.configuration.teams.keys().cloned().collect();
+    let mut interval = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
+    let mut number = 0;
+    loop {
+        interval.tick().await;
+        teams.rotate_left(1);
+        number += 1;
+        if let Some(team) = teams.first() {
+            deployment.publish_weight(team, number)?;
+        }
+    }
+}
