--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -5,10 +5,11 @@
 //! for each generation that decodes, and a part for each prompt token. Generations wait for a slot
 //! by priority, then in order of arrival.
 
-use crate::blocks::{BLOCK_TOKENS, Blocks};
 use crate::prefix::{EventTiming, PrefixCache};
 use slotmap::{SlotMap, new_key_type};
+use spindle_types::Blocks;
 use spindle_types::config::Priority;
+use spindle_types::prefix::block_tokens;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -232,8 +233,8 @@
                 return;
             };
             let entry = &mut self.jobs[key];
-            let cached = self.cache.hit(&entry.job.blocks.hashes) * BLOCK_TOKENS;
-            let known = u32::try_from(cached).unwrap_or(u32::MAX).max(entry.job.imported);
+            let cached = block_tokens(self.cache.hit(&entry.job.blocks.hashes));
+            let known = cached.max(entry.job.imported);
             // The last token is always computed, because the next one follows from it.
             entry.prefill = entry.job.blocks.tokens.saturating_sub(known).max(1);
             entry.left = entry.prefill;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,6 @@
 
 pub mod answer;
 pub mod batch;
-pub mod blocks;
 pub mod engine;
 pub mod fault;
 pub mod log;
--- a/crates/standin/src/prefix.rs
+++ b/crates/standin/src/prefix.rs
@@ -1,8 +1,8 @@
 //! A limited cache of prompt prefixes, block by block, and the events that it publishes late and
 //! with gaps.
 
-use crate::blocks::BlockHash;
 use spindle_engine::{CacheEvent, CacheEvents};
+use spindle_types::BlockHash;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 use tokio::time::Instant;
