--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod survival;
 pub mod update;
 pub mod validation;
+pub mod survival;
