--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,5 +1,4 @@
-//! A plain service's stand-in: it records each call that ran and echoes it. Reads of its load are
-//! not calls.
+//! A plain service's stand-in: it records each call that ran and echoes it.
 
 use crate::fault::{Faults, lost_answer};
 use crate::server::StandinServer;
