--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,6 +1,9 @@
 //! The client of model engines.
 
-use crate::wire::{CacheEvents, Chunk, Generate, Load, Order, OrderReply};
+use crate::wire::{
+    CacheEvents, Chunk, Generate, KvExport, KvExportRequest, KvImport, KvImportRequest, Load,
+    Order, OrderReply,
+};
 use futures_util::{Stream, StreamExt};
 use http::{Method, StatusCode};
 use spindle_http::client::{error_body, json_request};
@@ -15,6 +18,9 @@
 /// The time within which a call other than a generation must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The time within which a transfer must be complete.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// The largest answer to a call other than a generation, in bytes.
 const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
@@ -71,6 +77,20 @@
         from: u64,
     ) -> impl Future<Output = Result<CacheEvents, CallError>> + Send;
 
+    /// Keeps the KV cache of a running generation for a transfer.
+    fn export_kv(
+        &self,
+        engine: SocketAddr,
+        request: &KvExportRequest,
+    ) -> impl Future<Output = Result<KvExport, CallError>> + Send;
+
+    /// Makes an engine read a KV cache from another one; ends when the transfer has.
+    fn import_kv(
+        &self,
+        engine: SocketAddr,
+        request: &KvImportRequest,
+    ) -> impl Future<Output = Result<KvImport, CallError>> + Send;
+
     /// Orders an engine into a state.
     fn order(
         &self,
@@ -83,12 +103,16 @@
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
     client: Client,
+    transfers: Client,
 }
 
 impl HttpEngine {
-    /// A client with its own connection pool.
+    /// A client with its own connection pools.
     pub fn new() -> Self {
-        Self { client: Client::new(CALL_TIMEOUT, ANSWER_MAX_BYTES) }
+        Self {
+            client: Client::new(CALL_TIMEOUT, ANSWER_MAX_BYTES),
+            transfers: Client::new(TRANSFER_TIMEOUT, ANSWER_MAX_BYTES),
+        }
     }
 }
 
@@ -156,6 +180,22 @@
         self.client.get(engine, &format!("/v1/cache/events?from={from}")).await
     }
 
+    async fn export_kv(
+        &self,
+        engine: SocketAddr,
+        request: &KvExportRequest,
+    ) -> Result<KvExport, CallError> {
+        self.client.call(Method::POST, engine, "/v1/kv/exports", Some(request)).await
+    }
+
+    async fn import_kv(
+        &self,
+        engine: SocketAddr,
+        request: &KvImportRequest,
+    ) -> Result<KvImport, CallError> {
+        self.transfers.call(Method::POST, engine, "/v1/kv/imports", Some(request)).await
+    }
+
     async fn order(&self, engine: SocketAddr, order: &Order) -> Result<OrderReply, CallError> {
         self.client.call(Method::POST, engine, "/v1/orders", Some(order)).await
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,4 +7,7 @@
 pub mod wire;
 
 pub use client::{Engine, GenerateError, Generation, HttpEngine, Step};
-pub use wire::{CacheEvent, CacheEvents, Chunk, Finish, Generate, Load, Order, OrderReply};
+pub use wire::{
+    CacheEvent, CacheEvents, Chunk, Finish, Generate, KvExport, KvExportRequest, KvHandle,
+    KvImport, KvImportRequest, Load, Order, OrderReply,
+};
--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use spindle_types::config::{Priority, Role};
 use spindle_types::{Adapter, Attempt, Fencing, Model, RequestId, Revision, Version};
+use std::net::SocketAddr;
 use strum::{Display, EnumString};
 
 /// `POST /v1/completions` with streaming: one generation, or the rest of one.
@@ -22,6 +23,9 @@
     /// The tokens already produced by earlier attempts; generation goes on after them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub produced: Vec<String>,
+    /// The imported KV cache with which to start, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kv: Option<KvHandle>,
     /// The length of the whole answer at which generation stops, in tokens.
     pub max_tokens: u32,
     /// The order in which the engine schedules.
@@ -29,6 +33,49 @@
     pub priority: Priority,
 }
 
+/// A KV cache that an engine holds ready for a transfer, or has imported.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct KvHandle(pub u64);
+
+/// `POST /v1/kv/exports`: keeps the KV cache of a running generation, which goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KvExportRequest {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt that runs at the engine.
+    pub attempt: Attempt,
+}
+
+/// The answer to an export.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KvExport {
+    /// Names the cache at the exporting engine.
+    pub handle: KvHandle,
+    /// The tokens that it covers, of the prompt and produced.
+    pub tokens: u32,
+    /// The time that the transfer is expected to take, in milliseconds.
+    pub transfer_ms: u64,
+}
+
+/// `POST /v1/kv/imports`: reads a cache from another engine; answered when it is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KvImportRequest {
+    /// The exporting engine.
+    pub source: SocketAddr,
+    /// The cache there.
+    pub handle: KvHandle,
+}
+
+/// The answer to an import.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KvImport {
+    /// Names the cache at the importing engine, where one generation may start with it.
+    pub handle: KvHandle,
+    /// The tokens that it covers.
+    pub tokens: u32,
+}
+
 /// Why a generation ended.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::checkpoints;
 use crate::claims::{self, Claims};
 use crate::context::Context;
+use crate::evacuation::{self, Evacuation};
 use crate::follower::{self, ConfigWatch, Follower};
 use crate::front::Front;
 use crate::lease::{self, Lease};
@@ -48,6 +49,8 @@
     pub members: MemberWatch,
     /// Claims on calls that must run at most once.
     pub claims: Claims,
+    /// Moves streams away from upstreams that are taken back.
+    pub evacuation: Evacuation,
     /// Whether the daemon takes no new work.
     pub drain: Drain,
 }
@@ -78,6 +81,8 @@
         let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
         let claims = claims::start(&context, incarnation, &settings.claim);
+        let transfers = settings.survival.transfers();
+        let evacuation = evacuation::start(context.clone(), transfers, upstreams.stops());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
         let publisher =
@@ -112,6 +117,7 @@
             upstreams,
             members,
             claims,
+            evacuation,
             drain,
         });
         let (peer, rpc) = start_server(listen, gossip.into_rpc())
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -1,20 +1,25 @@
 //! Drives one generation to its whole answer, over as many attempts as it takes.
 //!
 //! A broken attempt is resumed at another upstream from the prompt and the tokens produced so far.
+//! When its upstream is about to be taken back, it moves as [`crate::evacuation`] orders.
 
 use crate::context::Context;
 use crate::custody::Custody;
 use crate::daemon::Shared;
 use crate::demand;
+use crate::evacuation::{Seat, StreamInfo};
+use crate::transfer::{Source, Transferred, transfer};
 use spindle_caller::{Completion, Refusal};
 use spindle_engine::wire::Finish;
-use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, Step};
+use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, KvHandle, Step};
 use spindle_policy::answer::{Answer, Part, Received};
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
+use spindle_policy::survival::Move;
 use spindle_types::{Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Events that a slow caller may lag behind.
 const PROGRESS_BUFFER: usize = 64;
@@ -74,8 +79,29 @@
     Finished,
     CallerGone,
     Failed,
+    /// The upstream is about to go; the cache may have been transferred to the next one.
+    Moved(Option<Transferred>),
 }
 
+impl Attempted {
+    const fn end(&self) -> AttemptEnd {
+        match self {
+            Self::Finished => AttemptEnd::Completed,
+            Self::CallerGone | Self::Moved(_) => AttemptEnd::Cancelled,
+            Self::Failed => AttemptEnd::Failed,
+        }
+    }
+}
+
+/// Where an attempt runs.
+struct Place {
+    route: Route,
+    kv: Option<KvHandle>,
+}
+
+/// A transfer that is under way, stopped when dropped.
+type Transfer = AbortOnDropHandle<Option<Transferred>>;
+
 struct Driver<C> {
     shared: Arc<Shared<C>>,
     id: RequestId,
@@ -90,6 +116,7 @@
 impl<C: Context> Driver<C> {
     async fn run(mut self, mut custody: Custody<Completion>) {
         let mut progressed_at = self.started;
+        let mut moved = None;
         loop {
             if self.progress.is_closed() {
                 return;
@@ -99,31 +126,38 @@
             if now.since(progressed_at) >= self.shared.settings.caller.stall_timeout.get() {
                 return self.refuse(custody.give_up(RefusalReason::NoUpstream)).await;
             }
-            let Some(route) = self.shared.upstreams.choose(&self.demand, &self.excluded).await
-            else {
+            let Some(place) = self.place(moved.take()).await else {
                 self.excluded.clear();
                 tokio::time::sleep(ROUTE_RETRY_DELAY).await;
                 continue;
             };
-            let (next, attempted) = self.attempt(custody, &route).await;
+            let (next, attempted) = self.attempt(custody, &place).await;
             custody = next;
-            let end = match attempted {
-                Attempted::Finished => AttemptEnd::Completed,
-                Attempted::CallerGone => AttemptEnd::Cancelled,
-                Attempted::Failed => AttemptEnd::Failed,
-            };
-            self.shared.upstreams.end(route.key, end).await;
-            if end != AttemptEnd::Failed {
-                return;
+            self.shared.upstreams.end(place.route.key, attempted.end()).await;
+            match attempted {
+                Attempted::Finished | Attempted::CallerGone => return,
+                Attempted::Failed => {}
+                Attempted::Moved(transferred) => moved = transferred,
             }
             if self.answer.length() > length {
                 progressed_at = self.shared.context.clock().now();
                 self.excluded.clear();
             }
-            self.excluded.push(route.instance);
+            self.excluded.push(place.route.instance);
         }
     }
 
+    /// Where the next attempt runs; none if no upstream can take it.
+    async fn place(&self, moved: Option<Transferred>) -> Option<Place> {
+        if let Some(Transferred { reservation, handle }) = moved
+            && let Some(route) = reservation.take()
+        {
+            return Some(Place { route, kv: Some(handle) });
+        }
+        let route = self.shared.upstreams.choose(&self.demand, &self.excluded).await?;
+        Some(Place { route, kv: None })
+    }
+
     async fn refuse(self, refusal: Refusal) {
         // A caller that has gone needs no refusal.
         let _ = self.progress.send(Progress::Refused(refusal)).await;
@@ -132,14 +166,21 @@
     async fn attempt(
         &mut self,
         custody: Custody<Completion>,
-        route: &Route,
+        place: &Place,
     ) -> (Custody<Completion>, Attempted) {
+        let route = &place.route;
         let number = self.answer.start_attempt();
-        let request = self.request(custody.request(), number);
+        let request = Generate { kv: place.kv, ..self.request(custody.request(), number) };
+        let info = self.stream_info(&request, &route.instance);
+        let mut seat = self.shared.evacuation.enter(info.clone()).await;
         let (completion, flight) = custody.send();
-        match self.shared.context.engine().generate(route.address, &request).await {
+        let started = tokio::select! {
+            started = self.generate(route, &request) => started,
+            () = ordered_away(&mut seat) => return (flight.lost(completion), Attempted::Moved(None)),
+        };
+        match started {
             Ok(stream) => {
-                let attempted = self.follow(stream, number).await;
+                let attempted = self.follow(stream, number, seat, &info, route).await;
                 (flight.lost(completion), attempted)
             }
             Err(GenerateError::Refused { proof, text }) => {
@@ -153,6 +194,30 @@
         }
     }
 
+    async fn generate(
+        &self,
+        route: &Route,
+        request: &Generate,
+    ) -> Result<<C::Engine as Engine>::Generation, GenerateError> {
+        let stall = self.shared.settings.caller.stall_timeout.get();
+        let starting = self.shared.context.engine().generate(route.address, request);
+        match tokio::time::timeout(stall, starting).await {
+            Ok(started) => started,
+            Err(_) => Err(GenerateError::Lost("no answer before the stall timeout".to_owned())),
+        }
+    }
+
+    fn stream_info(&self, request: &Generate, instance: &Instance) -> StreamInfo {
+        StreamInfo {
+            instance: instance.clone(),
+            deadline: self.started,
+            prompt: self.demand.tokens,
+            start: self.answer.length(),
+            max: request.max_tokens,
+            progress: Arc::default(),
+        }
+    }
+
     fn request(&self, completion: &Completion, attempt: Attempt) -> Generate {
         Generate {
             request: self.id,
@@ -161,6 +226,7 @@
             adapter: completion.adapter.clone(),
             prompt: completion.prompt.clone(),
             produced: self.answer.tokens().to_vec(),
+            kv: None,
             max_tokens: completion.max_tokens,
             priority: completion.priority,
         }
@@ -173,20 +239,46 @@
         );
     }
 
-    async fn follow<G: Generation>(&mut self, mut stream: G, number: Attempt) -> Attempted {
+    async fn follow<G: Generation>(
+        &mut self,
+        mut stream: G,
+        number: Attempt,
+        mut seat: Seat,
+        info: &StreamInfo,
+        route: &Route,
+    ) -> Attempted {
         let stall = self.shared.settings.caller.stall_timeout.get();
+        let mut transfer: Option<Transfer> = None;
+        let mut accepted = tokio::time::Instant::now();
         loop {
             let step = tokio::select! {
-                step = tokio::time::timeout(stall, stream.next()) => step,
+                step = tokio::time::timeout_at(accepted + stall, stream.next()) => step,
                 () = self.progress.closed() => return Attempted::CallerGone,
+                transferred = done(&mut transfer) => return Attempted::Moved(transferred),
+                order = seat.order() => match order {
+                    Move::Stay => continue,
+                    Move::Resume => return Attempted::Moved(None),
+                    Move::Transfer => {
+                        transfer = Some(self.start_transfer(route, number));
+                        continue;
+                    }
+                },
             };
+            let length = self.answer.length();
             let broken = match step {
-                Err(_) => "no event before the stall timeout".to_owned(),
+                Err(_) => "no token before the stall timeout".to_owned(),
                 Ok(Step::Broken(text)) => text,
-                Ok(Step::Chunk(chunk)) => match self.on_chunk(chunk, number).await {
-                    Some(attempted) => return attempted,
-                    None => continue,
-                },
+                Ok(Step::Chunk(chunk)) => {
+                    if let Some(attempted) = self.on_chunk(chunk, number).await {
+                        return attempted;
+                    }
+                    if self.answer.length() > length {
+                        accepted = tokio::time::Instant::now();
+                        let now = self.shared.context.clock().now();
+                        info.progress.reach(now, self.answer.length());
+                    }
+                    continue;
+                }
             };
             let id = self.id;
             log::info!("event=attempt_broken request={id} attempt={number} error={broken:?}");
@@ -194,6 +286,14 @@
         }
     }
 
+    fn start_transfer(&self, route: &Route, attempt: Attempt) -> Transfer {
+        let instance = route.instance.clone();
+        let source = Source { engine: route.address, instance, request: self.id, attempt };
+        let (demand, excluded) = (self.demand.clone(), self.excluded.clone());
+        let transfer = transfer(Arc::clone(&self.shared), source, demand, excluded);
+        AbortOnDropHandle::new(tokio::spawn(transfer))
+    }
+
     async fn on_chunk(&mut self, chunk: Chunk, number: Attempt) -> Option<Attempted> {
         if number > Attempt(1) && chunk.attempt == number {
             self.recomputed += chunk.prefilled.unwrap_or(0);
@@ -230,6 +330,19 @@
     }
 }
 
+/// Waits until an order comes that can't be met where the attempt was to start.
+async fn ordered_away(seat: &mut Seat) {
+    while seat.order().await == Move::Stay {}
+}
+
+/// Waits for the end of a transfer, if there is one.
+async fn done(transfer: &mut Option<Transfer>) -> Option<Transferred> {
+    match transfer {
+        Some(transfer) => transfer.await.ok().flatten(),
+        None => std::future::pending().await,
+    }
+}
+
 fn part(chunk: Chunk) -> Part {
     Part {
         request: chunk.request,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
 mod routing;
 mod state;
 mod traffic;
+mod survival;
 
 pub use caller::CallerSettings;
 pub use claim::ClaimSettings;
@@ -28,6 +29,7 @@
 pub use routing::RoutingSettings;
 pub use state::StateSettings;
 pub use traffic::TrafficSettings;
+pub use survival::SurvivalSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -56,6 +58,9 @@
     /// How the state that all daemons share is kept.
     #[serde(default)]
     pub state: StateSettings,
+    /// How streams survive the loss of their upstream.
+    #[serde(default)]
+    pub survival: SurvivalSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -78,6 +83,7 @@
             peer: PeerSettings::default(),
             routing: RoutingSettings::default(),
             state: StateSettings::default(),
+            survival: SurvivalSettings::default(),
             drain: DrainSettings::default(),
             logs: LogSettings::default(),
             metrics: MetricsSettings::default(),
@@ -92,6 +98,7 @@
         self.peer.check(&mut problems);
         self.routing.check(&mut problems);
         self.state.check(&mut problems);
+        self.survival.check(&mut problems);
         self.drain.check(&mut problems);
         problems
     }
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -9,14 +9,16 @@
 use price::Prices;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use spindle_cloud::wire::Offer;
+use spindle_cloud::wire::{Notice, Offer};
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::routing::{
     AttemptEnd, AttemptKey, CacheChange, Demand, Report, Route, Router, UpstreamInfo,
 };
-use spindle_types::{Clock, Instance, Pool};
+use spindle_types::{Clock, Instance, MonotonicInstant, Pool};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Messages that may wait for the task.
@@ -37,12 +39,16 @@
 /// The instances that are marked as leaving.
 pub type LeavingWatch = watch::Receiver<Arc<Vec<Instance>>>;
 
+/// When the instances stop that are about to be taken back.
+pub type StopWatch = watch::Receiver<Arc<HashMap<Instance, MonotonicInstant>>>;
+
 enum Message {
     Choose { demand: Demand, excluded: Vec<Instance>, reply: oneshot::Sender<Option<Route>> },
     Progress { key: AttemptKey, tokens: u32 },
     End { key: AttemptKey, end: AttemptEnd },
     Listing(Vec<Entry>),
     Leaving(Vec<Instance>),
+    Notices(Vec<Notice>),
     Offers(Vec<Offer>),
     Watched { count: usize, reply: oneshot::Sender<Vec<Watched>> },
     Report { instance: Instance, report: Report },
@@ -61,6 +67,7 @@
 pub struct Upstreams {
     mailbox: mpsc::Sender<Message>,
     leaving: LeavingWatch,
+    stops: StopWatch,
 }
 
 impl Upstreams {
@@ -95,6 +102,11 @@
     pub fn leaving(&self) -> LeavingWatch {
         self.leaving.clone()
     }
+
+    /// When the instances stop that are about to be taken back.
+    pub fn stops(&self) -> StopWatch {
+        self.stops.clone()
+    }
 }
 
 /// Starts the task; it ends when nobody talks to it any more.
@@ -102,6 +114,7 @@
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (daemons, daemon_watch) = watch::channel(Arc::default());
     let (leaving, leaving_watch) = watch::channel(Arc::default());
+    let (stops, stop_watch) = watch::channel(Arc::default());
     poll::start(&context, settings, &mailbox);
     let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
     let params = settings.routing.params(settings.identity.data_centre.clone());
@@ -112,9 +125,10 @@
         prices: Prices::default(),
         daemons,
         leaving,
+        stops,
     };
     tokio::spawn(task.run(messages));
-    (Upstreams { mailbox, leaving: leaving_watch }, daemon_watch)
+    (Upstreams { mailbox, leaving: leaving_watch, stops: stop_watch }, daemon_watch)
 }
 
 struct Task<C> {
@@ -124,6 +138,7 @@
     prices: Prices,
     daemons: watch::Sender<Arc<Vec<ListedDaemon>>>,
     leaving: watch::Sender<Arc<Vec<Instance>>>,
+    stops: watch::Sender<Arc<HashMap<Instance, MonotonicInstant>>>,
 }
 
 impl<C: Context> Task<C> {
@@ -149,6 +164,7 @@
             Message::Leaving(instances) => {
                 instances.iter().for_each(|instance| self.mark_leaving(instance));
             }
+            Message::Notices(notices) => self.on_notices(now, &notices),
             Message::Offers(offers) => self.prices.on_offers(offers),
             Message::Watched { count, reply } => {
                 // A reader that has gone needs no answer.
@@ -189,6 +205,17 @@
         self.daemons.send_replace(Arc::new(daemons));
     }
 
+    fn on_notices(&mut self, now: MonotonicInstant, notices: &[Notice]) {
+        for notice in notices {
+            self.mark_leaving(&notice.instance);
+            let stop = now + Duration::from_millis(notice.remaining_ms);
+            let insert = |stops: &mut Arc<HashMap<_, _>>| {
+                Arc::make_mut(stops).insert(notice.instance.clone(), stop);
+            };
+            self.stops.send_modify(insert);
+        }
+    }
+
     fn mark_leaving(&mut self, instance: &Instance) {
         self.router.on_leaving(instance);
         if self.leaving.borrow().contains(instance) {
--- a/src/upstreams/poll.rs
+++ b/src/upstreams/poll.rs
@@ -83,8 +83,10 @@
             }
         };
         next = notices.iter().map(|notice| notice.number + 1).fold(next, u64::max);
-        let leaving = notices.into_iter().map(|notice| notice.instance).collect();
-        if matches!(deliver(&mailbox, Message::Leaving(leaving)).await, Delivered::TaskEnded) {
+        if notices.is_empty() {
+            continue;
+        }
+        if matches!(deliver(&mailbox, Message::Notices(notices)).await, Delivered::TaskEnded) {
             return;
         }
     }
