test: streams survive reclaims with each notice, a data centre's loss and distorted chunks

Cause: nothing caused the failures that the moves and the assembly of answers are meant for. Change: the engine stand-in exports and imports KV caches at a limited rate and distorts streams (repeated, reordered, foreign, early end, oversized). A setting keeps the baselines: resume at once, ignore the notice.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,4 +18,3 @@
 pub mod survival;
 pub mod update;
 pub mod validation;
-pub mod survival;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,7 +5,9 @@
 use self::scheduler::{Output, Scheduler};
 use crate::answer::{natural_length, token};
 use crate::batch::{EngineModel, Job};
+use crate::distortion::Distortions;
 use crate::fault::Faults;
+use crate::kv::KvStore;
 use crate::server::{StandinServer, query_number};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -44,6 +46,8 @@
 #[derive(Debug)]
 struct State {
     scheduler: Scheduler,
+    kv: KvStore,
+    distortions: Distortions,
     loaded: Mutex<Load>,
     fencing: Mutex<Fencing>,
     checks_fencing: bool,
@@ -80,6 +84,8 @@
     ) -> io::Result<Self> {
         let state = Arc::new(State {
             scheduler: Scheduler::start(timing),
+            kv: KvStore::new(timing.transfer_rate),
+            distortions: Distortions::default(),
             loaded: Mutex::new(Load { model: Some(model), ..Load::default() }),
             fencing: Mutex::default(),
             checks_fencing,
@@ -103,6 +109,11 @@
         &self.state.faults
     }
 
+    /// The faults of its streams.
+    pub fn distortions(&self) -> &Distortions {
+        &self.state.distortions
+    }
+
     /// What it has done.
     pub fn counts(&self) -> EngineCounts {
         EngineCounts {
@@ -135,6 +146,7 @@
         }
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/completions") => self.generate(request).await,
+            (_, path) if path.starts_with("/v1/kv/") => state.kv.answer(request).await,
             (&Method::POST, "/v1/orders") => self.order(request).await,
             (&Method::GET, "/v1/load") => json(StatusCode::OK, &self.load()),
             (&Method::GET, "/v1/cache/events") => {
@@ -180,23 +192,32 @@
         if state.loaded().model.as_ref() != Some(&request.model) {
             return text(StatusCode::NOT_FOUND, "model is not loaded");
         }
-        let Ok(outputs) = state.scheduler.submit(job(&request)) else {
+        let job = job(&request, state.kv.take(request.kv));
+        let heard = job.blocks.tokens;
+        let Ok(outputs) = state.scheduler.submit(job) else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "the queue is full");
         };
         state.started.fetch_add(1, Ordering::Relaxed);
         state.running.fetch_add(1, Ordering::Relaxed);
         let (sender, body) = Body::pieces(EVENT_BUFFER);
-        tokio::spawn(produce(Slot(Arc::clone(state)), request, outputs, sender));
+        let slot = Slot { state: Arc::clone(state), request, heard };
+        tokio::spawn(produce(slot, outputs, sender));
         with_type(StatusCode::OK, "text/event-stream", body)
     }
 }
 
 /// One running generation, counted until dropped.
-struct Slot(Arc<State>);
+struct Slot {
+    state: Arc<State>,
+    request: Generate,
+    /// The tokens of the prompt and of earlier attempts.
+    heard: u32,
+}
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.state.running.fetch_sub(1, Ordering::Relaxed);
+        self.state.kv.end(&self.request);
     }
 }
 
@@ -205,11 +226,11 @@
     natural_length(&request.prompt).min(request.max_tokens)
 }
 
-fn job(request: &Generate) -> Job {
+fn job(request: &Generate, imported: u32) -> Job {
     let heard = format!("{}{}", request.prompt, request.produced.concat());
     Job {
         blocks: Blocks::of(&request.model, request.adapter.as_ref(), &heard),
-        imported: 0,
+        imported,
         first: u32::try_from(request.produced.len()).unwrap_or(u32::MAX),
         end: answer_end(request),
         priority: request.priority,
@@ -217,13 +238,10 @@
 }
 
 /// Sends what a generation brings; when the receiver has gone, the generation is cancelled.
-async fn produce(
-    slot: Slot,
-    request: Generate,
-    mut outputs: mpsc::UnboundedReceiver<Output>,
-    sender: BodySender,
-) {
-    let state = &slot.0;
+async fn produce(slot: Slot, mut outputs: mpsc::UnboundedReceiver<Output>, sender: BodySender) {
+    let Slot { state, request, heard } = &slot;
+    let mut distorter = state.distortions.start();
+    let mut produced = 0;
     loop {
         let output = tokio::select! {
             output = outputs.recv() => output,
@@ -234,10 +252,12 @@
         };
         state.prefilled.fetch_add(prefilled.unwrap_or(0).into(), Ordering::Relaxed);
         if let Some(offset) = offset {
+            produced += 1;
+            state.kv.grow(request, heard + produced);
             let tokens = vec![token(&request.model, &request.prompt, offset)];
-            let chunk = Chunk { tokens, prefilled, ..blank_chunk(&request, offset) };
+            let chunk = Chunk { tokens, prefilled, ..blank_chunk(request, offset) };
             state.generated.fetch_add(1, Ordering::Relaxed);
-            if send(&sender, &chunk).await.is_err() {
+            if send(&sender, distorter.on_chunk(chunk)).await.is_err() {
                 return;
             }
         }
@@ -245,10 +265,11 @@
             break;
         }
     }
-    let end = answer_end(&request);
+    let end = answer_end(request);
     let stopped = natural_length(&request.prompt) <= request.max_tokens;
     let finish = Some(if stopped { Finish::Stop } else { Finish::Length });
-    if send(&sender, &Chunk { finish, ..blank_chunk(&request, end) }).await.is_ok() {
+    let last = Chunk { finish, ..blank_chunk(request, end) };
+    if send(&sender, distorter.on_chunk(last)).await.is_ok() {
         sender.finish().await;
     }
 }
@@ -264,7 +285,10 @@
     }
 }
 
-async fn send(sender: &BodySender, chunk: &Chunk) -> Result<(), ()> {
-    let data = to_string(chunk).map_err(|_| ())?;
-    sender.send(encode_event(None, None, &data)).await.map_err(|_| ())
+async fn send(sender: &BodySender, chunks: Vec<Chunk>) -> Result<(), ()> {
+    for chunk in chunks {
+        let data = to_string(&chunk).map_err(|_| ())?;
+        sender.send(encode_event(None, None, &data)).await.map_err(|_| ())?;
+    }
+    Ok(())
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod answer;
 pub mod batch;
+pub mod distortion;
 pub mod engine;
 pub mod fault;
+mod kv;
 pub mod log;
 pub mod platform;
 pub mod prefix;
@@ -16,6 +18,7 @@
 
 pub use answer::whole_answer;
 pub use batch::EngineModel;
+pub use distortion::{Distortion, Distortions};
 pub use engine::EngineStandin;
 pub use fault::Faults;
 pub use log::LogStandin;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -81,8 +81,7 @@
         let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
         let claims = claims::start(&context, incarnation, &settings.claim);
-        let transfers = settings.survival.transfers();
-        let evacuation = evacuation::start(context.clone(), transfers, upstreams.stops());
+        let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
         let publisher =
--- a/src/evacuation.rs
+++ b/src/evacuation.rs
@@ -4,6 +4,7 @@
 //! once its notice arrives. Shortly before the notice ends, whatever is left resumes elsewhere.
 
 use crate::context::Context;
+use crate::settings::{NoticeUse, SurvivalSettings};
 use crate::upstreams::StopWatch;
 use slotmap::{SlotMap, new_key_type};
 use spindle_policy::survival::{Leaver, Move, TransferModel, plan};
@@ -136,9 +137,11 @@
 }
 
 /// Starts the task; it ends when nobody talks to it any more.
-pub fn start<C: Context>(context: C, model: TransferModel, stops: StopWatch) -> Evacuation {
+pub fn start<C: Context>(context: C, settings: &SurvivalSettings, stops: StopWatch) -> Evacuation {
     let (mailbox, messages) = mpsc::channel(MAILBOX);
-    let task = Task { context, model, stops, streams: SlotMap::with_key(), due: HashMap::new() };
+    let (model, notice) = (settings.transfers(), settings.notice);
+    let task =
+        Task { context, model, notice, stops, streams: SlotMap::with_key(), due: HashMap::new() };
     tokio::spawn(task.run(messages));
     Evacuation { mailbox }
 }
@@ -146,6 +149,7 @@
 struct Task<C> {
     context: C,
     model: TransferModel,
+    notice: NoticeUse,
     stops: StopWatch,
     streams: SlotMap<SeatKey, (StreamInfo, mpsc::Sender<Move>)>,
     /// When the rest is to leave an instance whose notice is known.
@@ -208,6 +212,9 @@
         for instance in ended {
             // Kept as known, with no further moment at which something is due.
             self.due.insert(instance.clone(), now + IDLE);
+            if self.notice == NoticeUse::Ignore {
+                continue;
+            }
             for key in self.seats_at(&instance) {
                 self.order(key, Move::Resume);
             }
@@ -222,6 +229,13 @@
     }
 
     fn evacuate(&self, stop: MonotonicInstant, seats: Vec<SeatKey>) {
+        if self.notice == NoticeUse::Ignore {
+            return;
+        }
+        if self.notice == NoticeUse::Resume {
+            seats.into_iter().for_each(|key| self.order(key, Move::Resume));
+            return;
+        }
         let now = self.context.clock().now();
         let leavers = seats.into_iter().map(|key| self.streams[key].0.leaver(now, key)).collect();
         for (key, order) in plan(now, stop, &self.model, leavers) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -14,8 +14,8 @@
 mod platform;
 mod routing;
 mod state;
-mod traffic;
 mod survival;
+mod traffic;
 
 pub use caller::CallerSettings;
 pub use claim::ClaimSettings;
@@ -28,8 +28,8 @@
 pub use platform::PlatformSettings;
 pub use routing::RoutingSettings;
 pub use state::StateSettings;
+pub use survival::{NoticeUse, SurvivalSettings};
 pub use traffic::TrafficSettings;
-pub use survival::SurvivalSettings;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- a/src/settings/survival.rs
+++ b/src/settings/survival.rs
@@ -4,6 +4,23 @@
 use serde::{Deserialize, Serialize};
 use spindle_policy::survival::TransferModel;
 use spindle_types::{Problems, Size, Span};
+use strum::Display;
+
+/// What is done when an upstream is about to be taken back.
+#[derive(
+    Clone, Copy, Debug, Default, Display, Eq, JsonSchema, PartialEq, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
+pub enum NoticeUse {
+    /// Streams stay, are transferred or resume elsewhere, as fits into the notice.
+    #[default]
+    Plan,
+    /// Every stream resumes elsewhere at once; a baseline for measurements.
+    Resume,
+    /// Nothing; streams resume once they break. A baseline for measurements.
+    Ignore,
+}
 
 /// How streams leave an upstream that is about to be taken back.
 #[derive(Clone, Debug, JsonSchema, PartialEq, Serialize, Deserialize)]
@@ -13,6 +30,8 @@
     pub token_size: Size,
     /// What an engine can send of KV caches in a second; 0B if it can't send any.
     pub transfer_rate: Size,
+    /// What is done with the notice.
+    pub notice: NoticeUse,
     /// The part of a notice that is kept free at its end.
     pub margin: Span,
 }
@@ -22,6 +41,7 @@
         Self {
             token_size: Size::from_kib(128),
             transfer_rate: Size::from_mib(2_048),
+            notice: NoticeUse::default(),
             margin: Span::from_millis(150),
         }
     }
--- /dev/null
+++ b/tests/survival.rs
@@ -0,0 +1,196 @@
+//! Streams whose engines misbehave or are taken back, over real sockets.
+
+use bronzespindle::client::CallerClient;
+use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use futures_util::future::join_all;
+use spindle_standin::answer::natural_length;
+
+use spindle_standin::{Distortion, EngineModel, EngineStandin, whole_answer};
+use spindle_types::{Instance, Model};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TEAM_KEY: &str = "cava-escazu-key";
+
+const MODEL: &str = "sommelier-llm";
+
+const TOKENS: u32 = 200;
+
+/// 10 ms a token, and a tenth of a second for the prompts of these tests.
+const ENGINE: EngineModel = EngineModel {
+    prefill_rate: 10_000.0,
+    step_base: Duration::from_millis(10),
+    step_slope: Duration::ZERO,
+    step_tokens: 256,
+    ..EngineModel::DEFAULT
+};
+
+const FAST: EngineModel =
+    EngineModel { prefill_rate: 1_000_000.0, step_base: Duration::from_micros(500), ..ENGINE };
+
+/// A prompt of about a thousand tokens whose answer is at least [`TOKENS`] long.
+fn prompt(seed: usize) -> String {
+    let text = |n: usize| format!("dossier {seed} {n} {}", "vin ".repeat(1_000));
+    let long = |text: &String| natural_length(&format!("user: {text}\n")) >= TOKENS;
+    (0..).map(text).find(long).unwrap()
+}
+
+fn expected(prompt: &str) -> String {
+    whole_answer(&Model::try_from(MODEL).unwrap(), &format!("user: {prompt}\n"), TOKENS)
+}
+
+struct World {
+    deployment: Deployment,
+}
+
+impl World {
+    async fn start(timing: EngineModel) -> Self {
+        let deployment = Deployment::start(Example::Vendimia, 1, timing).await.unwrap();
+        Self { deployment }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.deployment.daemons[0].caller_address()
+    }
+
+    fn engines(&self) -> Vec<(Instance, EngineStandin)> {
+        let upstreams = self.deployment.upstreams(MODEL).into_iter();
+        let engines = upstreams.filter_map(|(instance, upstream)| match upstream {
+            UpstreamStandin::Engine(engine) => Some((instance, engine)),
+            UpstreamStandin::Service(_) => None,
+        });
+        engines.collect()
+    }
+
+    async fn busy(&self) -> Instance {
+        loop {
+            let busy = self.engines().into_iter().find(|(_, engine)| engine.running() > 0);
+            match busy {
+                Some((instance, _)) => return instance,
+                None => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    /// Streams an answer, of which `first` events are read before `act`; returns whether it was
+    /// whole, and the tokens that were computed again.
+    async fn stream(&self, prompt: &str, first: usize, act: impl AsyncFnOnce()) -> (bool, u32) {
+        let caller = CallerClient::new(TEAM_KEY);
+        let mut stream = caller.chat(self.address(), MODEL, prompt, TOKENS).await.unwrap();
+        let mut content = String::new();
+        for _ in 0..first {
+            content.push_str(&stream.next().await.unwrap().unwrap());
+        }
+        act().await;
+        content.push_str(&stream.rest().await.unwrap());
+        (content == expected(prompt), stream.usage().unwrap().recomputed_tokens)
+    }
+
+    /// Streams an answer and reclaims its engine, after `first` events or while the prompt is
+    /// computed.
+    async fn reclaimed(&self, notice: Duration, first: usize) -> (bool, u32) {
+        let prompt = prompt(first);
+        let reclaim = async || {
+            let instance = self.busy().await;
+            self.deployment.platform.reclaim(&instance, notice);
+        };
+        if first > 0 {
+            return self.stream(&prompt, first, reclaim).await;
+        }
+        let (result, ()) = tokio::join!(self.stream(&prompt, 0, async || {}), reclaim());
+        result
+    }
+}
+
+#[tokio::test]
+async fn reclaims_with_each_notice_leave_the_answer_whole() {
+    let case = async |notice_ms: u64, first: usize| {
+        let world = World::start(ENGINE).await;
+        let (whole, recomputed) = world.reclaimed(Duration::from_millis(notice_ms), first).await;
+        assert!(whole, "{notice_ms} ms of notice after {first} events");
+        (notice_ms, first, recomputed)
+    };
+    let notices = [0, 1_000, 5_000, 30_000];
+    let cases = notices.into_iter().flat_map(|notice| [(notice, 0), (notice, 20)]);
+    let results = join_all(cases.map(|(notice, first)| case(notice, first))).await;
+    for (notice, first, recomputed) in results {
+        match (notice, first) {
+            // Without notice everything is computed again, but for what the prefix cache holds.
+            (0, 20) => assert!(recomputed > 1_000, "{recomputed}"),
+            // A transfer leaves only what was produced while it ran.
+            (1_000, 20) => assert!(recomputed < 100, "{recomputed}"),
+            // The stream is done before the notice ends.
+            (5_000 | 30_000, 20) => assert_eq!(0, recomputed),
+            _ => {}
+        }
+    }
+}
+
+#[tokio::test]
+async fn nothing_is_left_on_an_engine_when_its_notice_ends() {
+    let world = World::start(ENGINE).await;
+    let left = async || {
+        let instance = world.busy().await;
+        let (_, engine) = world.engines().into_iter().find(|(id, _)| *id == instance).unwrap();
+        let notice = Duration::from_millis(900);
+        world.deployment.platform.reclaim(&instance, notice);
+        tokio::time::sleep(notice - Duration::from_millis(50)).await;
+        assert_eq!(0, engine.running());
+    };
+    let (whole, _) = world.stream(&prompt(1), 20, left).await;
+    assert!(whole);
+}
+
+#[tokio::test]
+async fn a_data_centre_reclaimed_at_once_leaves_every_answer_whole() {
+    let world = World::start(ENGINE).await;
+    let prompts: Vec<_> = (0..24).map(prompt).collect();
+    let streams = prompts.iter().map(|prompt| world.stream(prompt, 10, async || {}));
+    let reclaim = async {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let entries = world.deployment.platform.entries();
+        let here = entries.iter().filter(|entry| entry.data_centre.as_str() == "heredia-a");
+        let engines = here.filter(|entry| entry.instance.as_str().starts_with(MODEL));
+        for entry in engines {
+            world.deployment.platform.reclaim(&entry.instance, Duration::from_millis(500));
+        }
+    };
+    let (results, ()) = tokio::join!(join_all(streams), reclaim);
+    assert!(results.iter().all(|(whole, _)| *whole), "{results:?}");
+}
+
+#[tokio::test]
+async fn distorted_streams_leave_the_answer_whole() {
+    let case = async |kind: Distortion| {
+        let world = World::start(FAST).await;
+        for (_, engine) in world.engines() {
+            engine.distortions().set(kind, 1);
+        }
+        let (whole, _) = world.stream(&prompt(3), 0, async || {}).await;
+        assert!(whole, "{kind:?}");
+    };
+    let kinds = [
+        Distortion::Repeat,
+        Distortion::Reorder,
+        Distortion::OtherRequest,
+        Distortion::OtherAttempt,
+        Distortion::EarlyEnd,
+        Distortion::Oversized,
+    ];
+    join_all(kinds.map(case)).await;
+}
+
+#[tokio::test]
+async fn caller_that_goes_away_cancels_the_generation() {
+    let world = World::start(ENGINE).await;
+    let caller = CallerClient::new(TEAM_KEY);
+    let mut stream = caller.chat(world.address(), MODEL, &prompt(5), TOKENS).await.unwrap();
+    stream.next().await.unwrap();
+    let instance = world.busy().await;
+    let (_, engine) = world.engines().into_iter().find(|(id, _)| *id == instance).unwrap();
+    drop(stream);
+    while engine.running() > 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(engine.counts().generated < u64::from(TOKENS));
+}
