--- /dev/null
+++ b/crates/policy/examples/plan_cost.rs
@@ -0,0 +1,108 @@
+//! Prints what plans cost against the baselines, and how long they take to solve at size.
+//!
+//! Usage: `cargo run --release -p spindle-policy --example plan_cost [SEED]`
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use spindle_policy::plan::program;
+use spindle_policy::solve::{Choice, Program};
+use spindle_types::config::Market;
+use spindle_types::{DataCentre, Intent, MachineClass, Money, Pool, PricedOffer};
+use std::time::Instant;
+
+/// The seed used when none is given.
+const DEFAULT_SEED: u64 = 7;
+
+/// Data centres at the size of the target.
+const DATA_CENTRES: usize = 11;
+
+/// Machine classes at the size of the target.
+const CLASSES: usize = 8;
+
+/// Pools of models at the size of the target.
+const POOLS: usize = 6;
+
+/// Instances that the demand of the target needs, roughly.
+const INSTANCES: f64 = 1_400.0;
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEED);
+    let vendimia = (
+        include_str!("../../../examples/vendimia/intent.yaml"),
+        include_str!("../../../examples/vendimia/offers.yaml"),
+    );
+    let kanem = (
+        include_str!("../../../examples/kanem/intent.yaml"),
+        include_str!("../../../examples/kanem/offers.yaml"),
+    );
+    for (name, (intent, offers)) in [("vendimia", vendimia), ("kanem", kanem)] {
+        let intent: Intent = serde_norway::from_str(intent).expect("the example is valid");
+        let offers: Vec<PricedOffer> =
+            serde_norway::from_str(offers).expect("the example is valid");
+        compare(name, &program(&intent, &offers).expect("the example can be met"));
+    }
+    for draw in 0..3 {
+        compare(&format!("target, seed {}", seed + draw), &target(seed + draw));
+    }
+}
+
+fn compare(name: &str, program: &Program) {
+    let started = Instant::now();
+    let cheapest = program.cheapest();
+    let took = started.elapsed();
+    let started = Instant::now();
+    let greedy = program.greedy();
+    let greedy_took = started.elapsed();
+    let Ok(cheapest) = cheapest else {
+        println!("{name}: {cheapest:?} after {took:.2?}");
+        return;
+    };
+    let cost = |counts: &[u32]| program.spend(counts).units();
+    let unlimited = Program { budget: None, ..program.clone() };
+    let on_demand = unlimited.on_demand().map(|counts| cost(&counts));
+    println!(
+        "{name}: {} instances, bound {:.2?}, plan {:.2} in {took:.2?}, greedy {:?} in {greedy_took:.2?}, \
+         on demand {on_demand:.2?}",
+        cheapest.iter().sum::<u32>(),
+        program.lower_bound().map(Money::units),
+        cost(&cheapest),
+        greedy.map(|counts| (cost(&counts) * 100.0).round() / 100.0),
+    );
+}
+
+/// A program of the size of the target, with prices drawn from a seed.
+fn target(seed: u64) -> Program {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let name = |kind: &str, index: usize| format!("{kind}-{index}");
+    let mut program = Program { reclaimable_max: 0.44, ..Program::default() };
+    let rates: Vec<f64> = (0..CLASSES).map(|_| rng.random_range(0.6..2.4)).collect();
+    for pool in 0..POOLS {
+        let pool = Pool::try_from(name("pool", pool)).expect("the name is valid");
+        program.needs.insert(pool, INSTANCES / POOLS as f64 * 1.2);
+    }
+    for data_centre in 0..DATA_CENTRES {
+        let factor = rng.random_range(0.85..1.2);
+        for (class, rate) in rates.iter().enumerate() {
+            for market in [Market::Reclaimable, Market::OnDemand] {
+                let discount =
+                    if market == Market::Reclaimable { rng.random_range(0.3..0.5) } else { 1.0 };
+                let price = rate * factor * discount * rng.random_range(0.9..1.1);
+                let limit = Some(rng.random_range(10..60));
+                for pool in program.needs.keys() {
+                    program.choices.push(Choice {
+                        pool: pool.clone(),
+                        data_centre: DataCentre::try_from(name("dc", data_centre))
+                            .expect("the name is valid"),
+                        class: MachineClass::try_from(name("class", class))
+                            .expect("the name is valid"),
+                        market,
+                        price: Money::from_units((price * 100.0).round() / 100.0),
+                        limit,
+                        rate: *rate,
+                    });
+                }
+            }
+        }
+    }
+    program
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing here does I/O, reads a clock or draws a random number of its own: the present time and,
 //! where one is needed, a seeded generator are arguments.
 
-pub mod answer;
-pub mod breaker;
 #[cfg(test)]
 mod cases;
+
+pub mod answer;
+pub mod breaker;
+pub mod capacity;
 pub mod checkpoint;
 pub mod claim;
 pub mod fold;
@@ -14,7 +16,9 @@
 pub mod lease;
 pub mod ledger;
 pub mod membership;
+pub mod plan;
 pub mod routing;
+pub mod solve;
 pub mod survival;
 pub mod update;
 pub mod validation;
--- a/crates/types/src/config.rs
+++ b/crates/types/src/config.rs
@@ -7,6 +7,7 @@
     Adapter, DataCentre, MachineClass, Model, Offset, Operator, Pool, Revision, Service, Team,
     Version,
 };
+use crate::intent::Intent;
 use crate::time::UtcInstant;
 use crate::unit::{Money, Span};
 use schemars::JsonSchema;
@@ -74,6 +75,8 @@
                 self.services.remove(&service);
             }
             Change::ConfirmPlan { plan } => {
+                let pools = plan.intent.iter().flat_map(Intent::pools);
+                self.pools.extend(pools);
                 self.plan = Some(plan);
             }
         }
@@ -399,6 +402,9 @@
     pub envelope: Envelope,
     /// The cost an hour that was shown.
     pub hourly_cost: Money,
+    /// The intent that the plan meets; its pools take effect with the plan.
+    #[serde(default)]
+    pub intent: Option<Intent>,
 }
 
 /// One change of the configuration.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod id;
+pub mod intent;
 pub mod outcome;
 pub mod prefix;
 pub mod problem;
@@ -17,6 +18,7 @@
     MachineClass, Model, Offset, Operator, Pool, Region, RequestId, Revision, Service, StreamName,
     Team, Version,
 };
+pub use intent::{Intent, PricedOffer};
 pub use outcome::{NotRun, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
 pub use prefix::{BLOCK_TOKENS, BlockHash, Blocks, block_tokens};
 pub use problem::{Problem, Problems};
--- a/crates/types/src/unit.rs
+++ b/crates/types/src/unit.rs
@@ -178,6 +178,11 @@
     pub fn units(self) -> f64 {
         self.0 as f64 / MICROS_PER_UNIT as f64
     }
+
+    /// The amount `count` times over.
+    pub const fn times(self, count: u32) -> Self {
+        Self(self.0.saturating_mul(count as i64))
+    }
 }
 
 impl Add for Money {
