--- a/crates/policy/src/validation.rs
+++ b/crates/policy/src/validation.rs
@@ -4,7 +4,9 @@
 //! a change that is not valid has no effect at any reader.
 
 use spindle_types::config::{ConfirmedPlan, RouteSpec, TeamSpec};
-use spindle_types::{Change, Configuration, Pool, PoolSpec, Problems, Service, ServiceSpec, Team};
+use spindle_types::{
+    Change, Configuration, Intent, Pool, PoolSpec, Problems, Service, ServiceSpec, Team,
+};
 
 /// The mistakes of a change, given the state that it is to change.
 ///
@@ -116,9 +118,14 @@
 }
 
 fn check_plan(state: &Configuration, plan: &ConfirmedPlan, problems: &mut Problems) {
+    let mut pools = state.pools.clone();
+    for (pool, spec) in plan.intent.iter().flat_map(Intent::pools) {
+        check_pool(state, &pool, &spec, problems);
+        pools.insert(pool, spec);
+    }
     for (index, placement) in plan.placements.iter().enumerate() {
         let path = format!("plan.placements[{index}].pool");
-        check_known(&path, &placement.pool, state.pools.keys(), problems);
+        check_known(&path, &placement.pool, pools.keys(), problems);
     }
     if plan.hourly_cost > plan.envelope.hourly_spend {
         let allowed = format!("at most the envelope's {}", plan.envelope.hourly_spend);
--- a/crates/policy/src/validation/tests.rs
+++ b/crates/policy/src/validation/tests.rs
@@ -47,6 +47,7 @@
             on_demand: false,
         },
         hourly_cost: cost.parse().unwrap(),
+        intent: None,
     }
 }
 
