feat: plans are made, shown and confirmed from the command line

The administration API serves plans at any daemon; plans and rejections are in a stream of their own, and a confirmation is one record of the operators' stream. A confirmation is bound to the digest and the prices shown; stale ones are refused with what won. Tests: rival plans at two daemons, prices doubled between plan and confirmation, log outage during a confirmation, keys.

--- a/crates/cloud/src/wire.rs
+++ b/crates/cloud/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use spindle_types::config::Market;
-use spindle_types::{ClientToken, DataCentre, Instance, MachineClass, Money, Pool, UtcInstant};
+use spindle_types::{ClientToken, DataCentre, Instance, MachineClass, Pool, UtcInstant};
 
 /// `POST /instances`: a start that the same client token repeats without effect.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -43,19 +43,7 @@
 }
 
 /// `GET /offers`: what can be bought at what price.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Offer {
-    /// Where.
-    pub data_centre: DataCentre,
-    /// The machine class.
-    pub class: MachineClass,
-    /// How it is bought.
-    pub market: Market,
-    /// The price an hour.
-    pub hourly_price: Money,
-    /// How many more can be bought, as far as the cloud tells.
-    pub available: Option<u32>,
-}
+pub type Offer = spindle_types::PricedOffer;
 
 /// An announcement that an instance will be taken back.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/operator/src/client.rs
@@ -0,0 +1,137 @@
+//! The client of the administration API.
+
+use crate::wire::{AdminRefusal, ChangeRequest, Confirmed, PlanSummary, PlanView, StatusView};
+use http::{HeaderValue, Method, header};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use spindle_http::client::json_request;
+use spindle_http::{CallError, Client, read_body};
+use spindle_types::Intent;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// The time within which a call must be answered; a large plan takes seconds to solve.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The largest answer, in bytes.
+const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a call brought no result.
+#[derive(Debug, Error)]
+pub enum AdminError {
+    /// The daemon refused.
+    #[error("{0}")]
+    Refused(AdminRefusal),
+    /// The daemon could not be asked, or its answer was lost.
+    #[error("{0}")]
+    Call(#[from] CallError),
+}
+
+/// A client of one daemon's administration API.
+#[derive(Clone, Debug)]
+pub struct AdminClient {
+    address: SocketAddr,
+    key: String,
+    client: Client,
+}
+
+impl AdminClient {
+    /// A client with a bearer key.
+    pub fn new(address: SocketAddr, key: String) -> Self {
+        Self { address, key, client: Client::new(CALL_TIMEOUT, ANSWER_MAX_BYTES) }
+    }
+
+    /// Asks for a plan that meets an intent.
+    ///
+    /// # Errors
+    ///
+    /// The intent holds mistakes or can't be met, or the call fails.
+    pub async fn plan(&self, intent: &Intent) -> Result<PlanView, AdminError> {
+        self.call(Method::POST, "/v1/plans", Some(intent)).await
+    }
+
+    /// Lists the newest plans.
+    ///
+    /// # Errors
+    ///
+    /// The call fails.
+    pub async fn plans(&self) -> Result<Vec<PlanSummary>, AdminError> {
+        self.call::<(), _>(Method::GET, "/v1/plans", None).await
+    }
+
+    /// Shows a plan.
+    ///
+    /// # Errors
+    ///
+    /// There is none, or the call fails.
+    pub async fn show(&self, digest: &str) -> Result<PlanView, AdminError> {
+        self.call::<(), _>(Method::GET, &format!("/v1/plans/{digest}"), None).await
+    }
+
+    /// Confirms a plan.
+    ///
+    /// # Errors
+    ///
+    /// The plan is stale, another one won, or the call fails.
+    pub async fn confirm(&self, digest: &str) -> Result<Confirmed, AdminError> {
+        self.call::<(), _>(Method::POST, &format!("/v1/plans/{digest}/confirm"), None).await
+    }
+
+    /// Rejects a plan.
+    ///
+    /// # Errors
+    ///
+    /// There is none, or the call fails.
+    pub async fn reject(&self, digest: &str) -> Result<(), AdminError> {
+        self.call::<(), _>(Method::POST, &format!("/v1/plans/{digest}/reject"), None).await
+    }
+
+    /// Publishes a change of teams, quotas, pools or services.
+    ///
+    /// # Errors
+    ///
+    /// The change is not valid, another one won, or the call fails.
+    pub async fn change(&self, change: &ChangeRequest) -> Result<Confirmed, AdminError> {
+        self.call(Method::POST, "/v1/changes", Some(change)).await
+    }
+
+    /// Shows what is in force and what runs.
+    ///
+    /// # Errors
+    ///
+    /// The call fails.
+    pub async fn status(&self) -> Result<StatusView, AdminError> {
+        self.call::<(), _>(Method::GET, "/v1/status", None).await
+    }
+
+    async fn call<Q: Serialize + Sync, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        value: Option<&Q>,
+    ) -> Result<A, AdminError> {
+        let mut request = json_request(method, self.address, path, value)?;
+        let bearer = HeaderValue::try_from(format!("Bearer {}", self.key))
+            .map_err(|error| CallError::Form(error.to_string()))?;
+        request.headers_mut().insert(header::AUTHORIZATION, bearer);
+        let late = |_| CallError::Lost(format!("no answer within {CALL_TIMEOUT:?}"));
+        let sending = tokio::time::timeout(CALL_TIMEOUT, self.client.send(request));
+        let response = sending.await.map_err(late)??;
+        let status = response.status();
+        let content = read_body(response.into_body(), ANSWER_MAX_BYTES, CALL_TIMEOUT)
+            .await
+            .map_err(|error| CallError::Lost(error.to_string()))?;
+        if status.is_success() {
+            let form = |error: serde_json::Error| CallError::Form(error.to_string());
+            return Ok(serde_json::from_slice(&content).map_err(form)?);
+        }
+        match serde_json::from_slice(&content) {
+            Ok(refusal) => Err(AdminError::Refused(refusal)),
+            Err(_) => {
+                let body = String::from_utf8_lossy(&content).into_owned();
+                Err(CallError::Status { status, body }.into())
+            }
+        }
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,7 @@
 //! Peer package for operators: the administration API and its client.
+
+pub mod client;
+pub mod wire;
+
+pub use client::{AdminClient, AdminError};
+pub use wire::{AdminRefusal, ChangeRequest, Confirmed, PlanSummary, PlanView, StatusView};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod plan;
+pub mod proposal;
 pub mod routing;
 pub mod solve;
 pub mod survival;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -106,8 +106,10 @@
 pub struct Plan {
     /// When it was made.
     pub made_at: UtcInstant,
-    /// The revision that it changes.
+    /// The revision for which it was made.
     pub base: Revision,
+    /// The digest of the plan that it replaces, if one was in force.
+    pub replaces: Option<String>,
     /// What it meets.
     pub intent: Intent,
     /// What is to run.
@@ -347,6 +349,7 @@
     Plan {
         made_at: now,
         base: input.base,
+        replaces: input.in_force.map(|plan| plan.digest.clone()),
         intent: intent.clone(),
         cost,
         pools: outlooks(intent, program, counts),
--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,346 @@
+//! The administration API: plans, their confirmation, changes of teams and pools, and status.
+//!
+//! Does nothing without an address in the settings. Operators may do everything; a team may see
+//! the status.
+
+use crate::context::Context;
+use crate::daemon::Shared;
+use crate::plans;
+use crate::publisher::Outcome;
+use eyre::WrapErr;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use spindle_caller::bearer_key;
+use spindle_cloud::Cloud;
+use spindle_http::{Body, Drain, Handler, ServerLimits, bind, json, read_json, serve};
+use spindle_operator::{AdminRefusal, ChangeRequest, Confirmed, PlanSummary, PlanView, StatusView};
+use spindle_policy::plan::{PlanError, PlanInput, ReclaimRates, plan};
+use spindle_policy::proposal::{Author, Entry, PlanRecord, PlanState, check_confirmation};
+use spindle_types::config::KeyHash;
+use spindle_types::{
+    Change, Clock, Configuration, Intent, Money, Operator, PricedOffer, Problems, Revision, Team,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The largest request, in bytes.
+const REQUEST_MAX_BYTES: usize = 1024 * 1024;
+
+/// The time within which a request must arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The most connections of operators.
+const CONNECTIONS_MAX: usize = 64;
+
+/// How often a confirmation is based anew on a revision that left the plan in force untouched.
+const CONFIRM_ATTEMPTS: u32 = 8;
+
+/// The time within which an appended plan must have been read back.
+const READ_BACK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers operators at one daemon.
+#[derive(Debug)]
+pub struct Admin<C>(pub Arc<Shared<C>>);
+
+impl<C> Clone for Admin<C> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+/// Whose key a request carries.
+enum Principal {
+    Operator(Operator),
+    Team(Team),
+}
+
+/// Starts to serve operators, if the settings name an address.
+///
+/// # Errors
+///
+/// The address can't be bound.
+pub async fn start<C: Context>(admin: Admin<C>, drain: Drain) -> eyre::Result<Option<SocketAddr>> {
+    let Some(listen) = admin.0.settings.operator.listen else {
+        return Ok(None);
+    };
+    let bound = bind(listen).await.wrap_err_with(|| format!("operator.listen {listen}"))?;
+    let limits = ServerLimits { connections: CONNECTIONS_MAX, ..ServerLimits::default() };
+    tokio::spawn(serve(bound.0, admin, limits, drain));
+    Ok(Some(bound.1))
+}
+
+impl<C: Context> Handler for Admin<C> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<Body> {
+        match self.answer(request).await {
+            Ok(response) => response,
+            Err(refusal) => json(refusal.status(), &refusal),
+        }
+    }
+}
+
+impl<C: Context> Admin<C> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, AdminRefusal> {
+        let principal = self.principal(&request)?;
+        let path = request.uri().path().to_owned();
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        if (request.method(), parts.as_slice()) == (&Method::GET, &["v1", "status"]) {
+            return Ok(ok(&self.status().await?));
+        }
+        let operator = match principal {
+            Principal::Operator(operator) => operator,
+            Principal::Team(team) => {
+                log::info!("event=admin_forbidden team={team} path={path:?}");
+                return Err(AdminRefusal::Forbidden);
+            }
+        };
+        match (request.method(), parts.as_slice()) {
+            (&Method::GET, ["v1", "plans"]) => Ok(ok(&self.plans())),
+            (&Method::GET, ["v1", "plans", digest]) => Ok(ok(&self.show(digest)?)),
+            (&Method::POST, ["v1", "plans"]) => {
+                let intent = read(request).await?;
+                Ok(json(StatusCode::CREATED, &self.plan(operator, intent).await?))
+            }
+            (&Method::POST, ["v1", "plans", digest, "confirm"]) => {
+                Ok(ok(&self.confirm(operator, digest).await?))
+            }
+            (&Method::POST, ["v1", "plans", digest, "reject"]) => {
+                self.reject(operator, digest).await?;
+                Ok(ok(&()))
+            }
+            (&Method::POST, ["v1", "changes"]) => {
+                let change = read(request).await?;
+                Ok(ok(&self.change(operator, change).await?))
+            }
+            _ => Err(AdminRefusal::NotFound),
+        }
+    }
+
+    fn principal(&self, request: &Request<Incoming>) -> Result<Principal, AdminRefusal> {
+        let key = bearer_key(request.headers()).ok_or(AdminRefusal::Unauthorized)?;
+        let hash = KeyHash::of(key);
+        if let Some(operator) = self.0.settings.operator.operator_by_key(&hash) {
+            return Ok(Principal::Operator(operator.clone()));
+        }
+        let config = self.0.config.borrow();
+        let (team, _) = config.team_by_key(&hash).ok_or(AdminRefusal::Unauthorized)?;
+        Ok(Principal::Team(team.clone()))
+    }
+
+    async fn offers(&self) -> Result<Vec<PricedOffer>, AdminRefusal> {
+        let offers = self.0.context.cloud().offers().await;
+        offers.map_err(|error| unavailable(format!("cloud: {error}")))
+    }
+
+    async fn plan(&self, operator: Operator, intent: Intent) -> Result<PlanView, AdminRefusal> {
+        let problems = intent.check();
+        if !problems.is_empty() {
+            return Err(AdminRefusal::Invalid { problems });
+        }
+        let offers = self.offers().await?;
+        let config = Arc::clone(&self.0.config.borrow());
+        let now = self.0.context.clock().utc();
+        let solving = tokio::task::spawn_blocking(move || {
+            let reclaims = ReclaimRates::default();
+            let input = PlanInput {
+                intent: &intent,
+                offers: &offers,
+                reclaims: &reclaims,
+                base: config.revision,
+                in_force: config.plan.as_ref(),
+            };
+            plan(now, &input)
+        });
+        let plan = match solving.await {
+            Ok(Ok(plan)) => plan,
+            Ok(Err(PlanError::Infeasible(binding))) => {
+                return Err(AdminRefusal::Infeasible { binding });
+            }
+            Ok(Err(PlanError::Solver(text))) => return Err(unavailable(text)),
+            Err(error) => return Err(unavailable(error.to_string())),
+        };
+        let author = Author::Operator { operator };
+        let digest = plan.digest();
+        log::info!("event=plan_made digest={digest} cost={}", plan.cost.expected);
+        let record = PlanRecord::Published { author, plan: Box::new(plan) };
+        self.append(&record).await?;
+        self.wait_until_read(&digest).await?;
+        self.show(&digest)
+    }
+
+    async fn append(&self, record: &PlanRecord) -> Result<(), AdminRefusal> {
+        use spindle_log::AppendError;
+        match plans::append(&self.0.context, record).await {
+            // Reading back tells whether an unacknowledged append was made.
+            Ok(()) | Err(AppendError::Unknown(_)) => Ok(()),
+            Err(AppendError::NotAppended(text)) => Err(unavailable(format!("log: {text}"))),
+        }
+    }
+
+    async fn wait_until_read(&self, digest: &str) -> Result<(), AdminRefusal> {
+        let mut plans = self.0.plans.clone();
+        let read = plans.wait_for(|book| book.find(digest).is_some());
+        match tokio::time::timeout(READ_BACK_TIMEOUT, read).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(AdminRefusal::Unknown),
+        }
+    }
+
+    fn entry(&self, prefix: &str) -> Result<(String, Entry), AdminRefusal> {
+        let book = self.0.plans.borrow();
+        let (digest, entry) = book.find(prefix).ok_or(AdminRefusal::NotFound)?;
+        Ok((digest.clone(), entry.clone()))
+    }
+
+    fn show(&self, prefix: &str) -> Result<PlanView, AdminRefusal> {
+        let (digest, entry) = self.entry(prefix)?;
+        let state = entry.state(&digest, &self.0.config.borrow());
+        Ok(PlanView { digest, author: entry.author, state, plan: entry.plan })
+    }
+
+    fn plans(&self) -> Vec<PlanSummary> {
+        let (book, config) = (self.0.plans.borrow(), self.0.config.borrow());
+        let summary = |(digest, entry): (&String, &Entry)| PlanSummary {
+            digest: digest.clone(),
+            author: entry.author.clone(),
+            state: entry.state(digest, &config),
+            made_at: entry.plan.made_at,
+            hourly_cost: entry.plan.cost.expected,
+        };
+        book.plans().into_iter().map(summary).collect()
+    }
+
+    async fn confirm(&self, operator: Operator, prefix: &str) -> Result<Confirmed, AdminRefusal> {
+        let (digest, entry) = self.entry(prefix)?;
+        let offers = self.offers().await?;
+        let mut winner = Revision(0);
+        for _ in 0..CONFIRM_ATTEMPTS {
+            let base = {
+                let config = self.0.config.borrow();
+                if config.plan.as_ref().is_some_and(|plan| plan.digest == digest) {
+                    return Ok(Confirmed { revision: config.revision });
+                }
+                check_confirmation(&entry, &config, &offers)
+                    .map_err(|stale| AdminRefusal::Stale { stale })?;
+                config.revision
+            };
+            let plan = entry.plan.confirmed_by(operator.clone());
+            let change = Change::ConfirmPlan { plan };
+            let published = self.0.publisher.publish(base, operator.clone(), change).await;
+            match published {
+                Outcome::Conflict { winner: revision } => {
+                    winner = revision;
+                    self.wait_for_revision(revision).await;
+                }
+                outcome => {
+                    log::info!("event=plan_confirmed digest={digest} outcome={outcome:?}");
+                    return settled(outcome);
+                }
+            }
+        }
+        Err(AdminRefusal::Conflict { winner })
+    }
+
+    async fn wait_for_revision(&self, revision: Revision) {
+        let mut config = self.0.config.clone();
+        let reached = config.wait_for(|config| config.revision >= revision);
+        // Without it, the next attempt conflicts again.
+        let _ = tokio::time::timeout(READ_BACK_TIMEOUT, reached).await;
+    }
+
+    async fn reject(&self, operator: Operator, prefix: &str) -> Result<(), AdminRefusal> {
+        let (digest, _) = self.entry(prefix)?;
+        let at = self.0.context.clock().utc();
+        self.append(&PlanRecord::Rejected { digest, operator, at }).await
+    }
+
+    async fn change(
+        &self,
+        operator: Operator,
+        request: ChangeRequest,
+    ) -> Result<Confirmed, AdminRefusal> {
+        if matches!(request.change, Change::ConfirmPlan { .. }) {
+            let mut problems = Problems::new();
+            problems.add("change.kind", "confirm_plan", "a confirmation of a plan that was shown");
+            return Err(AdminRefusal::Invalid { problems });
+        }
+        settled(self.0.publisher.publish(request.base, operator, request.change).await)
+    }
+
+    async fn status(&self) -> Result<StatusView, AdminRefusal> {
+        let offers = self.offers().await?;
+        let running = self.0.context.cloud().running().await;
+        let running = running.map_err(|error| unavailable(format!("cloud: {error}")))?.running;
+        let price = |start: &spindle_cloud::StartRequest| {
+            let offer = offers.iter().find(|offer| {
+                offer.data_centre == start.data_centre
+                    && offer.class == start.class
+                    && offer.market == start.market
+            });
+            offer.map_or(Money(0), |offer| offer.hourly_price)
+        };
+        let spend = running.iter().map(|running| price(&running.start)).sum();
+        let config = Arc::clone(&self.0.config.borrow());
+        let members = Arc::clone(&self.0.members.borrow());
+        let current = members.iter().filter(|member| member.revision >= config.revision);
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        Ok(StatusView {
+            running: count(running.len()),
+            hourly_spend: spend,
+            daemons_current: count(current.count()),
+            daemons: count(members.len()),
+            open_plans: self.open_plans(),
+            ..plan_status(&config)
+        })
+    }
+
+    fn open_plans(&self) -> Vec<String> {
+        let open = self.plans().into_iter().filter(|plan| plan.state == PlanState::Open);
+        open.map(|plan| plan.digest).collect()
+    }
+}
+
+fn plan_status(config: &Configuration) -> StatusView {
+    let plan = config.plan.as_ref();
+    StatusView {
+        revision: config.revision,
+        plan: plan.map(|plan| plan.digest.clone()),
+        operator: plan.map(|plan| plan.operator.clone()),
+        hourly_cost: plan.map(|plan| plan.hourly_cost),
+        hourly_limit: plan.map(|plan| plan.envelope.hourly_spend),
+        wanted: plan.map_or(0, |plan| plan.placements.iter().map(|p| p.count).sum()),
+        ..StatusView::default()
+    }
+}
+
+fn settled(outcome: Outcome) -> Result<Confirmed, AdminRefusal> {
+    match outcome {
+        Outcome::Accepted { revision } => Ok(Confirmed { revision }),
+        Outcome::Conflict { winner } => Err(AdminRefusal::Conflict { winner }),
+        Outcome::Invalid { problems } => Err(AdminRefusal::Invalid { problems }),
+        Outcome::Unavailable => Err(unavailable("the log can't be reached".to_owned())),
+        Outcome::Unknown => Err(AdminRefusal::Unknown),
+    }
+}
+
+const fn unavailable(text: String) -> AdminRefusal {
+    AdminRefusal::Unavailable { text }
+}
+
+fn ok<T: Serialize>(value: &T) -> Response<Body> {
+    json(StatusCode::OK, value)
+}
+
+async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, AdminRefusal> {
+    let body = request.into_body();
+    read_json(body, REQUEST_MAX_BYTES, REQUEST_TIMEOUT).await.map_err(|error| {
+        let mut problems = Problems::new();
+        problems.add("body", error, "a JSON document as the API describes");
+        AdminRefusal::Invalid { problems }
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,9 +1,11 @@
 //! The command line.
 
 mod load;
+mod operate;
 mod standin;
 
 use self::load::LoadArguments;
+use self::operate::OperateCommand;
 use self::standin::StandinArguments;
 use crate::context::LiveContext;
 use crate::daemon::Daemon;
@@ -74,6 +76,9 @@
     Load(LoadArguments),
     /// Runs the stand-ins of platform and upstreams, for daemons that `serve` runs
     Standin(StandinArguments),
+    /// Works on plans and shows what is in force, through a daemon's administration API
+    #[command(flatten)]
+    Operate(OperateCommand),
     /// Prints shell completions
     Completions {
         /// The shell
@@ -137,6 +142,10 @@
             block_on(arguments.execute())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Operate(command) => {
+            logs::start(level.unwrap_or(LogLevel::Error));
+            operate::execute(command)
+        }
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "bronzespindle", &mut std::io::stdout());
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
+use crate::admin::{self, Admin};
 use crate::checkpoints;
 use crate::claims::{self, Claims};
 use crate::context::Context;
@@ -7,6 +8,7 @@
 use crate::front::Front;
 use crate::lease::{self, Lease};
 use crate::members::{self, GossipService, MemberWatch};
+use crate::plans::{self, PlanWatch};
 use crate::publisher::Publisher;
 use crate::settings::Settings;
 use crate::upstreams::{self, Upstreams};
@@ -20,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 /// The pause after a failed registration.
@@ -40,6 +43,8 @@
     pub follower: Follower,
     /// Publishes changes of the configuration.
     pub publisher: Publisher<C>,
+    /// The plans that wait for a confirmation.
+    pub plans: PlanWatch,
     /// The lease of the single actor.
     pub lease: Lease,
     /// The router.
@@ -58,6 +63,7 @@
     shared: Arc<Shared<C>>,
     caller: SocketAddr,
     peer: SocketAddr,
+    admin: Option<SocketAddr>,
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
@@ -82,15 +88,11 @@
         let drain = refusing.signal();
         let publisher =
             Publisher::new(context.clone(), follower.clone(), settings.state.publish_timeout.get());
-        let state = &settings.state;
-        let (lease, leasing) = lease::start(context.clone(), state, incarnation, drain.clone());
-        let retention = state.retention.get();
-        let checkpoints =
-            checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
-        let following = vec![following, checkpoints];
-        let (listener, caller) = bind(settings.caller.listen)
-            .await
-            .wrap_err_with(|| format!("caller.listen {}", settings.caller.listen))?;
+        let (lease, leasing, checkpoints) =
+            start_lease(&context, &settings, incarnation, drain.clone(), &follower);
+        let (plans, planning) = plans::start(context.clone());
+        let following = vec![following, checkpoints, planning];
+        let (listener, caller) = bind_callers(&settings).await?;
         let listen = settings.peer.listen;
         let gossip =
             GossipService::new(settings.identity.instance.clone(), incarnation, config.clone());
@@ -108,6 +110,7 @@
             config,
             follower,
             publisher,
+            plans,
             lease,
             upstreams,
             members,
@@ -117,14 +120,20 @@
         let (peer, rpc) = start_server(listen, gossip.into_rpc())
             .await
             .wrap_err_with(|| format!("peer.listen {listen}"))?;
-        let limits = ServerLimits {
-            connections: usize::try_from(shared.settings.caller.connections).unwrap_or(usize::MAX),
-            ..ServerLimits::default()
+        let serving = start_front(&shared, listener, closing.signal());
+        let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
+        let daemon = Self {
+            shared,
+            caller,
+            peer,
+            admin,
+            closing,
+            refusing,
+            serving,
+            following,
+            leasing,
+            rpc,
         };
-        let front = Front(Arc::clone(&shared));
-        let serving = tokio::spawn(serve(listener, front, limits, closing.signal()));
-        let daemon =
-            Self { shared, caller, peer, closing, refusing, serving, following, leasing, rpc };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
         Ok(daemon)
@@ -140,6 +149,11 @@
         self.peer
     }
 
+    /// Where operators are served, if they are.
+    pub const fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
     /// What the tasks share.
     pub const fn shared(&self) -> &Arc<Shared<C>> {
         &self.shared
@@ -186,6 +200,37 @@
     }
 }
 
+/// Competes for the lease, and appends checkpoints while holding it.
+fn start_lease<C: Context>(
+    context: &C,
+    settings: &Settings,
+    own: Incarnation,
+    drain: Drain,
+    follower: &Follower,
+) -> (Lease, JoinHandle<()>, JoinHandle<()>) {
+    let state = &settings.state;
+    let (lease, leasing) = lease::start(context.clone(), state, own, drain);
+    let retention = state.retention.get();
+    let checkpoints =
+        checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
+    (lease, leasing, checkpoints)
+}
+
+async fn bind_callers(settings: &Settings) -> eyre::Result<(TcpListener, SocketAddr)> {
+    let listen = settings.caller.listen;
+    bind(listen).await.wrap_err_with(|| format!("caller.listen {listen}"))
+}
+
+fn start_front<C: Context>(
+    shared: &Arc<Shared<C>>,
+    listener: TcpListener,
+    closing: Drain,
+) -> JoinHandle<()> {
+    let connections = usize::try_from(shared.settings.caller.connections).unwrap_or(usize::MAX);
+    let limits = ServerLimits { connections, ..ServerLimits::default() };
+    tokio::spawn(serve(listener, Front(Arc::clone(shared)), limits, closing))
+}
+
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,7 +1,7 @@
 //! A whole deployment in one process, to look at or to check its promises once.
 
 use crate::client::{CallerClient, ChatStream, ServiceCall};
-use crate::deployment::{Deployment, Example, UpstreamStandin};
+use crate::deployment::{DEMO_OPERATOR_KEY, Deployment, Example, UpstreamStandin};
 use eyre::{bail, ensure, eyre};
 use http::{Method, StatusCode};
 use spindle_standin::{EngineModel, whole_answer};
@@ -76,6 +76,9 @@
         let identity = &daemon.shared().settings.identity;
         let address = daemon.caller_address();
         println!("daemon    http://{address} ({} in {})", identity.instance, identity.data_centre);
+        if let Some(admin) = daemon.admin_address() {
+            println!("admin     {admin} (key {DEMO_OPERATOR_KEY})");
+        }
     }
     if let Some(daemon) = deployment.daemons.first() {
         println!("\ncurl -N http://{}/v1/chat/completions \\", daemon.caller_address());
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -4,26 +4,26 @@
 use crate::daemon::Daemon;
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
-    CallerSettings, DrainSettings, IdentitySettings, PeerSettings, PlatformSettings, Settings,
-    check_document,
+    CallerSettings, DrainSettings, IdentitySettings, OperatorSettings, PeerSettings,
+    PlatformSettings, Settings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::value::to_raw_value;
-use spindle_cloud::Running;
+use spindle_cloud::{Offer, Running};
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::membership::Member;
 use spindle_standin::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
-use spindle_types::config::{Change, FencingCheck, Market, PoolSpec, TeamSpec};
+use spindle_types::config::{Change, FencingCheck, KeyHash, Market, PoolSpec, TeamSpec};
 use spindle_types::{
     ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Operator, Pool, Region,
     Revision, Size, Span, Team, UtcInstant,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -36,6 +36,12 @@
 /// The machine class of every instance of a deployment.
 const CLASS: &str = "standin";
 
+/// The operator of a deployment.
+pub const DEMO_OPERATOR: &str = "ana";
+
+/// The key of the operator of a deployment.
+pub const DEMO_OPERATOR_KEY: &str = "ana-key";
+
 /// How long a deployment may take to get ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -77,6 +83,27 @@
         Ok(check_document(text)?)
     }
 
+    /// What the cloud stand-in sells.
+    ///
+    /// # Errors
+    ///
+    /// The example holds mistakes.
+    pub fn offers(self) -> eyre::Result<Vec<Offer>> {
+        let text = match self {
+            Self::Vendimia => include_str!("../examples/vendimia/offers.yaml"),
+            Self::Kanem => include_str!("../examples/kanem/offers.yaml"),
+        };
+        Ok(serde_norway::from_str(text)?)
+    }
+
+    /// The intent of its operators, in YAML.
+    pub const fn intent(self) -> &'static str {
+        match self {
+            Self::Vendimia => include_str!("../examples/vendimia/intent.yaml"),
+            Self::Kanem => include_str!("../examples/kanem/intent.yaml"),
+        }
+    }
+
     /// The region.
     pub const fn region(self) -> &'static str {
         match self {
@@ -208,6 +235,7 @@
         let log = LogStandin::start().await?;
         let (platform, events) = PlatformStandin::start().await?;
         let weights = WeightsStandin::start(WEIGHT_READ_INTERVAL, Size::from_mib(1_024)).await?;
+        platform.set_offers(example.offers()?);
         publish(&log, &configuration)?;
         let (fleet, launched) = (Fleet::default(), Fleet::default());
         let launcher = Launcher {
@@ -277,6 +305,13 @@
                 notice_interval: Span::from_millis(100),
             },
             drain: DrainSettings { linger: Span::from_millis(400) },
+            operator: OperatorSettings {
+                listen: Some(free_port),
+                keys: BTreeMap::from([(
+                    Operator::try_from(DEMO_OPERATOR)?,
+                    BTreeSet::from([KeyHash::of(DEMO_OPERATOR_KEY)]),
+                )]),
+            },
             ..Settings::new(identity, platform)
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! bronzespindle serves language models and companion services on reclaimable instances.
 
 pub mod addresses;
+pub mod admin;
 pub mod call;
 pub mod checkpoints;
 pub mod claims;
@@ -23,9 +24,11 @@
 pub mod metrics;
 pub mod mix;
 pub mod once;
+pub mod plans;
 pub mod process;
 pub mod publisher;
 pub mod reply;
 pub mod settings;
+mod show;
 pub mod standins;
 pub mod upstreams;
--- /dev/null
+++ b/src/plans.rs
@@ -0,0 +1,71 @@
+//! Follows the stream of plans, and publishes to it.
+
+use crate::context::Context;
+use crate::follower::stream_name;
+use spindle_log::{AppendError, Log, ReadError};
+use spindle_policy::proposal::{PlanBook, PlanRecord};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// The stream that holds the plans.
+pub const PLAN_STREAM: &str = "plans";
+
+/// How long a read waits for the first record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+
+/// The pause after a failed read.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// The newest plans, as far as they have been read.
+pub type PlanWatch = watch::Receiver<Arc<PlanBook>>;
+
+/// Starts to follow the stream.
+pub fn start<C: Context>(context: C) -> (PlanWatch, JoinHandle<()>) {
+    let (sender, receiver) = watch::channel(Arc::default());
+    (receiver, tokio::spawn(run(context, sender)))
+}
+
+/// Appends a record. An append that was not acknowledged is not repeated: the book shows whether
+/// it was made.
+///
+/// # Errors
+///
+/// Nothing was appended, or it is not known.
+pub async fn append<C: Context>(context: &C, record: &PlanRecord) -> Result<(), AppendError> {
+    context.log().append_value(&stream_name(PLAN_STREAM), record).await.map(|_| ())
+}
+
+async fn run<C: Context>(context: C, sender: watch::Sender<Arc<PlanBook>>) {
+    while !sender.is_closed() {
+        if let Err(error) = read(&context, &sender).await {
+            log::warn!("event=plans_read_failed error={:?}", error.to_string());
+            tokio::time::sleep(READ_RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn read<C: Context>(
+    context: &C,
+    sender: &watch::Sender<Arc<PlanBook>>,
+) -> Result<(), ReadError> {
+    let next = sender.borrow().next();
+    let batch = context.log().read(&stream_name(PLAN_STREAM), next, READ_WAIT).await?;
+    if batch.records.is_empty() {
+        return Ok(());
+    }
+    sender.send_modify(|book| {
+        let book = Arc::make_mut(book);
+        for record in batch.records {
+            match serde_json::from_str(record.body.get()) {
+                Ok(body) => book.on_record(record.offset, body),
+                Err(error) => {
+                    log::warn!("event=plan_invalid offset={} error={error:?}", record.offset);
+                    book.skip(record.offset);
+                }
+            }
+        }
+    });
+    Ok(())
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 mod load;
 mod logs;
 mod metrics;
+mod operator;
 mod peer;
 mod platform;
 mod routing;
@@ -23,6 +24,7 @@
 pub use load::{LoadError, check_document, load, schema};
 pub use logs::{LogLevel, LogSettings};
 pub use metrics::MetricsSettings;
+pub use operator::OperatorSettings;
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
 pub use routing::RoutingSettings;
@@ -59,6 +61,9 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
+    /// How operators are served.
+    #[serde(default)]
+    pub operator: OperatorSettings,
     /// What is logged.
     #[serde(default)]
     pub logs: LogSettings,
@@ -79,6 +84,7 @@
             routing: RoutingSettings::default(),
             state: StateSettings::default(),
             drain: DrainSettings::default(),
+            operator: OperatorSettings::default(),
             logs: LogSettings::default(),
             metrics: MetricsSettings::default(),
         }
@@ -93,6 +99,7 @@
         self.routing.check(&mut problems);
         self.state.check(&mut problems);
         self.drain.check(&mut problems);
+        self.operator.check(&mut problems);
         problems
     }
 }
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,32 @@
+//! Settings of the administration API.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use spindle_types::config::KeyHash;
+use spindle_types::{Operator, Problems};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// How operators are served.
+#[derive(Clone, Debug, Default, JsonSchema, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// The address of the administration API; none serves none.
+    #[schemars(schema_with = "super::load::optional_address_schema")]
+    pub listen: Option<SocketAddr>,
+    /// Hashes of each operator's bearer keys.
+    pub keys: BTreeMap<Operator, BTreeSet<KeyHash>>,
+}
+
+impl OperatorSettings {
+    /// The operator who owns a key, given the key's hash.
+    pub fn operator_by_key(&self, hash: &KeyHash) -> Option<&Operator> {
+        self.keys.iter().find(|(_, keys)| keys.contains(hash)).map(|(operator, _)| operator)
+    }
+
+    pub(super) fn check(&self, problems: &mut Problems) {
+        if self.listen.is_some() && self.keys.is_empty() {
+            problems.add("operator.keys", "none", "at least one key, or no operator.listen");
+        }
+    }
+}
--- /dev/null
+++ b/src/show.rs
@@ -0,0 +1,186 @@
+//! Plans and status as operators read them.
+
+use spindle_operator::{PlanSummary, PlanView, StatusView};
+use spindle_policy::plan::{Difference, PoolOutlook, PricedPlacement};
+use spindle_policy::proposal::Author;
+use std::fmt::Write;
+use tabled::settings::Style;
+use tabled::{Table, Tabled};
+
+/// The digits of a digest that are shown in lists.
+const SHORT_DIGEST: usize = 12;
+
+#[derive(Tabled)]
+struct PlacementRow {
+    pool: String,
+    #[tabled(rename = "data centre")]
+    data_centre: String,
+    class: String,
+    market: String,
+    count: u32,
+    #[tabled(rename = "price/h")]
+    price: String,
+}
+
+impl From<&PricedPlacement> for PlacementRow {
+    fn from(priced: &PricedPlacement) -> Self {
+        let placement = &priced.placement;
+        Self {
+            pool: placement.pool.to_string(),
+            data_centre: placement.data_centre.to_string(),
+            class: placement.class.to_string(),
+            market: placement.market.to_string(),
+            count: placement.count,
+            price: priced.hourly_price.to_string(),
+        }
+    }
+}
+
+#[derive(Tabled)]
+struct OutlookRow {
+    pool: String,
+    need: String,
+    capacity: String,
+    attainment: String,
+    #[tabled(rename = "worst loss")]
+    worst_loss: String,
+    #[tabled(rename = "capacity left")]
+    capacity_left: String,
+    #[tabled(rename = "attainment left")]
+    attainment_left: String,
+}
+
+impl From<&PoolOutlook> for OutlookRow {
+    fn from(outlook: &PoolOutlook) -> Self {
+        let percent = |share: spindle_types::Share| format!("{:.2}%", share.get() * 100.0);
+        Self {
+            pool: outlook.pool.to_string(),
+            need: format!("{:.1}/s", outlook.need),
+            capacity: format!("{:.1}/s", outlook.capacity),
+            attainment: percent(outlook.attainment),
+            worst_loss: outlook.worst_loss.to_string(),
+            capacity_left: format!("{:.1}/s", outlook.capacity_left),
+            attainment_left: percent(outlook.attainment_left),
+        }
+    }
+}
+
+#[derive(Tabled)]
+struct SummaryRow {
+    plan: String,
+    state: String,
+    made: String,
+    #[tabled(rename = "cost/h")]
+    cost: String,
+    author: String,
+}
+
+impl From<&PlanSummary> for SummaryRow {
+    fn from(summary: &PlanSummary) -> Self {
+        Self {
+            plan: short(&summary.digest).to_owned(),
+            state: summary.state.to_string(),
+            made: summary.made_at.to_string(),
+            cost: summary.hourly_cost.to_string(),
+            author: author(&summary.author),
+        }
+    }
+}
+
+/// A plan with its cost, its outlook, its envelope and what it changes.
+pub(crate) fn plan(view: &PlanView) -> String {
+    let plan = &view.plan;
+    let mut text = format!("plan {} ({}, by {})\n", view.digest, view.state, author(&view.author));
+    line(&mut text, &table(plan.placements.iter().map(PlacementRow::from)));
+    line(&mut text, &table(plan.pools.iter().map(OutlookRow::from)));
+    let cost = plan.cost;
+    line(
+        &mut text,
+        &format!(
+            "cost an hour: {} expected; {} with nothing reclaimed, {} in 95 of 100 hours",
+            cost.expected, cost.quiet, cost.high
+        ),
+    );
+    let envelope = &plan.envelope;
+    let on_demand = if envelope.on_demand { "allowed" } else { "not allowed" };
+    line(
+        &mut text,
+        &format!(
+            "envelope: at most {} an hour; replacements in {}; on {}; on demand {on_demand}",
+            envelope.hourly_spend,
+            joined(&envelope.data_centres),
+            joined(&envelope.classes),
+        ),
+    );
+    match plan.differences.as_slice() {
+        [] => line(&mut text, "changes nothing"),
+        differences => differences.iter().for_each(|d| line(&mut text, &difference(d))),
+    }
+    text
+}
+
+fn difference(difference: &Difference) -> String {
+    let placement = &difference.placement;
+    format!(
+        "change: {} in {} on {} ({}): {} -> {}",
+        placement.pool,
+        placement.data_centre,
+        placement.class,
+        placement.market,
+        difference.before,
+        placement.count
+    )
+}
+
+/// One line for each plan.
+pub(crate) fn plans(summaries: &[PlanSummary]) -> String {
+    table(summaries.iter().map(SummaryRow::from))
+}
+
+/// What is in force and what runs.
+pub(crate) fn status(status: &StatusView) -> String {
+    let mut text = format!(
+        "revision {} at {} of {} daemons\n",
+        status.revision, status.daemons_current, status.daemons
+    );
+    match (&status.plan, &status.operator, status.hourly_cost, status.hourly_limit) {
+        (Some(plan), Some(operator), Some(cost), Some(limit)) => line(
+            &mut text,
+            &format!(
+                "plan {} confirmed by {operator}: {cost} an hour, at most {limit}",
+                short(plan)
+            ),
+        ),
+        _ => line(&mut text, "no plan is in force"),
+    }
+    line(&mut text, &format!("instances: {} of {} wanted", status.running, status.wanted));
+    line(&mut text, &format!("spend: {} an hour", status.hourly_spend));
+    for plan in &status.open_plans {
+        line(&mut text, &format!("plan {} waits for a confirmation", short(plan)));
+    }
+    text
+}
+
+fn author(author: &Author) -> String {
+    match author {
+        Author::Operator { operator } => operator.to_string(),
+        Author::System { reason } => format!("the system: {reason}"),
+    }
+}
+
+fn short(digest: &str) -> &str {
+    digest.get(..SHORT_DIGEST).unwrap_or(digest)
+}
+
+fn joined<T: ToString>(names: &std::collections::BTreeSet<T>) -> String {
+    names.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
+
+fn table<R: Tabled>(rows: impl Iterator<Item = R>) -> String {
+    Table::new(rows).with(Style::psql()).to_string()
+}
+
+fn line(text: &mut String, content: &str) {
+    // Writing to a string can't fail.
+    let _ = writeln!(text, "{content}");
+}
