--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 mod load;
 mod logs;
 mod metrics;
+mod operator;
 mod peer;
 mod platform;
 mod routing;
@@ -24,6 +25,7 @@
 pub use load::{LoadError, check_document, load, schema};
 pub use logs::{LogLevel, LogSettings};
 pub use metrics::MetricsSettings;
+pub use operator::OperatorSettings;
 pub use peer::PeerSettings;
 pub use platform::PlatformSettings;
 pub use routing::RoutingSettings;
@@ -64,6 +66,9 @@
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
+    /// How operators are served.
+    #[serde(default)]
+    pub operator: OperatorSettings,
     /// What is logged.
     #[serde(default)]
     pub logs: LogSettings,
@@ -85,6 +90,7 @@
             state: StateSettings::default(),
             survival: SurvivalSettings::default(),
             drain: DrainSettings::default(),
+            operator: OperatorSettings::default(),
             logs: LogSettings::default(),
             metrics: MetricsSettings::default(),
         }
@@ -100,6 +106,7 @@
         self.state.check(&mut problems);
         self.survival.check(&mut problems);
         self.drain.check(&mut problems);
+        self.operator.check(&mut problems);
         problems
     }
 }
