feat(experiment): load with faults against each strategy, promises and measures as tables

One YAML file and one command an experiment: reclaim and loss of a data centre, overload, log outage, a flood, replacement of all daemons, a price shock. Daemons run on threads of their own, so that their processor time is told from that of the stand-ins. `experiment headline` runs them all. Lines are fitted with their error by `experiment fit`.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -39,6 +39,8 @@
     pub prefilled: u64,
     /// Tokens generated.
     pub generated: u64,
+    /// The time for which it computed.
+    pub busy: Duration,
 }
 
 #[derive(Debug)]
@@ -109,6 +111,7 @@
             started: self.state.started.load(Ordering::Relaxed),
             prefilled: self.state.prefilled.load(Ordering::Relaxed),
             generated: self.state.generated.load(Ordering::Relaxed),
+            busy: self.state.scheduler.busy(),
         }
     }
 
--- a/crates/standin/src/engine/scheduler.rs
+++ b/crates/standin/src/engine/scheduler.rs
@@ -34,6 +34,7 @@
     /// Past counts with their times, the oldest of which is the one reported.
     history: VecDeque<(Instant, Counts)>,
     load_lag: Duration,
+    busy: Duration,
 }
 
 /// A batch whose steps are run in time; dropping it stops it.
@@ -52,6 +53,7 @@
             outputs: HashMap::new(),
             history: VecDeque::from([(Instant::now(), Counts::default())]),
             load_lag: model.load_lag,
+            busy: Duration::ZERO,
         }));
         let work = Arc::new(Notify::new());
         let task = tokio::spawn(run(Arc::clone(&inner), Arc::clone(&work)));
@@ -74,6 +76,11 @@
         lock(&self.inner).batch.cache().events(Instant::now(), from)
     }
 
+    /// The time for which steps have run.
+    pub(super) fn busy(&self) -> Duration {
+        lock(&self.inner).busy
+    }
+
     /// A report of the load some time ago; `loaded` tells what is loaded.
     pub(super) fn load(&self, loaded: Load) -> Load {
         let now = Instant::now();
@@ -159,6 +166,8 @@
         };
         step_end += time;
         tokio::time::sleep_until(step_end).await;
-        lock(&inner).finish_step(step_end);
+        let mut inner = lock(&inner);
+        inner.busy += time;
+        inner.finish_step(step_end);
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,8 +1,10 @@
 //! The command line.
 
+mod experiment;
 mod load;
 mod standin;
 
+use self::experiment::ExperimentArguments;
 use self::load::LoadArguments;
 use self::standin::StandinArguments;
 use crate::context::LiveContext;
@@ -72,6 +74,8 @@
     },
     /// Offers load on a fixed schedule and checks every answer
     Load(LoadArguments),
+    /// Runs an experiment and prints its table
+    Experiment(ExperimentArguments),
     /// Runs the stand-ins of platform and upstreams, for daemons that `serve` runs
     Standin(StandinArguments),
     /// Prints shell completions
@@ -132,6 +136,11 @@
             block_on(arguments.execute())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Experiment(arguments) => {
+            logs::start(level.unwrap_or(LogLevel::Off));
+            block_on(arguments.execute())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Standin(arguments) => {
             logs::start(level.unwrap_or(LogLevel::Error));
             block_on(arguments.execute())?;
--- /dev/null
+++ b/src/cli/experiment.rs
@@ -0,0 +1,107 @@
+//! The subcommand `experiment`.
+
+use crate::experiment::{headline, print, read, run};
+use crate::fit::{Line, points};
+use crate::load::Progress;
+use crate::process::Sampler;
+use clap::{Args, Subcommand};
+use eyre::WrapErr;
+use serde_json::json;
+use spindle_types::Span;
+use std::path::PathBuf;
+
+/// Which experiment.
+#[derive(Debug, Args)]
+pub(super) struct ExperimentArguments {
+    #[command(subcommand)]
+    experiment: Experiment,
+}
+
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// Runs one experiment
+    Run {
+        /// The experiment, in YAML
+        file: PathBuf,
+        /// Prints one line of JSON a run
+        #[arg(long)]
+        json: bool,
+    },
+    /// Runs every experiment of the repository and prints the headline table
+    Headline,
+    /// Reads what a process uses over a while, as one line of JSON
+    Usage {
+        /// The process
+        #[arg(long, value_name = "PID")]
+        process: u32,
+        /// For how long
+        #[arg(long, default_value = "10s")]
+        duration: Span,
+        /// The size that was varied, repeated in the output
+        #[arg(long, default_value_t = 0.0)]
+        size: f64,
+    },
+    /// Fits a straight line through lines of JSON
+    Fit {
+        /// The lines
+        file: PathBuf,
+        /// The JSON pointer of the place
+        #[arg(long, default_value = "/size")]
+        x: String,
+        /// The JSON pointer of the value
+        #[arg(long)]
+        y: String,
+        /// A place at which the line is evaluated
+        #[arg(long)]
+        at: Option<f64>,
+    },
+}
+
+impl ExperimentArguments {
+    /// Does what is asked for.
+    ///
+    /// # Errors
+    ///
+    /// A file holds mistakes, or a deployment does not start.
+    pub(super) async fn execute(self) -> eyre::Result<()> {
+        match self.experiment {
+            Experiment::Run { file, json } => {
+                let settings = read(&file)?;
+                let outcomes = run(&settings, Progress::Shown).await?;
+                if !json {
+                    print(&settings, &outcomes);
+                    return Ok(());
+                }
+                for outcome in outcomes {
+                    println!("{}", serde_json::to_string(&outcome)?);
+                }
+                Ok(())
+            }
+            Experiment::Headline => headline(Progress::Shown).await,
+            Experiment::Usage { process, duration, size } => {
+                let sampler = Sampler::start(process)?;
+                tokio::time::sleep(duration.get()).await;
+                println!("{}", json!({ "size": size, "process": sampler.finish()? }));
+                Ok(())
+            }
+            Experiment::Fit { file, x, y, at } => fit(&file, &x, &y, at),
+        }
+    }
+}
+
+fn fit(file: &PathBuf, x: &str, y: &str, at: Option<f64>) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let points = points(&text, x, y)?;
+    for (x, y) in &points {
+        println!("{x} {y}");
+    }
+    let line = Line::fit(&points)?;
+    let Line { intercept, slope, slope_error, determination } = line;
+    println!(
+        "intercept {intercept:.6} slope {slope:.6e} ± {slope_error:.1e} R² {determination:.4}"
+    );
+    if let Some(at) = at {
+        println!("at {at}: {:.6}", line.at(at));
+    }
+    Ok(())
+}
--- a/src/cli/load.rs
+++ b/src/cli/load.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{Deployment, Example};
 use crate::load::{self, LoadReport, Progress, Run, Targets};
-use crate::process::{ProcessReport, Usage};
+use crate::process::Sampler;
 use crate::settings::{TrafficSettings, check_document};
 use clap::Args;
 use eyre::WrapErr;
@@ -10,7 +10,6 @@
 use spindle_types::{Configuration, Problems, Span};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
 
 /// What load to offer, and to whom.
 #[derive(Debug, Args)]
@@ -51,7 +50,7 @@
     /// Daemons of the deployment started in this process
     #[arg(long, default_value_t = 3, conflicts_with = "address")]
     daemons: usize,
-    /// Prints the report as JSON
+    /// Prints the report as one line of JSON
     #[arg(long)]
     json: bool,
     /// Writes a plot of latencies over time
@@ -89,43 +88,26 @@
         let traffic = self.traffic()?;
         let configuration = traffic.example.configuration()?;
         let target = load::target(&traffic, &configuration);
-        let before = self.usages()?;
-        let began = Instant::now();
+        let samplers: Vec<Sampler> =
+            self.process.iter().map(|pid| Sampler::start(*pid)).collect::<Result<_, _>>()?;
         let (run, ran) = if self.address.is_empty() {
             self.run_here(traffic).await?
         } else {
             self.run_there(traffic, &configuration).await?
         };
         let mut report = LoadReport::new(&run, target, ran.as_deref());
-        report.processes = self.process_reports(&before, began.elapsed())?;
+        report.processes = samplers.into_iter().map(Sampler::finish).collect::<Result<_, _>>()?;
         if let Some(path) = &self.plot {
             load::plot(&run, path)?;
         }
         if self.json {
-            println!("{}", serde_json::to_string_pretty(&report)?);
+            println!("{}", serde_json::to_string(&report)?);
         } else {
             load::print(&report);
         }
         Ok(())
     }
 
-    fn usages(&self) -> eyre::Result<Vec<Usage>> {
-        self.process.iter().map(|pid| Usage::of(*pid)).collect()
-    }
-
-    fn process_reports(
-        &self,
-        before: &[Usage],
-        time: Duration,
-    ) -> eyre::Result<Vec<ProcessReport>> {
-        let after = self.usages()?;
-        let readings = before.iter().zip(after).zip(&self.process);
-        let between = |((before, after), pid): ((&Usage, Usage), &u32)| {
-            ProcessReport::between(*pid, *before, after, time)
-        };
-        Ok(readings.map(between).collect())
-    }
-
     async fn run_here(&self, traffic: TrafficSettings) -> eyre::Result<(Run, Option<Vec<String>>)> {
         let deployment =
             Deployment::start(traffic.example, self.daemons, EngineModel::default()).await?;
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -4,8 +4,8 @@
 use crate::daemon::Daemon;
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
-    CallerSettings, DrainSettings, IdentitySettings, PeerSettings, PlatformSettings, Settings,
-    check_document,
+    CallerSettings, DrainSettings, IdentitySettings, PeerSettings, PlatformSettings,
+    RoutingSettings, Settings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::to_raw_value;
 use spindle_cloud::Running;
+use spindle_cloud::wire::Offer;
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::membership::Member;
 use spindle_standin::EngineModel;
@@ -20,7 +21,7 @@
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
 use spindle_types::config::{Change, FencingCheck, Market, PoolSpec, TeamSpec};
 use spindle_types::{
-    ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Operator, Pool, Region,
+    ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Money, Operator, Pool, Region,
     Revision, Size, Span, Team, UtcInstant,
 };
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use strum::Display;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 /// The interval between two reads that the weight store grants.
@@ -49,7 +51,9 @@
     Display,
     Eq,
     JsonSchema,
+    Ord,
     PartialEq,
+    PartialOrd,
     Serialize,
     ValueEnum,
 )]
@@ -147,13 +151,17 @@
     }
 }
 
-/// How large a deployment is.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// How large a deployment is, and how its daemons run.
+#[derive(Clone, Debug, Default)]
 pub struct Sizes {
     /// Daemons.
     pub daemons: usize,
     /// Engines; none takes the example's number.
     pub engines: Option<usize>,
+    /// How daemons choose upstreams.
+    pub routing: RoutingSettings,
+    /// The runtime on which daemons run; none takes that of the stand-ins.
+    pub runtime: Option<Handle>,
 }
 
 /// The upstreams by instance.
@@ -177,6 +185,10 @@
     fleet: Fleet,
     /// Every upstream ever launched, so that what a stopped one ran is still known.
     launched: Fleet,
+    /// The newest revision published here.
+    published: Mutex<Revision>,
+    routing: RoutingSettings,
+    runtime: Option<Handle>,
 }
 
 impl Deployment {
@@ -191,7 +203,7 @@
         daemons: usize,
         timing: EngineModel,
     ) -> eyre::Result<Self> {
-        Self::start_sized(example, Sizes { daemons, engines: None }, timing).await
+        Self::start_sized(example, Sizes { daemons, ..Sizes::default() }, timing).await
     }
 
     /// Starts a deployment of another size than the example's.
@@ -208,7 +220,7 @@
         let log = LogStandin::start().await?;
         let (platform, events) = PlatformStandin::start().await?;
         let weights = WeightsStandin::start(WEIGHT_READ_INTERVAL, Size::from_mib(1_024)).await?;
-        publish(&log, &configuration)?;
+        let published = Mutex::new(publish(&log, &configuration)?);
         let (fleet, launched) = (Fleet::default(), Fleet::default());
         let launcher = Launcher {
             platform: platform.clone(),
@@ -228,6 +240,9 @@
             daemons: Vec::new(),
             fleet,
             launched,
+            published,
+            routing: sizes.routing,
+            runtime: sizes.runtime,
         };
         for index in 0..sizes.daemons {
             deployment.start_daemon(index).await?;
@@ -244,7 +259,12 @@
     pub async fn start_daemon(&mut self, index: usize) -> eyre::Result<()> {
         let settings = self.settings(index)?;
         let context = LiveContext::new(&settings.platform);
-        self.daemons.push(Daemon::start(context, settings).await?);
+        let starting = Daemon::start(context, settings);
+        let daemon = match &self.runtime {
+            Some(runtime) => runtime.spawn(starting).await??,
+            None => starting.await?,
+        };
+        self.daemons.push(daemon);
         Ok(())
     }
 
@@ -276,6 +296,7 @@
                 list_interval: Span::from_millis(200),
                 notice_interval: Span::from_millis(100),
             },
+            routing: self.routing.clone(),
             drain: DrainSettings { linger: Span::from_millis(400) },
             ..Settings::new(identity, platform)
         })
@@ -303,18 +324,48 @@
         lock(&self.fleet).iter().map(|(id, upstream)| (id.clone(), upstream.clone())).collect()
     }
 
-    /// Publishes the `number`th change after the start: a new weight of a team.
+    /// Every upstream of a data centre that runs.
+    pub fn upstreams_in(&self, data_centre: &DataCentre) -> Vec<(Instance, UpstreamStandin)> {
+        let entries = self.platform.entries();
+        let here = |id: &Instance| {
+            entries.iter().any(|entry| entry.instance == *id && entry.data_centre == *data_centre)
+        };
+        self.all_upstreams().into_iter().filter(|(id, _)| here(id)).collect()
+    }
+
+    /// Every upstream ever launched, stopped ones included.
+    pub fn launched(&self) -> Vec<(Instance, UpstreamStandin)> {
+        lock(&self.launched).iter().map(|(id, upstream)| (id.clone(), upstream.clone())).collect()
+    }
+
+    /// Sets what an instance costs an hour in each data centre, in both markets.
+    pub fn set_prices(&self, prices: &BTreeMap<DataCentre, Money>) {
+        let Ok(class) = MachineClass::try_from(CLASS) else {
+            return;
+        };
+        let offers = prices.iter().flat_map(|(data_centre, price)| {
+            [Market::Reclaimable, Market::OnDemand].map(|market| Offer {
+                data_centre: data_centre.clone(),
+                class: class.clone(),
+                market,
+                hourly_price: *price,
+                available: None,
+            })
+        });
+        self.platform.set_offers(offers.collect());
+    }
+
+    /// Publishes a change of a team's weight, and returns the revision that it makes.
     ///
     /// # Errors
     ///
     /// A name is not valid.
-    pub fn publish_weight(&self, team: &Team, number: u64) -> eyre::Result<()> {
+    pub fn publish_weight(&self, team: &Team, weight: u32) -> eyre::Result<Revision> {
         let spec = self.configuration.teams.get(team).cloned().unwrap_or_default();
-        let weight = spec.weight + u32::try_from(number % 2)?;
         let change = Change::PutTeam { team: team.clone(), spec: TeamSpec { weight, ..spec } };
-        let first = self.configuration.clone().into_changes().len() as u64;
-        append(&self.log, first + number - 1, change)?;
-        Ok(())
+        let mut published = self.published.lock().unwrap_or_else(PoisonError::into_inner);
+        *published = append(&self.log, *published, change)?;
+        Ok(*published)
     }
 
     /// The names of the submissions that the plain services ran, each as often as it ran.
@@ -328,7 +379,7 @@
     }
 
     async fn wait_until_ready(&self) -> eyre::Result<()> {
-        let revision = Revision(self.configuration.clone().into_changes().len() as u64);
+        let revision = *self.published.lock().unwrap_or_else(PoisonError::into_inner);
         let ready = async {
             for daemon in &self.daemons {
                 let mut config = daemon.shared().config.clone();
@@ -353,23 +404,20 @@
     }
 }
 
-fn publish(log: &LogStandin, configuration: &Configuration) -> eyre::Result<()> {
-    for (base, change) in (0..).zip(configuration.clone().into_changes()) {
-        append(log, base, change)?;
-    }
-    Ok(())
+fn publish(log: &LogStandin, configuration: &Configuration) -> eyre::Result<Revision> {
+    let mut changes = configuration.clone().into_changes().into_iter();
+    changes.try_fold(Revision(0), |base, change| append(log, base, change))
 }
 
-fn append(log: &LogStandin, base: u64, change: Change) -> eyre::Result<()> {
+fn append(log: &LogStandin, base: Revision, change: Change) -> eyre::Result<Revision> {
     let record = ConfigRecord::Change {
-        base: Revision(base),
+        base,
         operator: Operator::try_from("demo")?,
         at: UtcInstant::default(),
-        nonce: base,
+        nonce: base.0,
         change: Box::new(change),
     };
-    log.append(CONFIG_STREAM, to_raw_value(&record)?);
-    Ok(())
+    Ok(Revision(log.append(CONFIG_STREAM, to_raw_value(&record)?).0))
 }
 
 fn lock(fleet: &Fleet) -> MutexGuard<'_, BTreeMap<Instance, UpstreamStandin>> {
--- /dev/null
+++ b/src/experiment/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use crate::settings::Fault;
+use spindle_types::Span;
+
+#[test]
+fn every_experiment_of_the_repository_is_valid() {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    let files = std::fs::read_dir(directory).unwrap().map(|entry| entry.unwrap().path());
+    let yaml: Vec<_> =
+        files.filter(|path| path.extension().is_some_and(|kind| kind == "yaml")).collect();
+    assert!(!yaml.is_empty());
+    for path in yaml {
+        if let Err(error) = read(&path) {
+            panic!("{}: {error}", path.display());
+        }
+    }
+}
+
+#[test]
+fn mistakes_are_reported_with_their_paths() {
+    let text = "
+title: x
+rates: {}
+daemons: 0
+prices: ['1.0']
+traffic: { rate: 0, kind: no-such-kind }
+faults:
+  - { at: 1s, fault: { kind: loss, data_centre: 4 } }
+";
+    let LoadError::Problems(problems) = parse(text).unwrap_err() else {
+        panic!("the document was read");
+    };
+    insta::assert_snapshot!(problems);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_lost_without_notice_breaks_no_promise() {
+    let at = Span::from_millis(500);
+    let mut settings = parse("{ title: loss, rates: { vendimia: 10 }, daemons: 2 }").unwrap();
+    settings.traffic.duration = Span::from_secs(2);
+    settings.engine.step_base = Span::from_millis(1);
+    settings.engine.step_slope = Span::default();
+    settings.faults = vec![
+        crate::settings::FaultSettings { at, fault: Fault::Loss { data_centre: 0 } },
+        crate::settings::FaultSettings { at, fault: Fault::Changes { count: 2, every: at } },
+    ];
+    let outcomes = run(&settings, Progress::Hidden).await.unwrap();
+    let [outcome] = &outcomes[..] else {
+        panic!("{outcomes:?}");
+    };
+    assert_eq!((4, 2), (outcome.caused.losses, outcome.caused.changes));
+    assert_eq!(0, outcome.configuration.reverts);
+    insta::assert_snapshot!(promises_broken(outcome));
+}
+
+/// What was broken, without the numbers of checks, which depend on time.
+fn promises_broken(outcome: &Outcome) -> String {
+    let audit = outcome.load.audit.unwrap();
+    let lost = outcome.load.ended(crate::load::End::Lost);
+    let wrong = outcome.load.ended(crate::load::End::Wrong);
+    format!(
+        "lost {lost} wrong {wrong} duplicates {} false_not_run {} missing {} late changes {}",
+        audit.duplicates, audit.false_not_run, audit.missing, outcome.caused.late_changes
+    )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,8 @@
 mod demand;
 pub mod demo;
 pub mod deployment;
+pub mod experiment;
+pub mod fit;
 pub mod follower;
 pub mod freshness;
 pub mod front;
--- a/src/load.rs
+++ b/src/load.rs
@@ -66,6 +66,8 @@
     pub settings: TrafficSettings,
     /// What became of each request.
     pub records: Vec<Record>,
+    /// The most requests in progress at once.
+    pub peak: usize,
 }
 
 /// Sends the load to the daemons that a first few addresses lead to, and waits for every answer.
@@ -85,6 +87,7 @@
     let start = Instant::now();
     let deadline = start + settings.duration.get() + settings.patience.get() + SETTLE_TIME;
     let mut tasks = JoinSet::new();
+    let mut peak = 0;
     let mut records = Vec::with_capacity(arrivals.len());
     for arrival in arrivals {
         tokio::time::sleep_until(start + arrival.at).await;
@@ -95,6 +98,7 @@
         if let Some(caller) = callers.get(&arrival.team) {
             let caller = Arc::clone(caller);
             tasks.spawn(async move { caller.send(arrival, start).await });
+            peak = peak.max(tasks.len());
         }
     }
     while let Ok(Some(ended)) = tokio::time::timeout_at(deadline, tasks.join_next()).await {
@@ -103,7 +107,7 @@
     }
     bar.finish_and_clear();
     records.sort_by_key(|record: &Record| record.at);
-    Ok(Run { settings, records })
+    Ok(Run { settings, records, peak })
 }
 
 fn callers(
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -85,6 +85,8 @@
     pub rate: f64,
     /// Requests sent.
     pub offered: u64,
+    /// The most requests in progress at once.
+    pub peak: usize,
     /// Requests by what became of them.
     pub ends: BTreeMap<End, u64>,
     /// Whole answers within the latency target.
@@ -150,6 +152,7 @@
             seed: run.settings.seed,
             rate: run.settings.rate,
             offered: records.len() as u64,
+            peak: run.peak,
             ends,
             in_target,
             goodput: in_target as f64 / seconds,
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -32,7 +32,7 @@
         record(End::Whole, Some("missing"), 5),
         record(End::Unknown, Some("unknown"), 5),
     ];
-    let run = Run { settings: TrafficSettings::default(), records };
+    let run = Run { settings: TrafficSettings::default(), records, peak: 0 };
     let ran = ["once", "twice", "twice", "ran-after-all", "unknown"].map(str::to_owned);
     let report = LoadReport::new(&run, LatencyTarget::default(), Some(&ran));
     let expected = Audit { submissions: 6, duplicates: 1, false_not_run: 1, missing: 1 };
@@ -46,7 +46,7 @@
         record(End::Whole, None, 420),
         record(End::Wrong, None, 10),
     ];
-    let run = Run { settings: TrafficSettings::default(), records };
+    let run = Run { settings: TrafficSettings::default(), records, peak: 0 };
     let report = LoadReport::new(&run, LatencyTarget::default(), None);
     assert_eq!(report.in_target, 1);
     assert_eq!(report.ended(End::Wrong), 1);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod claim;
 mod drain;
+mod experiment;
 mod identity;
 mod load;
 mod logs;
@@ -19,6 +20,7 @@
 pub use caller::CallerSettings;
 pub use claim::ClaimSettings;
 pub use drain::DrainSettings;
+pub use experiment::{EngineSettings, ExperimentSettings, Fault, FaultSettings};
 pub use identity::IdentitySettings;
 pub use load::{LoadError, check_document, load, schema};
 pub use logs::{LogLevel, LogSettings};
--- a/src/standins.rs
+++ b/src/standins.rs
@@ -10,6 +10,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+/// The highest weight that is published.
+const WEIGHT_MAX: u32 = 8;
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -36,7 +39,7 @@
 ///
 /// A port can't be bound or a file can't be written.
 pub async fn stay(plan: Plan) -> eyre::Result<()> {
-    let sizes = Sizes { daemons: plan.inside, engines: plan.engines };
+    let sizes = Sizes { daemons: plan.inside, engines: plan.engines, ..Sizes::default() };
     let deployment = Deployment::start_sized(plan.example, sizes, plan.timing).await?;
     for index in 0..plan.outside {
         let settings = outside_settings(&deployment, plan.inside + index)?;
@@ -85,13 +88,13 @@
     }
     let mut teams: Vec<Team> = deployment.configuration.teams.keys().cloned().collect();
     let mut interval = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
-    let mut number = 0;
+    let mut weight = 0;
     loop {
         interval.tick().await;
         teams.rotate_left(1);
-        number += 1;
+        weight = weight % WEIGHT_MAX + 1;
         if let Some(team) = teams.first() {
-            deployment.publish_weight(team, number)?;
+            deployment.publish_weight(team, weight)?;
         }
     }
 }
