--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -41,6 +41,8 @@
     pub prefilled: u64,
     /// Tokens generated.
     pub generated: u64,
+    /// The time for which it computed.
+    pub busy: Duration,
 }
 
 #[derive(Debug)]
@@ -120,6 +122,7 @@
             started: self.state.started.load(Ordering::Relaxed),
             prefilled: self.state.prefilled.load(Ordering::Relaxed),
             generated: self.state.generated.load(Ordering::Relaxed),
+            busy: self.state.scheduler.busy(),
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,9 +1,11 @@
 //! The command line.
 
+mod experiment;
 mod load;
 mod operate;
 mod standin;
 
+use self::experiment::ExperimentArguments;
 use self::load::LoadArguments;
 use self::operate::OperateCommand;
 use self::standin::StandinArguments;
@@ -74,6 +76,8 @@
     },
     /// Offers load on a fixed schedule and checks every answer
     Load(LoadArguments),
+    /// Runs an experiment and prints its table
+    Experiment(ExperimentArguments),
     /// Runs the stand-ins of platform and upstreams, for daemons that `serve` runs
     Standin(StandinArguments),
     /// Works on plans and shows what is in force, through a daemon's administration API
@@ -137,6 +141,11 @@
             block_on(arguments.execute())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Experiment(arguments) => {
+            logs::start(level.unwrap_or(LogLevel::Off));
+            block_on(arguments.execute())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Standin(arguments) => {
             logs::start(level.unwrap_or(LogLevel::Error));
             block_on(arguments.execute())?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod demo;
 pub mod deployment;
 pub mod evacuation;
+pub mod experiment;
+pub mod fit;
 pub mod follower;
 pub mod freshness;
 pub mod front;
