feat: heartbeats over kept connections, partial views, leaving marks, delta exchange

Cause: every daemon opened a new HTTP connection to every other one at each heartbeat; leaving marks and newer configuration did not travel between peers; a daemon that was cut off served on with an old configuration. Change: rosters of items that merge in any order; a ring and a chord within a data centre, two gateway links to each other one; suspicion that the suspect contradicts; full push, delta push and two-level digests behind one trait. What is urgent is sent at once. A daemon cut off alone refuses as stale.

--- /dev/null
+++ b/crates/policy/examples/exchange.rs
@@ -0,0 +1,390 @@
+//! Measures the ways in which daemons exchange state, on one seeded workload in virtual time:
+//! `cargo run --release -p spindle-policy --example exchange -- [SEED] [INTERVAL_MS] [MEMBERS]`.
+//!
+//! The workload: a configuration change every 11.5 s that every daemon acknowledges, a load that
+//! changes its magnitude every 10 s, the death of a daemon, a leaving mark, a partition of a
+//! region. Links lose messages as stated. Bytes are those of the JSON bodies and of the envelope.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use spindle_policy::exchange::{DeltaPush, DigestSync, Exchange, FullPush};
+use spindle_policy::membership::{Beat, Membership, PulseReach, Seed, Target, Urgency};
+use spindle_policy::roster::{Health, Key, Record};
+use spindle_types::{DataCentre, Incarnation, Instance, MonotonicInstant, Revision, UtcInstant};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// JSON-RPC envelope, WebSocket and TLS framing of one message, in bytes.
+const ENVELOPE_BYTES: u64 = 110;
+
+/// The fetch of one configuration change by a daemon, in bytes.
+const CHANGE_BYTES: u64 = 700;
+
+const CHANGE_INTERVAL_MS: u64 = 11_500;
+const LOAD_INTERVAL_MS: u64 = 10_000;
+const MEASURE_MS: u64 = 60_000;
+const PARTITION_MS: u64 = 300_000;
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick(usize),
+    Load(usize),
+    Change,
+    Request { from: usize, to: usize, target: Target, beat: Box<Beat> },
+    Reply { to: usize, target: Target, beat: Box<Beat> },
+    Missed { at: usize, target: Target },
+}
+
+struct Node<X> {
+    membership: Membership<X>,
+    revision: u64,
+    alive: bool,
+    region: usize,
+    centre: usize,
+    nudged: u64,
+}
+
+struct World<X> {
+    nodes: Vec<Node<X>>,
+    by_address: HashMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    now: u64,
+    sequence: u64,
+    random: ChaCha8Rng,
+    loss: f64,
+    split: bool,
+    revision: u64,
+    interval: u64,
+    messages: u64,
+    bytes: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Setup {
+    members: usize,
+    seed: u64,
+    interval: u64,
+    reach: PulseReach,
+}
+
+fn centres(members: usize) -> usize {
+    if members < 40 { 4 } else { 11 }
+}
+
+fn record(index: usize, centre: usize) -> Record {
+    let address = |port| {
+        SocketAddr::from((Ipv4Addr::new(10, 0, (index / 250) as u8, (index % 250) as u8), port))
+    };
+    Record {
+        incarnation: Incarnation((index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        instance: Instance::try_from(format!("i-{index:05}")).expect("valid"),
+        data_centre: DataCentre::try_from(format!("centre-{centre:02}")).expect("valid"),
+        caller: address(8080),
+        peer: address(8081),
+        version: 1,
+        health: Health::Live,
+        leaving: false,
+    }
+}
+
+impl<X: Exchange> World<X> {
+    fn new(setup: Setup) -> Self {
+        let Setup { members, seed, interval, reach } = setup;
+        let count = centres(members);
+        let records: Vec<_> = (0..members).map(|index| record(index, index % count)).collect();
+        let seeds: Vec<_> = records
+            .iter()
+            .map(|record| Seed { instance: record.instance.clone(), peer: record.peer })
+            .collect();
+        let by_address = records.iter().enumerate().map(|(i, r)| (r.peer, i)).collect();
+        let nodes = records.into_iter().enumerate().map(|(index, record)| {
+            let mut membership = Membership::new(record, Duration::from_millis(interval), reach);
+            membership.on_listing(seeds.clone());
+            let centre = index % count;
+            Node { membership, revision: 0, alive: true, region: centre % 3, centre, nudged: 0 }
+        });
+        let mut world = Self {
+            nodes: nodes.collect(),
+            by_address,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            now: 0,
+            sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            loss: 0.0,
+            split: false,
+            revision: 0,
+            interval,
+            messages: 0,
+            bytes: 0,
+        };
+        for index in 0..members {
+            let phase = world.random.random_range(0..interval);
+            world.push(phase, Event::Tick(index));
+            let phase = world.random.random_range(0..LOAD_INTERVAL_MS);
+            world.push(phase, Event::Load(index));
+        }
+        world.push(CHANGE_INTERVAL_MS, Event::Change);
+        world
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Some(event));
+        self.queue.push(Reverse((self.now + after, self.sequence, self.events.len() - 1)));
+    }
+
+    fn run_until(&mut self, until: u64, done: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start = self.now;
+        let mut checked = self.now;
+        while let Some(Reverse((at, _, _))) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Some(Reverse((at, _, index))) = self.queue.pop() else { break };
+            self.now = at;
+            if let Some(event) = self.events[index].take() {
+                self.on_event(event);
+            }
+            if at >= checked + 20 {
+                checked = at;
+                if done(self) {
+                    return Some(self.now - start);
+                }
+            }
+        }
+        self.now = until;
+        None
+    }
+
+    fn time(&self) -> (MonotonicInstant, UtcInstant) {
+        (MonotonicInstant::from_millis(self.now + 1_000_000), UtcInstant(self.now + 1_000_000))
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let (now, utc) = self.time();
+        match event {
+            Event::Tick(index) => {
+                if self.nodes[index].alive {
+                    self.nodes[index].membership.on_tick(now, utc);
+                    self.send_all(index);
+                }
+                self.push(self.interval, Event::Tick(index));
+            }
+            Event::Load(index) => {
+                let load = 1 << self.random.random_range(2..7);
+                let node = &mut self.nodes[index];
+                node.membership.on_pulse(Revision(node.revision), load);
+                self.push(LOAD_INTERVAL_MS, Event::Load(index));
+            }
+            Event::Change => {
+                self.revision += 1;
+                self.adopt(0, self.revision);
+                self.push(CHANGE_INTERVAL_MS, Event::Change);
+            }
+            Event::Request { from, to, target, beat } => self.on_request(from, to, target, *beat),
+            Event::Reply { to, target, beat } => {
+                let revision = beat.revision.0;
+                let node = &mut self.nodes[to];
+                let next = node.membership.on_reply(now, Some(Duration::ZERO), target, *beat);
+                self.adopt(to, revision);
+                if let Some(next) = next {
+                    self.send(to, target, next);
+                }
+                self.spread(to);
+            }
+            Event::Missed { at, target } => self.nodes[at].membership.on_missed(target),
+        }
+    }
+
+    fn on_request(&mut self, from: usize, to: usize, target: Target, beat: Beat) {
+        let (now, _) = self.time();
+        if !self.nodes[to].alive {
+            return self.push(CALL_TIMEOUT_MS, Event::Missed { at: from, target });
+        }
+        let revision = beat.revision.0;
+        let reply = self.nodes[to].membership.on_request(now, Some(Duration::ZERO), beat);
+        self.adopt(to, revision);
+        self.spread(to);
+        let Some(latency) = self.transmit(to, from, &reply) else {
+            return self.push(CALL_TIMEOUT_MS, Event::Missed { at: from, target });
+        };
+        self.push(latency, Event::Reply { to: from, target, beat: Box::new(reply) });
+    }
+
+    /// Takes over a newer revision and tells the neighbours at once.
+    fn adopt(&mut self, index: usize, revision: u64) {
+        let node = &mut self.nodes[index];
+        if revision <= node.revision {
+            return;
+        }
+        node.revision = revision;
+        node.membership.on_pulse(Revision(revision), 8);
+        self.bytes += CHANGE_BYTES;
+        self.messages += 2;
+        self.send_all(index);
+    }
+
+    fn spread(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.membership.take_urgency() == Urgency::Now && node.nudged + 50 <= self.now {
+            node.nudged = self.now;
+            self.send_all(index);
+        }
+    }
+
+    fn send_all(&mut self, index: usize) {
+        let targets = self.nodes[index].membership.targets(&mut self.random);
+        for target in targets {
+            let beat = self.nodes[index].membership.request(Some(Duration::ZERO), target);
+            self.send(index, target, beat);
+        }
+    }
+
+    fn send(&mut self, from: usize, target: Target, beat: Beat) {
+        let Some(to) = self.by_address.get(&target.peer).copied() else { return };
+        match self.transmit(from, to, &beat) {
+            Some(latency) => {
+                self.push(latency, Event::Request { from, to, target, beat: Box::new(beat) });
+            }
+            None => self.push(CALL_TIMEOUT_MS, Event::Missed { at: from, target }),
+        }
+    }
+
+    /// Counts a message and gives the time that it takes; none if it is lost.
+    fn transmit(&mut self, from: usize, to: usize, beat: &Beat) -> Option<u64> {
+        self.messages += 1;
+        self.bytes += ENVELOPE_BYTES + serde_json::to_vec(beat).map_or(0, |body| body.len() as u64);
+        let (a, b) = (&self.nodes[from], &self.nodes[to]);
+        let blocked = self.split && (a.region == 0) != (b.region == 0);
+        if blocked || self.random.random_bool(self.loss) {
+            return None;
+        }
+        Some(if a.centre == b.centre {
+            1
+        } else if a.region == b.region {
+            2
+        } else {
+            40
+        })
+    }
+
+    fn everybody_knows(&self, count: usize) -> bool {
+        let live = self.nodes.iter().filter(|node| node.alive);
+        live.into_iter().all(|node| {
+            let records = node.membership.roster().records();
+            records.filter(|record| record.health == Health::Live).count() == count
+        })
+    }
+}
+
+#[derive(Default)]
+struct Row {
+    joined: Option<u64>,
+    bytes: u64,
+    messages: f64,
+    cpu: f64,
+    mark: [Option<u64>; 2],
+    dead: Option<u64>,
+    force: Option<u64>,
+    healed: Option<u64>,
+}
+
+fn spread_mark<X: Exchange>(world: &mut World<X>, name: &str) -> Option<u64> {
+    let instance = Instance::try_from(name).expect("valid");
+    let (_, utc) = world.time();
+    world.nodes[1].membership.mark_leaving(utc, &instance);
+    world.spread(1);
+    let key = Key::Mark(instance);
+    world.run_until(world.now + 60_000, |world| {
+        let live = world.nodes.iter().filter(|node| node.alive);
+        live.into_iter().all(|node| node.membership.roster().get(&key).is_some())
+    })
+}
+
+fn measure<X: Exchange>(setup: Setup) -> Row {
+    let mut world: World<X> = World::new(setup);
+    let members = setup.members;
+    let mut row = Row::default();
+    row.joined = world.run_until(120_000, |world| world.everybody_knows(members));
+    world.run_until(world.now + 20_000, |_| false);
+    (world.bytes, world.messages) = (0, 0);
+    let cpu = Instant::now();
+    world.run_until(world.now + MEASURE_MS, |_| false);
+    row.cpu = cpu.elapsed().as_secs_f64() / members as f64 / (MEASURE_MS as f64 / 1e3) * 100.0;
+    row.bytes = world.bytes * 1_000 / MEASURE_MS / members as u64;
+    row.messages = world.messages as f64 * 1e3 / MEASURE_MS as f64 / members as f64;
+    let next = world.revision + 1;
+    world.run_until(world.now + 2 * CHANGE_INTERVAL_MS, |world| world.revision == next);
+    row.force = world.run_until(world.now + 60_000, |world| {
+        world.nodes[0].membership.in_force() >= Revision(next)
+    });
+    row.mark[0] = spread_mark(&mut world, "r-1");
+    world.loss = 0.05;
+    row.mark[1] = spread_mark(&mut world, "r-2");
+    world.loss = 0.0;
+    world.run_until(world.now + 30_000, |world| world.everybody_knows(members));
+    world.nodes[2].alive = false;
+    let victim = record(2, 2 % centres(members));
+    row.dead = world.run_until(world.now + 60_000, |world| {
+        let near = world.nodes.iter().filter(|node| node.alive);
+        near.into_iter().all(|node| {
+            let record = node.membership.roster().record(victim.incarnation);
+            record.is_none_or(|record| record.health != Health::Live)
+        })
+    });
+    world.nodes[2].alive = true;
+    world.run_until(world.now + 120_000, |world| world.everybody_knows(members));
+    world.split = true;
+    world.run_until(world.now + PARTITION_MS, |_| false);
+    world.split = false;
+    row.healed = world.run_until(world.now + 120_000, |world| world.everybody_knows(members));
+    row
+}
+
+fn print(name: &str, setup: Setup, row: &Row) {
+    let secs =
+        |time: Option<u64>| time.map_or("never".to_owned(), |ms| format!("{:.2}", ms as f64 / 1e3));
+    println!(
+        "| {name} | {} | {} | {} | {:.1} | {:.3} | {} | {} | {} | {} | {} | {} |",
+        setup.reach,
+        setup.members,
+        row.bytes,
+        row.messages,
+        row.cpu,
+        secs(row.joined),
+        secs(row.mark[0]),
+        secs(row.mark[1]),
+        secs(row.dead),
+        secs(row.force),
+        secs(row.healed),
+    );
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse::<u64>().ok());
+    let seed = arguments.next().unwrap_or(1);
+    let interval = arguments.next().unwrap_or(1_000);
+    let only = arguments.next().map(|members| members as usize);
+    println!("seed {seed}, heartbeat interval {interval} ms");
+    println!(
+        "| exchange | pulses | members | B/s sent a member | messages/s | CPU % of a core | \
+         joined s | mark s | mark, 5% loss s | death s | in force s | healed s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for reach in [PulseReach::DataCentre, PulseReach::Everywhere] {
+        for members in [8, 34, 100, 370] {
+            if only.is_some_and(|only| only != members) {
+                continue;
+            }
+            let setup = Setup { members, seed, interval, reach };
+            print("delta", setup, &measure::<DeltaPush>(setup));
+            print("digest", setup, &measure::<DigestSync>(setup));
+            print("full", setup, &measure::<FullPush>(setup));
+        }
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,20 +6,23 @@
 use crate::follower::{self, ConfigWatch, Follower};
 use crate::front::Front;
 use crate::lease::{self, Lease};
-use crate::members::{self, GossipService, MemberWatch};
+use crate::members::{self, InForceWatch, MemberWatch, PeerService};
 use crate::publisher::Publisher;
-use crate::settings::Settings;
+use crate::settings::{IdentitySettings, Settings};
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{GossipServer, start_server};
+use spindle_daemon::{ConfigurationSourceServer, GossipServer, bind_server};
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
-use spindle_types::Incarnation;
+use spindle_policy::freshness::Freshness;
+use spindle_policy::roster::{Health, Record};
 use spindle_types::config::Market;
+use spindle_types::{Incarnation, Revision};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// The pause after a failed registration.
@@ -46,12 +49,21 @@
     pub upstreams: Upstreams,
     /// The daemons, itself included.
     pub members: MemberWatch,
+    /// The least revision in force at every live daemon.
+    pub in_force: InForceWatch,
     /// Claims on calls that must run at most once.
     pub claims: Claims,
     /// Whether the daemon takes no new work.
     pub drain: Drain,
 }
 
+impl<C: Context> Shared<C> {
+    /// Whether this daemon can know the newest configuration.
+    pub fn freshness(&self) -> Freshness {
+        self.follower.contacts.freshness(&self.context)
+    }
+}
+
 /// A running daemon; dropping it stops it at once.
 #[derive(Debug)]
 pub struct Daemon<C> {
@@ -64,6 +76,7 @@
     following: Vec<JoinHandle<()>>,
     leasing: JoinHandle<()>,
     rpc: ServerHandle,
+    peers: PeerService,
 }
 
 impl<C: Context> Daemon<C> {
@@ -80,8 +93,13 @@
         let claims = claims::start(&context, incarnation, &settings.claim);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
-        let publisher =
-            Publisher::new(context.clone(), follower.clone(), settings.state.publish_timeout.get());
+        let (in_force_sender, in_force) = watch::channel(Revision(0));
+        let publisher = Publisher::new(
+            context.clone(),
+            follower.clone(),
+            in_force.clone(),
+            settings.state.publish_timeout.get(),
+        );
         let state = &settings.state;
         let (lease, leasing) = lease::start(context.clone(), state, incarnation, drain.clone());
         let retention = state.retention.get();
@@ -92,15 +110,19 @@
             .await
             .wrap_err_with(|| format!("caller.listen {}", settings.caller.listen))?;
         let listen = settings.peer.listen;
-        let gossip =
-            GossipService::new(settings.identity.instance.clone(), incarnation, config.clone());
-        let members = members::start(
-            context.clone(),
-            settings.peer.heartbeat,
-            gossip.clone(),
+        let server = bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))?;
+        let peer = server.address();
+        let (peers, inbound) = PeerService::new(follower.clone());
+        let parts = members::Parts {
+            own: own_record(&settings.identity, incarnation, caller, peer),
+            heartbeat: settings.peer.heartbeat,
+            follower: follower.clone(),
             daemons,
-            &upstreams,
-        );
+            upstreams: upstreams.clone(),
+            inbound,
+            in_force: in_force_sender,
+        };
+        let members = members::start(context.clone(), parts);
         let shared = Arc::new(Shared {
             context,
             settings,
@@ -111,20 +133,31 @@
             lease,
             upstreams,
             members,
+            in_force,
             claims,
             drain,
         });
-        let (peer, rpc) = start_server(listen, gossip.into_rpc())
-            .await
-            .wrap_err_with(|| format!("peer.listen {listen}"))?;
+        let mut methods = GossipServer::into_rpc(peers.clone());
+        methods.merge(ConfigurationSourceServer::into_rpc(peers.clone()))?;
+        let rpc = server.start(methods);
         let limits = ServerLimits {
             connections: usize::try_from(shared.settings.caller.connections).unwrap_or(usize::MAX),
             ..ServerLimits::default()
         };
         let front = Front(Arc::clone(&shared));
         let serving = tokio::spawn(serve(listener, front, limits, closing.signal()));
-        let daemon =
-            Self { shared, caller, peer, closing, refusing, serving, following, leasing, rpc };
+        let daemon = Self {
+            shared,
+            caller,
+            peer,
+            closing,
+            refusing,
+            serving,
+            following,
+            leasing,
+            rpc,
+            peers,
+        };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
         Ok(daemon)
@@ -149,6 +182,7 @@
     /// every request in progress has been answered.
     pub async fn stop(mut self) {
         log::info!("event=draining incarnation={}", self.shared.incarnation);
+        self.peers.leave().await;
         self.register(State::Leaving).await;
         tokio::time::sleep(self.shared.settings.drain.linger.get()).await;
         self.refusing.start();
@@ -186,6 +220,24 @@
     }
 }
 
+fn own_record(
+    identity: &IdentitySettings,
+    incarnation: Incarnation,
+    caller: SocketAddr,
+    peer: SocketAddr,
+) -> Record {
+    Record {
+        incarnation,
+        instance: identity.instance.clone(),
+        data_centre: identity.data_centre.clone(),
+        caller,
+        peer,
+        version: 1,
+        health: Health::Live,
+        leaving: false,
+    }
+}
+
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
--- a/src/follower/tests.rs
+++ b/src/follower/tests.rs
@@ -18,6 +18,16 @@
     Change::PutTeam { team: team.parse().unwrap(), spec: TeamSpec::default() }
 }
 
+/// A publisher of a daemon that knows no other one.
+pub(crate) fn publisher(
+    log: &LogStandin,
+    follower: &Follower,
+    timeout: Duration,
+) -> Publisher<LiveContext> {
+    let (_, in_force) = watch::channel(Revision(0));
+    Publisher::new(context(log), follower.clone(), in_force, timeout)
+}
+
 async fn publish(publisher: &Publisher<LiveContext>, base: u64, team: &str) -> Outcome {
     publisher.publish(Revision(base), "ana".parse().unwrap(), put_team(team)).await
 }
@@ -31,7 +41,7 @@
 async fn daemon_starts_from_checkpoint_and_tail_when_records_have_expired() {
     let log = LogStandin::start().await.unwrap();
     let (first, _task) = start(context(&log));
-    let publisher = Publisher::new(context(&log), first.clone(), Duration::from_secs(5));
+    let publisher = publisher(&log, &first, Duration::from_secs(5));
     assert_eq!(Outcome::Accepted { revision: Revision(1) }, publish(&publisher, 0, "a").await);
     let state = Box::new(Configuration::clone(&first.config.borrow()));
     let checkpoint = ConfigRecord::Checkpoint { covers: Offset(1), state };
@@ -48,7 +58,7 @@
 async fn daemon_that_missed_expired_records_keeps_its_state_until_a_peer_helps() {
     let log = LogStandin::start().await.unwrap();
     let (follower, task) = start(context(&log));
-    let publisher = Publisher::new(context(&log), follower.clone(), Duration::from_secs(5));
+    let publisher = publisher(&log, &follower, Duration::from_secs(5));
     for (base, team) in (0..).zip(["a", "b", "c"]) {
         publish(&publisher, base, team).await;
     }
@@ -69,7 +79,7 @@
 async fn daemon_starts_from_a_peer_while_the_log_is_down() {
     let log = LogStandin::start().await.unwrap();
     let (follower, _task) = start(context(&log));
-    let publisher = Publisher::new(context(&log), follower.clone(), Duration::from_secs(5));
+    let publisher = publisher(&log, &follower, Duration::from_secs(5));
     publish(&publisher, 0, "a").await;
     wait_for(&follower, 1).await;
     log.faults().set_down(true);
--- a/src/front.rs
+++ b/src/front.rs
@@ -14,6 +14,7 @@
     problem_response,
 };
 use spindle_http::{Body, Handler, json, read_body};
+use spindle_policy::freshness::Freshness;
 use spindle_types::config::KeyHash;
 use spindle_types::{Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent};
 use std::net::SocketAddr;
@@ -70,6 +71,15 @@
         Ok(team.clone())
     }
 
+    /// Why no new work is taken, if that is so.
+    fn refusing(&self) -> Option<RefusalReason> {
+        if self.0.drain.started() {
+            return Some(RefusalReason::Leaving);
+        }
+        let cut_off = self.0.freshness() == Freshness::CutOff;
+        cut_off.then_some(RefusalReason::Stale)
+    }
+
     async fn read(&self, body: Incoming) -> Result<bytes::Bytes, Refusal> {
         let caller = &self.0.settings.caller;
         let read = read_body(body, caller.body_max.bytes(), caller.body_timeout.get()).await;
@@ -86,8 +96,8 @@
             .map_err(|error| invalid("body", &error, "a JSON request"))?;
         let completion = Completion::try_from(raw).map_err(Refusal::Invalid)?;
         let pool = self.pool(&completion)?;
-        if self.0.drain.started() {
-            let not_run = Unsent::new(completion).refuse(RefusalReason::Leaving, Some(RETRY_AFTER));
+        if let Some(reason) = self.refusing() {
+            let not_run = Unsent::new(completion).refuse(reason, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
         let id = RequestId(self.0.context.random());
@@ -132,8 +142,10 @@
         let body = self.read(body).await?;
         let call = Call { method: head.method, path, headers: head.headers, body };
         // Under a key, an earlier attempt may have run: its claim decides, also while leaving.
-        if self.0.drain.started() && key.is_none() {
-            let not_run = Unsent::new(call).refuse(RefusalReason::Leaving, Some(RETRY_AFTER));
+        if key.is_none()
+            && let Some(reason) = self.refusing()
+        {
+            let not_run = Unsent::new(call).refuse(reason, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
         Ok(forward(Arc::clone(&self.0), team, key, &spec, call).await)
--- /dev/null
+++ b/src/members/service.rs
@@ -0,0 +1,70 @@
+//! Answers the calls of other daemons.
+
+use crate::follower::Follower;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
+use spindle_daemon::{ConfigurationSourceServer, GossipServer};
+use spindle_policy::membership::Beat;
+use spindle_policy::update::Update;
+use spindle_types::Revision;
+use tokio::sync::{mpsc, oneshot};
+
+/// Messages that may wait for the task.
+const MAILBOX: usize = 256;
+
+/// What reaches the task that keeps the view.
+#[derive(Debug)]
+pub enum Inbound {
+    /// A heartbeat of another daemon.
+    Beat {
+        /// The heartbeat.
+        beat: Beat,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Beat>,
+    },
+    /// This daemon leaves.
+    Leave,
+}
+
+/// Answers heartbeats and hands out configuration.
+#[derive(Clone, Debug)]
+pub struct PeerService {
+    mailbox: mpsc::Sender<Inbound>,
+    follower: Follower,
+}
+
+impl PeerService {
+    /// The service, and what it sends to the task that keeps the view.
+    pub fn new(follower: Follower) -> (Self, mpsc::Receiver<Inbound>) {
+        let (mailbox, inbound) = mpsc::channel(MAILBOX);
+        (Self { mailbox, follower }, inbound)
+    }
+
+    /// Tells the other daemons that this one leaves.
+    pub async fn leave(&self) {
+        // Without the task nobody can be told.
+        let _ = self.mailbox.send(Inbound::Leave).await;
+    }
+}
+
+fn stopping() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(INTERNAL_ERROR_CODE, "the daemon is stopping", None::<()>)
+}
+
+#[async_trait]
+impl GossipServer for PeerService {
+    async fn beat(&self, beat: Beat) -> RpcResult<Beat> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.mailbox.send(Inbound::Beat { beat, reply }).await;
+        sent.map_err(|_| stopping())?;
+        answer.await.map_err(|_| stopping())
+    }
+}
+
+#[async_trait]
+impl ConfigurationSourceServer for PeerService {
+    async fn since(&self, revision: Revision) -> RpcResult<Update> {
+        Ok(self.follower.followed.borrow().fold.update_since(revision))
+    }
+}
--- a/src/publisher.rs
+++ b/src/publisher.rs
@@ -3,6 +3,7 @@
 
 use crate::context::Context;
 use crate::follower::{CONFIG_STREAM, Follower, stream_name};
+use crate::members::InForceWatch;
 use serde_json::value::{RawValue, to_raw_value};
 use spindle_log::{AppendError, Batch, Log};
 use spindle_policy::fold::{Fold, Folded, Standing};
@@ -16,6 +17,9 @@
 /// The pause after a failed append or read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The time after which it is reported that a change is not in force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The largest record, in bytes.
 const RECORD_MAX_BYTES: usize = 1024 * 1024;
 
@@ -56,14 +60,20 @@
 pub struct Publisher<C> {
     context: C,
     follower: Follower,
+    in_force: InForceWatch,
     timeout: Duration,
 }
 
 impl<C: Context> Publisher<C> {
     /// A publisher that starts from what the follower has read; the effect of a change must be
     /// known within `timeout`.
-    pub const fn new(context: C, follower: Follower, timeout: Duration) -> Self {
-        Self { context, follower, timeout }
+    pub const fn new(
+        context: C,
+        follower: Follower,
+        in_force: InForceWatch,
+        timeout: Duration,
+    ) -> Self {
+        Self { context, follower, in_force, timeout }
     }
 
     /// Publishes a change that was based on a revision.
@@ -88,9 +98,27 @@
         let mut settling = Settling { fold, nonce, appended: Appended::No };
         let outcome = self.settle(&mut settling, &body, deadline).await;
         log::info!("event=config_published base={base} nonce={nonce} outcome={outcome:?}");
+        if let Outcome::Accepted { revision } = outcome {
+            self.report_in_force(revision);
+        }
         outcome
     }
 
+    /// Logs when a revision is in force at every live daemon.
+    fn report_in_force(&self, revision: Revision) {
+        let (context, mut in_force) = (self.context.clone(), self.in_force.clone());
+        let start = context.clock().now();
+        tokio::spawn(async move {
+            let reached = in_force.wait_for(|reached| *reached >= revision);
+            let reached = tokio::time::timeout(IN_FORCE_TIMEOUT, reached).await;
+            let ms = context.clock().now().since(start).as_millis();
+            match reached {
+                Ok(_) => log::info!("event=config_in_force_everywhere revision={revision} ms={ms}"),
+                Err(_) => log::warn!("event=config_not_in_force revision={revision} ms={ms}"),
+            }
+        });
+    }
+
     async fn settle(
         &self,
         settling: &mut Settling,
--- a/src/publisher/tests.rs
+++ b/src/publisher/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::context::LiveContext;
 use crate::follower;
-use crate::follower::tests::{context, put_team};
+use crate::follower::tests::{context, publisher, put_team};
 use spindle_standin::LogStandin;
 use spindle_types::Team;
 
@@ -12,7 +12,7 @@
 
 fn daemon(log: &LogStandin, timeout: Duration) -> Daemon {
     let (follower, _) = follower::start(context(log));
-    Daemon { publisher: Publisher::new(context(log), follower.clone(), timeout), follower }
+    Daemon { publisher: publisher(log, &follower, timeout), follower }
 }
 
 impl Daemon {
