--- a/crates/policy/examples/exchange.rs
+++ b/crates/policy/examples/exchange.rs
@@ -309,8 +309,8 @@
 fn measure<X: Exchange>(setup: Setup) -> Row {
     let mut world: World<X> = World::new(setup);
     let members = setup.members;
-    let mut row = Row::default();
-    row.joined = world.run_until(120_000, |world| world.everybody_knows(members));
+    let joined = world.run_until(120_000, |world| world.everybody_knows(members));
+    let mut row = Row { joined, ..Row::default() };
     world.run_until(world.now + 20_000, |_| false);
     (world.bytes, world.messages) = (0, 0);
     let cpu = Instant::now();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,28 +1,27 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
-use crate::checkpoints;
 use crate::claims::{self, Claims};
 use crate::context::Context;
-use crate::follower::{self, ConfigWatch, Follower};
+use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
-use crate::lease::{self, Lease};
+use crate::lease::Lease;
 use crate::members::{self, InForceWatch, MemberWatch, PeerService};
 use crate::publisher::Publisher;
 use crate::settings::{IdentitySettings, Settings};
+use crate::state::{self, StateTasks};
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{ConfigurationSourceServer, GossipServer, bind_server};
+use spindle_daemon::bind_server;
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
 use spindle_policy::freshness::Freshness;
 use spindle_policy::roster::{Health, Record};
+use spindle_types::Incarnation;
 use spindle_types::config::Market;
-use spindle_types::{Incarnation, Revision};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// The pause after a failed registration.
@@ -73,8 +72,7 @@
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
-    following: Vec<JoinHandle<()>>,
-    leasing: JoinHandle<()>,
+    state: StateTasks,
     rpc: ServerHandle,
     peers: PeerService,
 }
@@ -87,77 +85,51 @@
     /// A listen address can't be bound.
     pub async fn start(context: C, settings: Settings) -> eyre::Result<Self> {
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
-        let (follower, following) = follower::start(context.clone());
-        let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
         let claims = claims::start(&context, incarnation, &settings.claim);
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
-        let (in_force_sender, in_force) = watch::channel(Revision(0));
-        let publisher = Publisher::new(
-            context.clone(),
-            follower.clone(),
-            in_force.clone(),
-            settings.state.publish_timeout.get(),
-        );
-        let state = &settings.state;
-        let (lease, leasing) = lease::start(context.clone(), state, incarnation, drain.clone());
-        let retention = state.retention.get();
-        let checkpoints =
-            checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
-        let following = vec![following, checkpoints];
+        let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
         let (listener, caller) = bind(settings.caller.listen)
             .await
             .wrap_err_with(|| format!("caller.listen {}", settings.caller.listen))?;
         let listen = settings.peer.listen;
         let server = bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))?;
         let peer = server.address();
-        let (peers, inbound) = PeerService::new(follower.clone());
+        let (peers, inbound) = PeerService::new(state.follower.clone());
         let parts = members::Parts {
             own: own_record(&settings.identity, incarnation, caller, peer),
             heartbeat: settings.peer.heartbeat,
-            follower: follower.clone(),
+            follower: state.follower.clone(),
             daemons,
             upstreams: upstreams.clone(),
             inbound,
-            in_force: in_force_sender,
+            in_force: state.in_force_sender,
         };
         let members = members::start(context.clone(), parts);
         let shared = Arc::new(Shared {
             context,
             settings,
             incarnation,
-            config,
-            follower,
-            publisher,
-            lease,
+            config: state.follower.config.clone(),
+            follower: state.follower,
+            publisher: state.publisher,
+            lease: state.lease,
             upstreams,
             members,
-            in_force,
+            in_force: state.in_force,
             claims,
             drain,
         });
-        let mut methods = GossipServer::into_rpc(peers.clone());
-        methods.merge(ConfigurationSourceServer::into_rpc(peers.clone()))?;
-        let rpc = server.start(methods);
+        let rpc = server.start(peers.methods()?);
         let limits = ServerLimits {
             connections: usize::try_from(shared.settings.caller.connections).unwrap_or(usize::MAX),
             ..ServerLimits::default()
         };
         let front = Front(Arc::clone(&shared));
         let serving = tokio::spawn(serve(listener, front, limits, closing.signal()));
-        let daemon = Self {
-            shared,
-            caller,
-            peer,
-            closing,
-            refusing,
-            serving,
-            following,
-            leasing,
-            rpc,
-            peers,
-        };
+        let daemon =
+            Self { shared, caller, peer, closing, refusing, serving, state: tasks, rpc, peers };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
         Ok(daemon)
@@ -189,8 +161,7 @@
         self.closing.start();
         // A failure here means that the server panicked, which is logged by the runtime.
         let _ = (&mut self.serving).await;
-        // As above; the lease is given back.
-        let _ = (&mut self.leasing).await;
+        self.state.finish().await;
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
         log::info!("event=stopped incarnation={}", self.shared.incarnation);
@@ -241,8 +212,6 @@
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
-        self.following.iter().for_each(JoinHandle::abort);
-        self.leasing.abort();
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod reply;
 pub mod settings;
 pub mod standins;
+pub mod state;
 pub mod upstreams;
--- a/src/members/service.rs
+++ b/src/members/service.rs
@@ -1,7 +1,8 @@
 //! Answers the calls of other daemons.
 
 use crate::follower::Follower;
-use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::{RegisterMethodError, RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
 use spindle_daemon::{ConfigurationSourceServer, GossipServer};
@@ -41,6 +42,17 @@
         (Self { mailbox, follower }, inbound)
     }
 
+    /// The calls that the service answers.
+    ///
+    /// # Errors
+    ///
+    /// Two calls have the same name.
+    pub fn methods(&self) -> Result<RpcModule<Self>, RegisterMethodError> {
+        let mut methods = GossipServer::into_rpc(self.clone());
+        methods.merge(ConfigurationSourceServer::into_rpc(self.clone()))?;
+        Ok(methods)
+    }
+
     /// Tells the other daemons that this one leaves.
     pub async fn leave(&self) {
         // Without the task nobody can be told.
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -5,7 +5,7 @@
 use bronzespindle::publisher::Outcome;
 use spindle_policy::freshness::Freshness;
 use spindle_policy::membership::MemberStatus;
-use spindle_standin::engine::EngineModel;
+use spindle_standin::EngineModel;
 use spindle_types::config::TeamSpec;
 use spindle_types::{Change, Instance, Revision};
 use std::time::Duration;
