--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,23 +1,25 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
 use crate::admin::{self, Admin};
-use crate::checkpoints;
 use crate::claims::{self, Claims};
 use crate::context::Context;
 use crate::evacuation::{self, Evacuation};
-use crate::follower::{self, ConfigWatch, Follower};
+use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
-use crate::lease::{self, Lease};
-use crate::members::{self, GossipService, MemberWatch};
+use crate::lease::Lease;
+use crate::members::{self, InForceWatch, MemberWatch, PeerService};
 use crate::plans::{self, PlanWatch};
 use crate::publisher::Publisher;
-use crate::settings::Settings;
+use crate::settings::{IdentitySettings, Settings};
+use crate::state::{self, StateTasks};
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{GossipServer, start_server};
+use spindle_daemon::bind_server;
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
+use spindle_policy::freshness::Freshness;
+use spindle_policy::roster::{Health, Record};
 use spindle_types::Incarnation;
 use spindle_types::config::Market;
 use std::net::SocketAddr;
@@ -52,6 +54,8 @@
     pub upstreams: Upstreams,
     /// The daemons, itself included.
     pub members: MemberWatch,
+    /// The least revision in force at every live daemon.
+    pub in_force: InForceWatch,
     /// Claims on calls that must run at most once.
     pub claims: Claims,
     /// Moves streams away from upstreams that are taken back.
@@ -60,6 +64,13 @@
     pub drain: Drain,
 }
 
+impl<C: Context> Shared<C> {
+    /// Whether this daemon can know the newest configuration.
+    pub fn freshness(&self) -> Freshness {
+        self.follower.contacts.freshness(&self.context)
+    }
+}
+
 /// A running daemon; dropping it stops it at once.
 #[derive(Debug)]
 pub struct Daemon<C> {
@@ -70,9 +81,10 @@
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
-    following: Vec<JoinHandle<()>>,
-    leasing: JoinHandle<()>,
+    planning: JoinHandle<()>,
+    state: StateTasks,
     rpc: ServerHandle,
+    peers: PeerService,
 }
 
 impl<C: Context> Daemon<C> {
@@ -83,48 +95,45 @@
     /// A listen address can't be bound.
     pub async fn start(context: C, settings: Settings) -> eyre::Result<Self> {
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
-        let (follower, following) = follower::start(context.clone());
-        let config = follower.config.clone();
         let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
         let claims = claims::start(&context, incarnation, &settings.claim);
         let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
-        let publisher =
-            Publisher::new(context.clone(), follower.clone(), settings.state.publish_timeout.get());
-        let (lease, leasing, checkpoints) =
-            start_lease(&context, &settings, incarnation, drain.clone(), &follower);
+        let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
         let (plans, planning) = plans::start(context.clone());
-        let following = vec![following, checkpoints, planning];
         let (listener, caller) = bind_callers(&settings).await?;
         let listen = settings.peer.listen;
-        let gossip =
-            GossipService::new(settings.identity.instance.clone(), incarnation, config.clone());
-        let members = members::start(
-            context.clone(),
-            settings.peer.heartbeat,
-            gossip.clone(),
+        let server = bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))?;
+        let peer = server.address();
+        let (peers, inbound) = PeerService::new(state.follower.clone());
+        let parts = members::Parts {
+            own: own_record(&settings.identity, incarnation, caller, peer),
+            heartbeat: settings.peer.heartbeat,
+            follower: state.follower.clone(),
             daemons,
-            &upstreams,
-        );
+            upstreams: upstreams.clone(),
+            inbound,
+            in_force: state.in_force_sender,
+        };
+        let members = members::start(context.clone(), parts);
         let shared = Arc::new(Shared {
             context,
             settings,
             incarnation,
-            config,
-            follower,
-            publisher,
+            config: state.follower.config.clone(),
+            follower: state.follower,
+            publisher: state.publisher,
             plans,
-            lease,
+            lease: state.lease,
             upstreams,
             members,
+            in_force: state.in_force,
             claims,
             evacuation,
             drain,
         });
-        let (peer, rpc) = start_server(listen, gossip.into_rpc())
-            .await
-            .wrap_err_with(|| format!("peer.listen {listen}"))?;
+        let rpc = server.start(peers.methods()?);
         let serving = start_front(&shared, listener, closing.signal());
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
         let daemon = Self {
@@ -135,9 +144,10 @@
             closing,
             refusing,
             serving,
-            following,
-            leasing,
+            planning,
+            state: tasks,
             rpc,
+            peers,
         };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
@@ -168,14 +178,14 @@
     /// every request in progress has been answered.
     pub async fn stop(mut self) {
         log::info!("event=draining incarnation={}", self.shared.incarnation);
+        self.peers.leave().await;
         self.register(State::Leaving).await;
         tokio::time::sleep(self.shared.settings.drain.linger.get()).await;
         self.refusing.start();
         self.closing.start();
         // A failure here means that the server panicked, which is logged by the runtime.
         let _ = (&mut self.serving).await;
-        // As above; the lease is given back.
-        let _ = (&mut self.leasing).await;
+        self.state.finish().await;
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
         log::info!("event=stopped incarnation={}", self.shared.incarnation);
@@ -205,22 +215,6 @@
     }
 }
 
-/// Competes for the lease, and appends checkpoints while holding it.
-fn start_lease<C: Context>(
-    context: &C,
-    settings: &Settings,
-    own: Incarnation,
-    drain: Drain,
-    follower: &Follower,
-) -> (Lease, JoinHandle<()>, JoinHandle<()>) {
-    let state = &settings.state;
-    let (lease, leasing) = lease::start(context.clone(), state, own, drain);
-    let retention = state.retention.get();
-    let checkpoints =
-        checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
-    (lease, leasing, checkpoints)
-}
-
 async fn bind_callers(settings: &Settings) -> eyre::Result<(TcpListener, SocketAddr)> {
     let listen = settings.caller.listen;
     bind(listen).await.wrap_err_with(|| format!("caller.listen {listen}"))
@@ -236,11 +230,28 @@
     tokio::spawn(serve(listener, Front(Arc::clone(shared)), limits, closing))
 }
 
+fn own_record(
+    identity: &IdentitySettings,
+    incarnation: Incarnation,
+    caller: SocketAddr,
+    peer: SocketAddr,
+) -> Record {
+    Record {
+        incarnation,
+        instance: identity.instance.clone(),
+        data_centre: identity.data_centre.clone(),
+        caller,
+        peer,
+        version: 1,
+        health: Health::Live,
+        leaving: false,
+    }
+}
+
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
-        self.following.iter().for_each(JoinHandle::abort);
-        self.leasing.abort();
+        self.planning.abort();
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,5 +34,6 @@
 pub mod settings;
 mod show;
 pub mod standins;
+pub mod state;
 pub mod transfer;
 pub mod upstreams;
