--- /dev/null
+++ b/crates/policy/src/admission/tests.rs
@@ -0,0 +1,237 @@
+use super::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(millis)
+}
+
+fn pool() -> Pool {
+    Pool::try_from("p").unwrap()
+}
+
+fn team(name: &str) -> Team {
+    Team::try_from(name).unwrap()
+}
+
+fn asked(name: &str, priority: Priority) -> Asked {
+    Asked { team: team(name), pool: pool(), priority, cost: 1.0, bytes: 100 }
+}
+
+fn admission(limit: u32) -> Admission {
+    let mut admission = Admission::new(AdmissionParams::default());
+    admission.on_capacity(&pool(), limit, limit);
+    admission
+}
+
+fn key(verdict: Verdict) -> TicketKey {
+    match verdict {
+        Verdict::Runs(key) | Verdict::Waits(key) => key,
+        Verdict::Refused(refused) => panic!("{refused:?}"),
+    }
+}
+
+#[test]
+fn interactive_work_goes_before_batch_work_which_still_gets_a_turn() {
+    let mut admission = admission(1);
+    let mut running = key(admission.on_request(at(0), asked("a", Priority::Interactive)));
+    let mut names = HashMap::new();
+    for (priority, label) in [(Priority::Batch, 'b'), (Priority::Interactive, 'i')] {
+        for _ in 0..12 {
+            names.insert(key(admission.on_request(at(0), asked("a", priority))), label);
+        }
+    }
+    let mut actual = String::new();
+    for _ in 0..24 {
+        admission.on_end(at(0), running);
+        let decided = admission.next(at(0));
+        let [Decided::Runs(next)] = decided[..] else { panic!("{decided:?}") };
+        running = next;
+        actual.push(names[&next]);
+    }
+    assert_eq!("iiiiiiiibiiiibbbbbbbbbbb", actual);
+}
+
+#[test]
+fn wait_that_ends_is_refused_then_and_hopeless_work_at_once() {
+    let mut admission = admission(10);
+    let mut running: Vec<_> = (0..10)
+        .map(|_| key(admission.on_request(at(0), asked("a", Priority::Interactive))))
+        .collect();
+    for now in [0, 500, 1_000, 1_500] {
+        admission.on_end(at(now), running.remove(0));
+        let refilled = admission.on_request(at(now), asked("a", Priority::Interactive));
+        running.push(key(refilled));
+    }
+    let first = admission.on_request(at(1_500), asked("a", Priority::Interactive));
+    let second = admission.on_request(at(1_500), asked("a", Priority::Interactive));
+    let hopeless = admission.on_request(at(1_500), asked("a", Priority::Interactive));
+    let Verdict::Refused(refused) = hopeless else { panic!("{hopeless:?}") };
+    assert_eq!(RefusalReason::DeadlineUnreachable, refused.reason);
+    assert_eq!(Some(at(2_500)), admission.next_expiry());
+    assert_eq!(Vec::<Decided>::new(), admission.next(at(2_499)));
+    let decided = admission.next(at(2_500));
+    let keys: Vec<_> = decided
+        .iter()
+        .map(|decision| match decision {
+            Decided::Refused(key, refused) => {
+                assert!(refused.retry_after.is_some_and(|delay| delay >= RETRY_AFTER_MIN));
+                *key
+            }
+            Decided::Runs(_) => panic!("{decision:?}"),
+        })
+        .collect();
+    assert_eq!(vec![key(first), key(second)], keys);
+}
+
+#[test]
+fn queue_is_bounded_in_requests_of_a_team_and_in_bytes() {
+    let mut admission = admission(1);
+    admission.on_request(at(0), asked("a", Priority::Batch));
+    for _ in 0..256 {
+        key(admission.on_request(at(0), asked("a", Priority::Batch)));
+    }
+    let reason = |verdict| match verdict {
+        Verdict::Refused(refused) => Some(refused.reason),
+        Verdict::Runs(_) | Verdict::Waits(_) => None,
+    };
+    let full = admission.on_request(at(0), asked("a", Priority::Batch));
+    assert_eq!(Some(RefusalReason::QueueFull), reason(full));
+    let large = Asked { bytes: 32 * 1024 * 1024, ..asked("b", Priority::Batch) };
+    let large = admission.on_request(at(0), large);
+    assert_eq!(Some(RefusalReason::QueueFull), reason(large));
+    assert_eq!(None, reason(admission.on_request(at(0), asked("b", Priority::Batch))));
+}
+
+#[test]
+fn quota_is_given_back_when_a_request_ends_or_its_caller_goes() {
+    let mut admission = admission(1);
+    let spec = TeamSpec { stream_quota: Some(2), ..TeamSpec::default() };
+    admission.on_teams(at(0), [(&team("a"), &spec)].into_iter(), 1);
+    let running = key(admission.on_request(at(0), asked("a", Priority::Interactive)));
+    let waiting = key(admission.on_request(at(0), asked("a", Priority::Interactive)));
+    let refused = admission.on_request(at(0), asked("a", Priority::Interactive));
+    let expected = Refused { reason: RefusalReason::QuotaExceeded, retry_after: None };
+    assert_eq!(Verdict::Refused(expected), refused);
+    admission.on_end(at(0), waiting);
+    key(admission.on_request(at(0), asked("a", Priority::Interactive)));
+    admission.on_end(at(0), running);
+    assert_eq!(1, admission.next(at(0)).len());
+    key(admission.on_request(at(0), asked("a", Priority::Interactive)));
+    assert_eq!((1, 1), admission.counts(&pool()));
+}
+
+/// Waits at the 95th percentile of a quiet team and of a flood, in milliseconds, and the flood's
+/// refusals, over 60 s at one daemon whose pool runs 40 answers of about 4 s at once.
+fn flood(params: AdmissionParams, flood_rate: u64, flooded_first: bool) -> (u64, u64, usize) {
+    let mut generator = ChaCha8Rng::seed_from_u64(17);
+    let mut admission = Admission::new(params);
+    admission.on_capacity(&pool(), 40, 40);
+    let mut ends = BinaryHeap::new();
+    let mut asked_at = HashMap::new();
+    let mut waits: HashMap<&str, Vec<u64>> = HashMap::new();
+    let mut refusals = 0;
+    for now in 0..60_000_u64 {
+        while let Some(Reverse((end, key))) = ends.peek().copied()
+            && end <= now
+        {
+            ends.pop();
+            admission.on_end(at(now), key);
+        }
+        let mut started = Vec::new();
+        let quiet = generator.random_range(0..1_000) < 2;
+        let floods = generator.random_range(0..1_000) < flood_rate;
+        for (name, comes) in [("flood", floods), ("quiet", quiet)] {
+            let name = if flooded_first { name } else { "quiet" };
+            if !comes {
+                continue;
+            }
+            match admission.on_request(at(now), asked(name, Priority::Interactive)) {
+                Verdict::Runs(key) => {
+                    waits.entry(name).or_default().push(0);
+                    started.push(key);
+                }
+                Verdict::Waits(key) => {
+                    asked_at.insert(key, (name, now));
+                }
+                Verdict::Refused(_) => refusals += usize::from(name == "flood"),
+            }
+        }
+        for decision in admission.next(at(now)) {
+            let (key, runs) = match decision {
+                Decided::Runs(key) => (key, true),
+                Decided::Refused(key, _) => (key, false),
+            };
+            let Some((name, since)) = asked_at.remove(&key) else { continue };
+            waits.entry(name).or_default().push(now - since);
+            if runs {
+                started.push(key);
+            } else {
+                refusals += usize::from(name == "flood");
+            }
+        }
+        for key in started {
+            ends.push(Reverse((now + generator.random_range(2_000..6_000), key)));
+        }
+    }
+    let p95 = |name: &str| {
+        let mut waits = waits.get(name).cloned().unwrap_or_default();
+        waits.sort_unstable();
+        waits.get(waits.len() * 95 / 100).copied().unwrap_or(0)
+    };
+    (p95("quiet"), p95("flood"), refusals)
+}
+
+#[test]
+fn flood_of_one_team_does_not_move_another_team_beyond_its_target() {
+    let (quiet, flooded, refusals) = flood(AdmissionParams::default(), 200, true);
+    insta::assert_debug_snapshot!((quiet, flooded, refusals));
+    assert!(quiet <= 410, "the quiet team waits {quiet} ms at the 95th percentile");
+    assert!(flooded > 410, "the flood itself waits {flooded} ms");
+    assert!(refusals > 1_000, "{refusals} of the flood's requests are refused");
+    let (unfair, _, _) = flood(AdmissionParams::default(), 200, false);
+    assert!(unfair > 410, "as one team, both wait {unfair} ms");
+}
+
+#[test]
+fn any_sequence_keeps_the_limit_and_loses_no_ticket() {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|steps| {
+        let mut admission = admission(3);
+        let (mut running, mut waiting) = (Vec::new(), Vec::new());
+        for (step, (kind, pick)) in steps.iter().enumerate() {
+            let now = at(step as u64 * 100);
+            let pick = usize::from(*pick);
+            let priority = if pick % 3 == 0 { Priority::Batch } else { Priority::Interactive };
+            match kind % 4 {
+                0 | 1 => match admission.on_request(now, asked(["a", "b"][pick % 2], priority)) {
+                    Verdict::Runs(key) => running.push(key),
+                    Verdict::Waits(key) => waiting.push(key),
+                    Verdict::Refused(_) => {}
+                },
+                2 if !running.is_empty() => {
+                    admission.on_end(now, running.swap_remove(pick % running.len()));
+                }
+                3 if !waiting.is_empty() => {
+                    admission.on_end(now, waiting.swap_remove(pick % waiting.len()));
+                }
+                _ => {}
+            }
+            for decision in admission.next(now) {
+                let (key, runs) = match decision {
+                    Decided::Runs(key) => (key, true),
+                    Decided::Refused(key, _) => (key, false),
+                };
+                let place = waiting.iter().position(|waits| *waits == key).unwrap();
+                waiting.swap_remove(place);
+                if runs {
+                    running.push(key);
+                }
+            }
+            assert!(running.len() <= 3);
+            assert_eq!((running.len() as u32, waiting.len()), admission.counts(&pool()));
+            assert_eq!(running.len() + waiting.len(), admission.tickets.len());
+        }
+    });
+}
--- /dev/null
+++ b/crates/policy/src/limit/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(millis)
+}
+
+#[test]
+fn limit_settles_where_the_target_is_met() {
+    let mut limit = Limit::new(4, 200);
+    for now in (0..60_000).step_by(100) {
+        let running = limit.get();
+        let latency = if running <= 50 { Latency::Met } else { Latency::Missed };
+        limit.on_latency(at(now), latency, running);
+    }
+    assert!((40..=51).contains(&limit.get()), "{}", limit.get());
+}
+
+#[test]
+fn idle_pool_raises_nothing_and_capacity_lost_lowers() {
+    let mut limit = Limit::new(40, 100);
+    for _ in 0..100 {
+        limit.on_latency(at(0), Latency::Met, 3);
+    }
+    assert_eq!(40, limit.get());
+    limit.set_max(50);
+    assert_eq!(20, limit.get());
+    limit.set_max(0);
+    assert_eq!(1, limit.get());
+}
+
+#[test]
+fn burst_of_misses_decreases_once() {
+    let mut limit = Limit::new(100, 100);
+    for _ in 0..50 {
+        limit.on_latency(at(10), Latency::Missed, 100);
+    }
+    assert_eq!(90, limit.get());
+}
--- /dev/null
+++ b/crates/policy/src/retry/tests.rs
@@ -0,0 +1,103 @@
+use super::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(millis)
+}
+
+fn names() -> (Team, Pool) {
+    (Team::try_from("clara").unwrap(), Pool::try_from("p").unwrap())
+}
+
+fn retry(budgets: &mut RetryBudgets, now: u64, team: &str, generator: &mut ChaCha8Rng) -> Retry {
+    let team = Team::try_from(team).unwrap();
+    budgets.on_retry(at(now), &team, &names().1, 0, generator)
+}
+
+/// Attempts sent in an outage of 20 s at 100 requests a second, each retried up to 4 times.
+fn storm(mut budgets: Option<RetryBudgets>) -> (u32, u32) {
+    let (team, pool) = names();
+    let mut generator = ChaCha8Rng::seed_from_u64(11);
+    let (mut requests, mut attempts) = (0, 0);
+    for step in 0..4_000_u64 {
+        let now = step * 10;
+        let outage = (10_000..30_000).contains(&now);
+        requests += 1;
+        attempts += 1;
+        if !outage {
+            if let Some(budgets) = &mut budgets {
+                budgets.on_success(at(now), &team, &pool);
+            }
+            continue;
+        }
+        for retries in 0..4 {
+            let granted = budgets.as_mut().is_none_or(|budgets| {
+                let retry = budgets.on_retry(at(now), &team, &pool, retries, &mut generator);
+                matches!(retry, Retry::Granted { .. })
+            });
+            if !granted {
+                break;
+            }
+            attempts += 1;
+        }
+    }
+    (requests, attempts)
+}
+
+#[test]
+fn retry_storm_is_bounded_by_the_ratio() {
+    let (requests, unbounded) = storm(None);
+    let (_, bounded) = storm(Some(RetryBudgets::new(RetryParams::default())));
+    insta::assert_debug_snapshot!((requests, unbounded, bounded));
+    let ratio = RetryParams::default().ratio;
+    assert!(f64::from(bounded) <= f64::from(requests) * (1.0 + ratio));
+}
+
+#[test]
+fn one_team_can_not_use_up_the_pool_for_ever() {
+    let mut generator = ChaCha8Rng::seed_from_u64(3);
+    let mut budgets = RetryBudgets::new(RetryParams::default());
+    let (team, pool) = names();
+    for step in 0..100 {
+        budgets.on_success(at(step), &team, &pool);
+    }
+    let granted = (0..50)
+        .filter(|_| {
+            matches!(retry(&mut budgets, 100, "flood", &mut generator), Retry::Granted { .. })
+        })
+        .count();
+    assert_eq!(1, granted, "a team without successes");
+    assert!(matches!(retry(&mut budgets, 100, "clara", &mut generator), Retry::Granted { .. }));
+}
+
+#[test]
+fn exhausted_budget_tells_when_to_ask_again() {
+    let mut generator = ChaCha8Rng::seed_from_u64(3);
+    let mut budgets = RetryBudgets::new(RetryParams::default());
+    let mut now = 0;
+    let mut granted = Vec::new();
+    while now < 60_000 {
+        match retry(&mut budgets, now, "clara", &mut generator) {
+            Retry::Granted { .. } => granted.push(now),
+            Retry::Exhausted { again } => {
+                assert!(again > Duration::ZERO);
+                now += u64::try_from(again.as_millis()).unwrap() + 1;
+            }
+        }
+    }
+    assert!((4..=60).contains(&granted.len()), "{granted:?}");
+}
+
+#[test]
+fn jitter_is_drawn_from_the_whole_range_and_bounded() {
+    let mut generator = ChaCha8Rng::seed_from_u64(5);
+    let params = RetryParams::default();
+    let mut draw = |retries| full_jitter(&params, retries, &mut generator);
+    let first: Vec<_> = (0..200).map(|_| draw(0)).collect();
+    let late: Vec<_> = (0..200).map(|_| draw(40)).collect();
+    assert!(first.iter().all(|delay| *delay <= params.delay_base));
+    assert!(first.iter().any(|delay| *delay < params.delay_base / 10));
+    assert!(first.iter().any(|delay| *delay > params.delay_base * 9 / 10));
+    assert!(late.iter().all(|delay| *delay <= params.delay_max));
+}
