feat: admission, retry budgets and steering in the daemon

Cause: each accepted request was sent at once, retried after fixed pauses, and all callers got the same address answer.

Change: requests pass admission before they are sent; retries need the budgets of their team and pool and wait with full jitter, but the announced loss of an upstream needs no budget; the address answer follows the prefix family, and an answer for a family that belongs elsewhere names the better daemon in bronzespindle-use. Progress of generations refines the router's estimates and the pool's limit.

--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Pool, Version};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use strategy::Candidate;
@@ -233,6 +233,16 @@
         key.map_or(0, |key| self.upstreams[*key].cache.next())
     }
 
+    /// The number of upstreams of each pool that take work.
+    pub fn counts(&self) -> BTreeMap<Pool, u32> {
+        let mut counts = BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            let count: &mut u32 = counts.entry(upstream.info.pool.clone()).or_default();
+            *count += u32::from(!upstream.info.leaving);
+        }
+        counts
+    }
+
     /// The upstreams with most attempts in flight, that most first, and at most `count` of them.
     pub fn busiest(&self, count: usize) -> Vec<(Instance, SocketAddr)> {
         let mut busy: Vec<_> =
--- a/src/addresses.rs
+++ b/src/addresses.rs
@@ -2,21 +2,126 @@
 
 use crate::context::Context;
 use crate::daemon::Shared;
+use http::{HeaderMap, HeaderName, HeaderValue, Response};
 use spindle_caller::{AddressReply, DaemonAddress};
-use spindle_policy::membership::{Member, MemberStatus};
+use spindle_http::Body;
+use spindle_policy::membership::Member;
+use spindle_policy::steering::{Family, Place, order, place};
+use spindle_types::{DataCentre, Model, Problems, Service};
+use std::net::SocketAddr;
 
-/// The addresses to use, those in this daemon's data centre first. Only live daemons are in it.
-pub fn answer<C: Context>(shared: &Shared<C>) -> AddressReply {
+/// The header by which a request names its prefix family, as it did in the address query.
+pub const PREFIX_HEADER: HeaderName = HeaderName::from_static("bronzespindle-prefix");
+
+/// The header of an answer that names the daemon to use for the family from now on.
+pub const USE_HEADER: HeaderName = HeaderName::from_static("bronzespindle-use");
+
+/// The most addresses in an answer.
+const ADDRESSES_MAX: usize = 8;
+
+/// The longest label of a prefix family, in bytes.
+const LABEL_MAX_BYTES: usize = 256;
+
+/// What a caller asks addresses for.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AddressQuery {
+    /// The model or the service, as text.
+    pub target: String,
+    /// The label of the prefix family; without one any daemon will do.
+    pub prefix: Option<String>,
+    /// The caller's data centre; without one this daemon's is taken.
+    pub data_centre: Option<DataCentre>,
+}
+
+impl TryFrom<&str> for AddressQuery {
+    type Error = Problems;
+
+    fn try_from(query: &str) -> Result<Self, Problems> {
+        let mut problems = Problems::new();
+        let mut asked = Self::default();
+        let mut targets = 0;
+        for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+            let checked = match name.as_ref() {
+                "model" | "service" if targets > 0 => {
+                    problems.add(name, value, "one of model and service, once");
+                    continue;
+                }
+                "model" => Model::try_from(value.as_ref()).map(|_| targets += 1),
+                "service" => Service::try_from(value.as_ref()).map(|_| targets += 1),
+                "data_centre" => DataCentre::try_from(value.as_ref()).map(|centre| {
+                    asked.data_centre = Some(centre);
+                }),
+                "prefix" if value.len() <= LABEL_MAX_BYTES => {
+                    asked.prefix = Some(value.into_owned());
+                    continue;
+                }
+                "prefix" => {
+                    let allowed = format!("at most {LABEL_MAX_BYTES}");
+                    problems.add("prefix", format!("{} bytes", value.len()), allowed);
+                    continue;
+                }
+                _ => {
+                    problems.add(name, value, "model, service, prefix and data_centre");
+                    continue;
+                }
+            };
+            match checked {
+                Ok(()) if name != "data_centre" => asked.target = value.into_owned(),
+                Ok(()) => {}
+                Err(error) => problems.add(name, error, "a valid name"),
+            }
+        }
+        problems.finish(|| asked)
+    }
+}
+
+/// The addresses to use, best first. Only live daemons are in it.
+pub fn answer<C: Context>(shared: &Shared<C>, asked: &AddressQuery) -> AddressReply {
     let members = shared.members.borrow();
-    let mut usable: Vec<&Member> =
-        members.iter().filter(|member| member.status == MemberStatus::Live).collect();
-    let home = &shared.settings.identity.data_centre;
-    usable.sort_by_key(|member| (member.data_centre != *home, member.instance.clone()));
-    let addresses = usable.into_iter().filter_map(|member| {
-        Some(DaemonAddress { address: member.caller, incarnation: member.incarnation? })
-    });
+    let home = asked.data_centre.as_ref().unwrap_or(&shared.settings.identity.data_centre);
+    let family = match &asked.prefix {
+        Some(label) => Family::of(&asked.target, label),
+        // Callers without a family are spread evenly.
+        None => Family(u64::try_from(shared.context.random() >> 64).unwrap_or_default()),
+    };
+    let usable = order(family, home, &members).into_iter();
+    let addresses = usable.filter_map(daemon_address).take(ADDRESSES_MAX);
     AddressReply {
         addresses: addresses.collect(),
         ttl_seconds: shared.settings.caller.address_ttl.get().as_secs(),
     }
 }
+
+fn daemon_address(member: &Member) -> Option<DaemonAddress> {
+    Some(DaemonAddress { address: member.caller, incarnation: member.incarnation? })
+}
+
+/// The daemon that a request should have gone to, if its family belongs elsewhere.
+pub fn better<C: Context>(
+    shared: &Shared<C>,
+    target: &str,
+    headers: &HeaderMap,
+) -> Option<SocketAddr> {
+    let label = headers.get(PREFIX_HEADER)?.to_str().ok()?;
+    let family = Family::of(target, label);
+    let identity = &shared.settings.identity;
+    let members = shared.members.borrow();
+    match place(family, &identity.data_centre, &members, &identity.instance) {
+        Place::Here => None,
+        Place::Elsewhere => {
+            order(family, &identity.data_centre, &members).first().map(|member| member.caller)
+        }
+    }
+}
+
+/// A response that names the daemon to use from now on, if there is a better one.
+pub fn with_better(mut response: Response<Body>, better: Option<SocketAddr>) -> Response<Body> {
+    let value = better.and_then(|address| HeaderValue::try_from(address.to_string()).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(USE_HEADER, value);
+    }
+    response
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,262 @@
+//! Owns admission and the retry budgets: lets requests in, and grants retries.
+
+use crate::context::Context;
+use crate::follower::ConfigWatch;
+use crate::members::MemberWatch;
+use crate::settings::Settings;
+use crate::upstreams::CapacityWatch;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use spindle_policy::admission::{Admission, Asked, Decided, Refused, TicketKey, Verdict};
+use spindle_policy::limit::Latency;
+use spindle_policy::membership::MemberStatus;
+use spindle_policy::retry::{Retry, RetryBudgets};
+use spindle_types::{Clock, MonotonicInstant, Pool, RefusalReason, Team};
+use std::collections::HashMap;
+use std::future::pending;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot, watch};
+
+type Answer = oneshot::Sender<Result<TicketKey, Refused>>;
+
+enum Message {
+    Ask { asked: Asked, answer: Answer },
+    Latency { key: TicketKey, latency: Latency },
+    Tokens { key: TicketKey, count: u32 },
+    End { key: TicketKey },
+    Success { team: Team, pool: Pool },
+    Retry { team: Team, pool: Pool, retries: u32, answer: oneshot::Sender<Retry> },
+}
+
+/// Talks to the task. Each request has at most a few messages under way, so they need no bound.
+#[derive(Clone, Debug)]
+pub struct Admissions {
+    mailbox: mpsc::UnboundedSender<Message>,
+    running: watch::Receiver<u32>,
+}
+
+/// The right to run one request; dropping it ends the request.
+#[derive(Debug)]
+pub struct Permit {
+    key: TicketKey,
+    team: Team,
+    pool: Pool,
+    mailbox: mpsc::UnboundedSender<Message>,
+}
+
+/// The refusal when the task has ended, as it does when the daemon stops.
+const TASK_ENDED: Refused = Refused { reason: RefusalReason::Leaving, retry_after: None };
+
+impl Admissions {
+    /// Waits until a request may run.
+    ///
+    /// # Errors
+    ///
+    /// The request is refused; nothing of it was sent anywhere.
+    pub async fn admit(&self, asked: Asked) -> Result<Permit, Refused> {
+        let (team, pool) = (asked.team.clone(), asked.pool.clone());
+        let (answer, decision) = oneshot::channel();
+        self.mailbox.send(Message::Ask { asked, answer }).map_err(|_| TASK_ENDED)?;
+        let key = decision.await.map_err(|_| TASK_ENDED)??;
+        Ok(Permit { key, team, pool, mailbox: self.mailbox.clone() })
+    }
+
+    /// Requests that run at this daemon.
+    pub fn running(&self) -> u32 {
+        *self.running.borrow()
+    }
+}
+
+impl Permit {
+    fn tell(&self, message: Message) {
+        // Without a task there is nothing to record.
+        let _ = self.mailbox.send(message);
+    }
+
+    /// Records whether the request has met its latency target at its upstream.
+    pub fn latency(&self, latency: Latency) {
+        self.tell(Message::Latency { key: self.key, latency });
+    }
+
+    /// Charges tokens that were generated.
+    pub fn tokens(&self, count: u32) {
+        self.tell(Message::Tokens { key: self.key, count });
+    }
+
+    /// Records that the request has succeeded.
+    pub fn success(&self) {
+        self.tell(Message::Success { team: self.team.clone(), pool: self.pool.clone() });
+    }
+
+    /// Asks for a retry; `retries` is how many the request has made.
+    pub async fn retry(&self, retries: u32) -> Retry {
+        let (answer, decision) = oneshot::channel();
+        let (team, pool) = (self.team.clone(), self.pool.clone());
+        self.tell(Message::Retry { team, pool, retries, answer });
+        decision.await.unwrap_or(Retry::Granted { after: std::time::Duration::ZERO })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.tell(Message::End { key: self.key });
+    }
+}
+
+/// What admission follows.
+pub(crate) struct Watches {
+    /// The configuration in force.
+    pub(crate) config: ConfigWatch,
+    /// The daemons.
+    pub(crate) members: MemberWatch,
+    /// The upstreams of each pool that take work.
+    pub(crate) capacity: CapacityWatch,
+}
+
+/// Starts the task; it ends when nobody talks to it any more.
+pub(crate) fn start<C: Context>(context: C, settings: &Settings, watches: Watches) -> Admissions {
+    let (mailbox, messages) = mpsc::unbounded_channel();
+    let (sender, running) = watch::channel(0);
+    let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
+    let task = Task {
+        context,
+        admission: Admission::new(settings.admission.admission()),
+        budgets: RetryBudgets::new(settings.admission.retry()),
+        generator: StdRng::seed_from_u64(seed),
+        slots: settings.routing.slots,
+        answers: HashMap::new(),
+        running: sender,
+        watches,
+    };
+    tokio::spawn(task.run(messages));
+    Admissions { mailbox, running }
+}
+
+struct Task<C> {
+    context: C,
+    admission: Admission,
+    budgets: RetryBudgets,
+    generator: StdRng,
+    slots: u32,
+    answers: HashMap<TicketKey, Answer>,
+    running: watch::Sender<u32>,
+    watches: Watches,
+}
+
+impl<C: Context> Task<C> {
+    async fn run(mut self, mut messages: mpsc::UnboundedReceiver<Message>) {
+        self.on_change();
+        loop {
+            let expiry = self.admission.next_expiry();
+            let Watches { config, members, capacity } = &mut self.watches;
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.on_message(message),
+                    None => return,
+                },
+                Ok(()) = config.changed() => self.on_change(),
+                Ok(()) = members.changed() => self.on_change(),
+                Ok(()) = capacity.changed() => self.on_change(),
+                () = sleep_until(&self.context, expiry) => {}
+            }
+            self.decide();
+        }
+    }
+
+    fn on_change(&mut self) {
+        let now = self.context.clock().now();
+        let config = Arc::clone(&self.watches.config.borrow_and_update());
+        let members = Arc::clone(&self.watches.members.borrow_and_update());
+        let live = members.iter().filter(|member| member.status == MemberStatus::Live).count();
+        let live = u32::try_from(live).unwrap_or(u32::MAX).max(1);
+        self.admission.on_teams(now, config.teams.iter(), live);
+        let capacity = Arc::clone(&self.watches.capacity.borrow_and_update());
+        for (pool, upstreams) in capacity.iter() {
+            let max = upstreams.saturating_mul(self.slots);
+            let is_model = config.pools.get(pool).is_some_and(|spec| spec.model.is_some());
+            let initial = if is_model { (max / live).max(self.slots) } else { max };
+            self.admission.on_capacity(pool, initial, max);
+        }
+        let known = |team: &Team| config.teams.contains_key(team);
+        self.budgets.retain(known, |pool| config.pools.contains_key(pool));
+    }
+
+    fn on_message(&mut self, message: Message) {
+        let now = self.context.clock().now();
+        match message {
+            Message::Ask { asked, answer } => self.on_ask(now, asked, answer),
+            Message::Latency { key, latency } => self.admission.on_latency(now, key, latency),
+            Message::Tokens { key, count } => self.admission.on_tokens(now, key, count),
+            Message::End { key } => self.on_end(now, key),
+            Message::Success { team, pool } => self.budgets.on_success(now, &team, &pool),
+            Message::Retry { team, pool, retries, answer } => {
+                let generator = &mut self.generator;
+                let retry = self.budgets.on_retry(now, &team, &pool, retries, generator);
+                // A request that has gone needs no retry.
+                let _ = answer.send(retry);
+            }
+        }
+    }
+
+    fn on_ask(&mut self, now: MonotonicInstant, asked: Asked, answer: Answer) {
+        match self.admission.on_request(now, asked) {
+            Verdict::Runs(key) => self.let_in(now, key, answer),
+            Verdict::Waits(key) => {
+                self.answers.insert(key, answer);
+            }
+            Verdict::Refused(refused) => {
+                // A caller that has gone needs no refusal.
+                let _ = answer.send(Err(refused));
+            }
+        }
+    }
+
+    fn let_in(&mut self, now: MonotonicInstant, key: TicketKey, answer: Answer) {
+        self.running.send_modify(|running| *running += 1);
+        if answer.send(Ok(key)).is_err() {
+            self.on_end(now, key);
+        }
+    }
+
+    fn on_end(&mut self, now: MonotonicInstant, key: TicketKey) {
+        self.running.send_modify(|running| *running = running.saturating_sub(1));
+        self.admission.on_end(now, key);
+    }
+
+    fn decide(&mut self) {
+        loop {
+            let now = self.context.clock().now();
+            let decided = self.admission.next(now);
+            if decided.is_empty() {
+                return;
+            }
+            for decision in decided {
+                self.on_decided(now, decision);
+            }
+        }
+    }
+
+    fn on_decided(&mut self, now: MonotonicInstant, decision: Decided) {
+        let (key, refused) = match decision {
+            Decided::Runs(key) => (key, None),
+            Decided::Refused(key, refused) => (key, Some(refused)),
+        };
+        let Some(answer) = self.answers.remove(&key) else {
+            return;
+        };
+        match refused {
+            None => self.let_in(now, key, answer),
+            Some(refused) => {
+                // A caller that has gone needs no refusal.
+                let _ = answer.send(Err(refused));
+            }
+        }
+    }
+}
+
+async fn sleep_until<C: Context>(context: &C, instant: Option<MonotonicInstant>) {
+    match instant {
+        Some(instant) => tokio::time::sleep(instant.since(context.clock().now())).await,
+        None => pending().await,
+    }
+}
--- a/src/call.rs
+++ b/src/call.rs
@@ -3,6 +3,7 @@
 //! A call that may be repeated is tried at other upstreams until one answers. Any other is sent at
 //! most once; with an idempotency key, only after its claim in the log has won.
 
+use crate::admission::Permit;
 use crate::claims::Claimed;
 use crate::context::Context;
 use crate::daemon::Shared;
@@ -11,6 +12,7 @@
 use http_body_util::BodyExt;
 use spindle_caller::{Refusal, Repeatability, problem_response, repeatability};
 use spindle_http::{Body, BodySender};
+use spindle_policy::retry::Retry;
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_service::headers::remove_hop_by_hop;
 use spindle_service::{CallOutcome, Service};
@@ -23,7 +25,7 @@
 const ANSWER_BUFFER: usize = 16;
 
 /// The most upstreams at which a repeatable call is tried.
-const ATTEMPTS_MAX: usize = 4;
+const ATTEMPTS_MAX: u32 = 4;
 
 /// The delay after which a refused caller may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -58,6 +60,7 @@
 /// Forwards a call and returns the caller's response.
 pub async fn forward<C: Context>(
     shared: Arc<Shared<C>>,
+    permit: Permit,
     team: &Team,
     key: Option<IdempotencyKey>,
     spec: &ServiceSpec,
@@ -67,14 +70,35 @@
         Repeatability::Never => Repeat::Never,
         Repeatability::Unstated => spec.repeat(call.method.as_str(), &call.path),
     };
+    let permit = Arc::new(permit);
     let unsent = Unsent::new(call);
     let result = match repeat {
-        Repeat::Allowed => forward_repeatable(&shared, &spec.pool, unsent).await,
-        Repeat::Never => forward_once(&shared, team, key, &spec.pool, unsent).await,
+        Repeat::Allowed => forward_repeatable(&shared, &permit, &spec.pool, unsent).await,
+        Repeat::Never => {
+            let claim = key.map(|key| (team.clone(), key));
+            forward_once(&shared, &permit, claim, &spec.pool, unsent).await
+        }
     };
     result.unwrap_or_else(|refusal| problem_response(&refusal))
 }
 
+/// Whether a retry was granted after a wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Waited {
+    Granted,
+    Refused,
+}
+
+async fn wait_for_retry(permit: &Permit, retries: u32) -> Waited {
+    match permit.retry(retries).await {
+        Retry::Granted { after } => {
+            tokio::time::sleep(after).await;
+            Waited::Granted
+        }
+        Retry::Exhausted { .. } => Waited::Refused,
+    }
+}
+
 /// What one attempt led to.
 enum Attempt {
     Answered(Response<Body>),
@@ -84,18 +108,24 @@
 
 async fn forward_repeatable<C: Context>(
     shared: &Shared<C>,
+    permit: &Arc<Permit>,
     pool: &Pool,
     mut unsent: Unsent<Call>,
 ) -> Result<Response<Body>, Refusal> {
     let demand = Demand::call(pool.clone());
     let mut excluded = Vec::new();
     let mut lost = None;
-    for _ in 0..ATTEMPTS_MAX {
+    let mut reason = RefusalReason::NoUpstream;
+    for retries in 0..ATTEMPTS_MAX {
+        if retries > 0 && wait_for_retry(permit, retries - 1).await == Waited::Refused {
+            reason = RefusalReason::RetryBudget;
+            break;
+        }
         let Some(route) = shared.upstreams.choose(&demand, &excluded).await else {
             break;
         };
         excluded.push(route.instance.clone());
-        unsent = match attempt(shared, &route, unsent).await {
+        unsent = match attempt(shared, permit, &route, unsent).await {
             Attempt::Answered(response) => return Ok(response),
             Attempt::Refused(unsent) => unsent,
             Attempt::Lost(call, sent) => {
@@ -106,20 +136,20 @@
     }
     Err(match lost {
         Some(sent) => Refusal::Unknown(sent.lose()),
-        None => Refusal::NotRun(unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER))),
+        None => Refusal::NotRun(unsent.refuse(reason, Some(RETRY_AFTER))),
     })
 }
 
 async fn forward_once<C: Context>(
     shared: &Shared<C>,
-    team: &Team,
-    key: Option<IdempotencyKey>,
+    permit: &Arc<Permit>,
+    claim: Option<(Team, IdempotencyKey)>,
     pool: &Pool,
     unsent: Unsent<Call>,
 ) -> Result<Response<Body>, Refusal> {
-    if let Some(key) = key {
+    if let Some((team, key)) = claim {
         let nonce = u64::try_from(shared.context.random() >> 64).unwrap_or_default();
-        match shared.claims.claim(team.clone(), key, nonce).await {
+        match shared.claims.claim(team, key, nonce).await {
             Claimed::Won => {}
             Claimed::Lost(_) => return Err(Refusal::Unknown(unsent.send().1.lose())),
             Claimed::Unsettled => {
@@ -132,7 +162,7 @@
         let not_run = unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER));
         return Err(Refusal::NotRun(not_run));
     };
-    match attempt(shared, &route, unsent).await {
+    match attempt(shared, permit, &route, unsent).await {
         Attempt::Answered(response) => Ok(response),
         Attempt::Refused(unsent) => {
             Err(Refusal::NotRun(unsent.refuse(RefusalReason::NoUpstream, Some(RETRY_AFTER))))
@@ -141,7 +171,12 @@
     }
 }
 
-async fn attempt<C: Context>(shared: &Shared<C>, route: &Route, unsent: Unsent<Call>) -> Attempt {
+async fn attempt<C: Context>(
+    shared: &Shared<C>,
+    permit: &Arc<Permit>,
+    route: &Route,
+    unsent: Unsent<Call>,
+) -> Attempt {
     let Ok(request) = unsent.request().request() else {
         return Attempt::Refused(unsent);
     };
@@ -151,9 +186,12 @@
             let (head, answer) = response.into_parts();
             let (sender, body) = Body::pieces(ANSWER_BUFFER);
             let upstreams = shared.upstreams.clone();
-            let key = route.key;
+            let (key, permit) = (route.key, Arc::clone(permit));
             tokio::spawn(async move {
                 let end = relay(answer, sender).await;
+                if end == AttemptEnd::Completed {
+                    permit.success();
+                }
                 upstreams.end(key, end).await;
             });
             Attempt::Answered(Response::from_parts(head, body))
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
+use crate::admission::{self, Admissions, Watches};
 use crate::claims::{self, Claims};
 use crate::context::Context;
 use crate::follower::{self, ConfigWatch};
@@ -35,6 +36,8 @@
     pub config: ConfigWatch,
     /// The router.
     pub upstreams: Upstreams,
+    /// Admission and the retry budgets.
+    pub admission: Admissions,
     /// The daemons, itself included.
     pub members: MemberWatch,
     /// Claims on calls that must run at most once.
@@ -82,12 +85,19 @@
             daemons,
             &upstreams,
         );
+        let watches = Watches {
+            config: config.clone(),
+            members: members.clone(),
+            capacity: upstreams.capacity(),
+        };
+        let admission = admission::start(context.clone(), &settings, watches);
         let shared = Arc::new(Shared {
             context,
             settings,
             incarnation,
             config,
             upstreams,
+            admission,
             members,
             claims,
             drain,
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -4,8 +4,8 @@
 use crate::daemon::Daemon;
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
-    CallerSettings, DrainSettings, IdentitySettings, LogSettings, MetricsSettings, PeerSettings,
-    PlatformSettings, RoutingSettings, Settings, check_document,
+    AdmissionSettings, CallerSettings, DrainSettings, IdentitySettings, LogSettings,
+    MetricsSettings, PeerSettings, PlatformSettings, RoutingSettings, Settings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -220,6 +220,7 @@
                 notice_interval: Span::from_millis(100),
             },
             routing: RoutingSettings::default(),
+            admission: AdmissionSettings::default(),
             drain: DrainSettings { linger: Span::from_millis(400) },
             logs: LogSettings::default(),
             metrics: MetricsSettings::default(),
--- a/src/front.rs
+++ b/src/front.rs
@@ -1,6 +1,6 @@
 //! Answers callers: finds the team, checks the request, and hands it to its unit.
 
-use crate::addresses;
+use crate::addresses::{self, AddressQuery};
 use crate::call::{Call, forward};
 use crate::context::Context;
 use crate::daemon::Shared;
@@ -14,7 +14,8 @@
     problem_response,
 };
 use spindle_http::{Body, Handler, json, read_body};
-use spindle_types::config::KeyHash;
+use spindle_policy::admission::{Asked, Refused};
+use spindle_types::config::{KeyHash, Priority};
 use spindle_types::{Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,9 @@
 /// The delay after which a refused caller may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The service that a call to a plain service takes, in seconds of one upstream.
+const CALL_COST: f64 = 0.01;
+
 /// Answers callers of one daemon.
 #[derive(Debug)]
 pub struct Front<C>(pub Arc<Shared<C>>);
@@ -54,10 +58,16 @@
         let team = self.team(&request)?;
         match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/addresses") => {
-                Ok(json(StatusCode::OK, &addresses::answer(&self.0)))
+                let query = request.uri().query().unwrap_or_default();
+                let asked = AddressQuery::try_from(query).map_err(Refusal::Invalid)?;
+                Ok(json(StatusCode::OK, &addresses::answer(&self.0, &asked)))
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                self.generate::<ChatRequest>(request, &team).await
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.generate::<CompletionRequest>(request, &team).await
             }
-            (&Method::POST, "/v1/chat/completions") => self.generate::<ChatRequest>(request).await,
-            (&Method::POST, "/v1/completions") => self.generate::<CompletionRequest>(request).await,
             (_, path) if path.starts_with(SERVICE_PREFIX) => self.call(request, &team).await,
             _ => Err(Refusal::NotFound),
         }
@@ -76,12 +86,17 @@
         read.map_err(|error| invalid("body", &error, "a whole body within its limits"))
     }
 
-    async fn generate<R>(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal>
+    async fn generate<R>(
+        &self,
+        request: Request<Incoming>,
+        team: &Team,
+    ) -> Result<Response<Body>, Refusal>
     where
         R: DeserializeOwned,
         Completion: TryFrom<R, Error = Problems>,
     {
-        let body = self.read(request.into_body()).await?;
+        let (head, body) = request.into_parts();
+        let body = self.read(body).await?;
         let raw: R = serde_json::from_slice(&body)
             .map_err(|error| invalid("body", &error, "a JSON request"))?;
         let completion = Completion::try_from(raw).map_err(Refusal::Invalid)?;
@@ -90,15 +105,37 @@
             let not_run = Unsent::new(completion).refuse(RefusalReason::Leaving, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
+        let asked = self.asked(team, &pool, &completion, body.len());
+        let permit = match self.0.admission.admit(asked).await {
+            Ok(permit) => permit,
+            Err(refused) => return Err(not_admitted(completion, refused)),
+        };
         let id = RequestId(self.0.context.random());
+        let better = addresses::better(&self.0, completion.model.as_str(), &head.headers);
         let head = reply::Head::new(id, &completion);
         let stream = completion.stream;
-        let mut progress = generation::start(Arc::clone(&self.0), id, completion, pool);
-        match progress.recv().await {
-            Some(Progress::Refused(refusal)) => Err(refusal),
-            Some(first) if stream => Ok(reply::streamed(head, first, progress)),
-            Some(first) => reply::whole(head, first, progress).await,
-            None => Err(Refusal::NotFound),
+        let mut progress = generation::start(Arc::clone(&self.0), id, completion, pool, permit);
+        let response = match progress.recv().await {
+            Some(Progress::Refused(refusal)) => return Err(refusal),
+            Some(first) if stream => reply::streamed(head, first, progress),
+            Some(first) => reply::whole(head, first, progress).await?,
+            None => return Err(Refusal::NotFound),
+        };
+        Ok(addresses::with_better(response, better))
+    }
+
+    fn asked(&self, team: &Team, pool: &Pool, completion: &Completion, bytes: usize) -> Asked {
+        let settings = &self.0.settings;
+        let speed = settings.routing.params(settings.identity.data_centre.clone()).speed;
+        let tokens = completion.prompt.split_whitespace().count();
+        let prefill = speed.prefill(u32::try_from(tokens).unwrap_or(u32::MAX));
+        let decode = speed.step_slope.as_secs_f64() * f64::from(completion.max_tokens);
+        Asked {
+            team: team.clone(),
+            pool: pool.clone(),
+            priority: completion.priority,
+            cost: prefill + decode,
+            bytes,
         }
     }
 
@@ -135,10 +172,28 @@
             let not_run = Unsent::new(call).refuse(RefusalReason::Leaving, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
-        Ok(forward(Arc::clone(&self.0), team, key, &spec, call).await)
+        let asked = Asked {
+            team: team.clone(),
+            pool: spec.pool.clone(),
+            priority: Priority::Interactive,
+            cost: CALL_COST,
+            bytes: call.body.len(),
+        };
+        let better = addresses::better(&self.0, service.as_str(), &call.headers);
+        let permit = match self.0.admission.admit(asked).await {
+            Ok(permit) => permit,
+            Err(refused) => return Err(not_admitted(call, refused)),
+        };
+        let response = forward(Arc::clone(&self.0), permit, team, key, &spec, call).await;
+        Ok(addresses::with_better(response, better))
     }
 }
 
+/// The refusal of a request that was not let in.
+fn not_admitted<R>(request: R, refused: Refused) -> Refusal {
+    Refusal::NotRun(Unsent::new(request).refuse(refused.reason, refused.retry_after))
+}
+
 fn invalid(path: &str, found: &impl std::fmt::Display, allowed: &str) -> Refusal {
     let mut problems = Problems::new();
     problems.add(path, found, allowed);
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -2,13 +2,18 @@
 //!
 //! A broken attempt is resumed at another upstream from the prompt and the tokens produced so far.
 
+use crate::admission::Permit;
 use crate::context::Context;
 use crate::daemon::Shared;
 use crate::demand;
+use crate::meter::Meter;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use spindle_caller::{Completion, Refusal};
 use spindle_engine::wire::Finish;
 use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, Step};
 use spindle_policy::answer::{Answer, Part, Received};
+use spindle_policy::retry::{Retry, full_jitter};
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_types::{
     Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId, Sent, Unsent,
@@ -20,9 +25,6 @@
 /// Events that a slow caller may lag behind.
 const PROGRESS_BUFFER: usize = 64;
 
-/// The pause before the pool is asked again when no upstream can take work.
-const ROUTE_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// The delay after which a refused caller may try again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -55,10 +57,14 @@
     id: RequestId,
     completion: Completion,
     pool: Pool,
+    permit: Permit,
 ) -> mpsc::Receiver<Progress> {
     let (progress, receiver) = mpsc::channel(PROGRESS_BUFFER);
     let started = shared.context.clock().now();
     let demand = demand::of(&shared.config.borrow(), &completion, &pool);
+    let speed = shared.settings.routing.params(shared.settings.identity.data_centre.clone()).speed;
+    let prefill = Duration::from_secs_f64(speed.prefill(demand.tokens));
+    let meter = Meter::new(permit, shared.upstreams.clone(), &demand, prefill);
     let driver = Driver {
         shared,
         id,
@@ -68,6 +74,10 @@
         answer: Answer::new(id),
         excluded: Vec::new(),
         recomputed: 0,
+        meter,
+        pauses: 0,
+        retries: 0,
+        retry: None,
     };
     tokio::spawn(driver.run(Custody::Unsent(Unsent::new(completion))));
     receiver
@@ -109,6 +119,13 @@
     Failed,
 }
 
+/// Whether a retry was granted after a wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Waited {
+    Granted,
+    Refused,
+}
+
 struct Driver<C> {
     shared: Arc<Shared<C>>,
     id: RequestId,
@@ -118,6 +135,11 @@
     answer: Answer,
     excluded: Vec<Instance>,
     recomputed: u32,
+    meter: Meter,
+    pauses: u32,
+    retries: u32,
+    /// The upstream whose failure makes a retry necessary.
+    retry: Option<Instance>,
 }
 
 impl<C: Context> Driver<C> {
@@ -132,12 +154,19 @@
             if now.since(progressed_at) >= self.shared.settings.caller.stall_timeout.get() {
                 return self.refuse(custody.give_up(RefusalReason::NoUpstream)).await;
             }
+            if let Some(failed) = self.retry.take()
+                && self.wait_for_retry(failed).await == Waited::Refused
+            {
+                continue;
+            }
             let Some(route) = self.shared.upstreams.choose(&self.demand, &self.excluded).await
             else {
                 self.excluded.clear();
-                tokio::time::sleep(ROUTE_RETRY_DELAY).await;
+                self.pause().await;
                 continue;
             };
+            self.pauses = 0;
+            self.meter.on_dispatch(self.shared.context.clock().now(), route.key, length);
             let (next, attempted) = self.attempt(custody, &route).await;
             custody = next;
             let end = match attempted {
@@ -153,10 +182,40 @@
                 progressed_at = self.shared.context.clock().now();
                 self.excluded.clear();
             }
+            self.retry = Some(route.instance.clone());
             self.excluded.push(route.instance);
         }
     }
 
+    /// Waits as the retry budget says. The loss of an upstream that was announced needs no budget,
+    /// for it tells nothing of the load.
+    async fn wait_for_retry(&mut self, failed: Instance) -> Waited {
+        if self.shared.upstreams.leaving().borrow().contains(&failed) {
+            return Waited::Granted;
+        }
+        match self.meter.permit().retry(self.retries).await {
+            Retry::Granted { after } => {
+                self.retries += 1;
+                tokio::time::sleep(after).await;
+                Waited::Granted
+            }
+            Retry::Exhausted { again } => {
+                self.retry = Some(failed);
+                tokio::time::sleep(again).await;
+                Waited::Refused
+            }
+        }
+    }
+
+    /// Waits before the pool is asked again when no upstream can take work.
+    async fn pause(&mut self) {
+        let seed = u64::try_from(self.shared.context.random() >> 64).unwrap_or_default();
+        let params = self.shared.settings.admission.retry();
+        let delay = full_jitter(&params, self.pauses, &mut StdRng::seed_from_u64(seed));
+        self.pauses += 1;
+        tokio::time::sleep(delay).await;
+    }
+
     async fn refuse(self, refusal: Refusal) {
         // A caller that has gone needs no refusal.
         let _ = self.progress.send(Progress::Refused(refusal)).await;
@@ -236,6 +295,7 @@
         let finish = chunk.finish;
         let length = self.answer.length();
         let received = self.answer.on_part(part(chunk));
+        self.meter.on_length(self.shared.context.clock().now(), self.answer.length());
         if let Some(text) = self.text_from(length) {
             let sent = self.progress.send(Progress::Text { offset: length, text }).await;
             if sent.is_err() {
@@ -255,8 +315,9 @@
         Some(new.concat())
     }
 
-    async fn finish(&self, finish: Finish) -> Attempted {
+    async fn finish(&mut self, finish: Finish) -> Attempted {
         let (length, recomputed) = (self.answer.length(), self.recomputed);
+        self.meter.on_finished(length);
         let finished = Progress::Finished { finish, length, recomputed };
         match self.progress.send(finished).await {
             Ok(()) => Attempted::Finished,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! bronzespindle serves language models and companion services on reclaimable instances.
 
 pub mod addresses;
+pub mod admission;
 pub mod call;
 pub mod claims;
 pub mod cli;
@@ -15,6 +16,7 @@
 pub mod generation;
 pub mod logs;
 pub mod members;
+mod meter;
 pub mod metrics;
 pub mod reply;
 pub mod settings;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! Each unit has its own settings struct with defaults. The schema of the document is generated
 //! from these types.
 
+mod admission;
 mod caller;
 mod drain;
 mod identity;
@@ -13,6 +14,7 @@
 mod platform;
 mod routing;
 
+pub use admission::AdmissionSettings;
 pub use caller::CallerSettings;
 pub use drain::DrainSettings;
 pub use identity::IdentitySettings;
@@ -44,6 +46,9 @@
     /// How upstreams are chosen.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// How requests are let in and retried.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -62,6 +67,7 @@
         self.caller.check(&mut problems);
         self.peer.check(&mut problems);
         self.routing.check(&mut problems);
+        self.admission.check(&mut problems);
         self.drain.check(&mut problems);
         problems
     }
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -15,6 +15,7 @@
     AttemptEnd, AttemptKey, CacheChange, Demand, Report, Route, Router, UpstreamInfo,
 };
 use spindle_types::{Clock, Instance, Pool};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -37,6 +38,9 @@
 /// The instances that are marked as leaving.
 pub type LeavingWatch = watch::Receiver<Arc<Vec<Instance>>>;
 
+/// The number of upstreams of each pool that take work.
+pub type CapacityWatch = watch::Receiver<Arc<BTreeMap<Pool, u32>>>;
+
 enum Message {
     Choose { demand: Demand, excluded: Vec<Instance>, reply: oneshot::Sender<Option<Route>> },
     Progress { key: AttemptKey, tokens: u32 },
@@ -61,6 +65,7 @@
 pub struct Upstreams {
     mailbox: mpsc::Sender<Message>,
     leaving: LeavingWatch,
+    capacity: CapacityWatch,
 }
 
 impl Upstreams {
@@ -91,6 +96,11 @@
         let _ = self.mailbox.send(Message::Leaving(vec![instance])).await;
     }
 
+    /// The number of upstreams of each pool that take work.
+    pub fn capacity(&self) -> CapacityWatch {
+        self.capacity.clone()
+    }
+
     /// The instances that are marked as leaving.
     pub fn leaving(&self) -> LeavingWatch {
         self.leaving.clone()
@@ -102,6 +112,7 @@
     let (mailbox, messages) = mpsc::channel(MAILBOX);
     let (daemons, daemon_watch) = watch::channel(Arc::default());
     let (leaving, leaving_watch) = watch::channel(Arc::default());
+    let (capacity, capacity_watch) = watch::channel(Arc::default());
     poll::start(&context, settings, &mailbox);
     let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
     let params = settings.routing.params(settings.identity.data_centre.clone());
@@ -112,9 +123,11 @@
         prices: Prices::default(),
         daemons,
         leaving,
+        capacity,
     };
     tokio::spawn(task.run(messages));
-    (Upstreams { mailbox, leaving: leaving_watch }, daemon_watch)
+    let upstreams = Upstreams { mailbox, leaving: leaving_watch, capacity: capacity_watch };
+    (upstreams, daemon_watch)
 }
 
 struct Task<C> {
@@ -124,6 +137,7 @@
     prices: Prices,
     daemons: watch::Sender<Arc<Vec<ListedDaemon>>>,
     leaving: watch::Sender<Arc<Vec<Instance>>>,
+    capacity: watch::Sender<Arc<BTreeMap<Pool, u32>>>,
 }
 
 impl<C: Context> Task<C> {
@@ -148,6 +162,7 @@
             Message::Listing(entries) => self.on_listing(entries),
             Message::Leaving(instances) => {
                 instances.iter().for_each(|instance| self.mark_leaving(instance));
+                self.publish_capacity();
             }
             Message::Offers(offers) => self.prices.on_offers(offers),
             Message::Watched { count, reply } => {
@@ -187,6 +202,16 @@
         let now = self.context.clock().now();
         self.router.on_listing(now, upstreams);
         self.daemons.send_replace(Arc::new(daemons));
+        self.publish_capacity();
+    }
+
+    fn publish_capacity(&self) {
+        let counts = Arc::new(self.router.counts());
+        self.capacity.send_if_modified(|known| {
+            let changed = **known != *counts;
+            *known = counts;
+            changed
+        });
     }
 
     fn mark_leaving(&mut self, instance: &Instance) {
