--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,12 +3,12 @@
 //! Nothing here does I/O, reads a clock or draws a random number of its own: the present time and,
 //! where one is needed, a seeded generator are arguments.
 
-#[cfg(test)]
-mod cases;
-
+pub mod admission;
 pub mod answer;
 pub mod breaker;
 pub mod capacity;
+#[cfg(test)]
+mod cases;
 pub mod checkpoint;
 pub mod claim;
 pub mod exchange;
@@ -16,12 +16,16 @@
 pub mod freshness;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod membership;
 pub mod plan;
 pub mod proposal;
+pub mod quota;
+pub mod retry;
 pub mod roster;
 pub mod routing;
 pub mod solve;
+pub mod steering;
 pub mod survival;
 pub mod update;
 pub mod validation;
--- a/src/call.rs
+++ b/src/call.rs
@@ -4,6 +4,7 @@
 //! a call that may be repeated is tried again. A call with an idempotency key goes through
 //! [`crate::once`].
 
+use crate::admission::Permit;
 use crate::context::Context;
 use crate::custody::Custody;
 use crate::daemon::Shared;
@@ -14,6 +15,7 @@
 use spindle_caller::{Refusal, Repeatability, problem_response, repeatability};
 use spindle_http::{Body, BodySender};
 use spindle_policy::claim::CallKey;
+use spindle_policy::retry::Retry;
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_service::headers::remove_hop_by_hop;
 use spindle_service::{CallOutcome, Service};
@@ -25,7 +27,7 @@
 const ANSWER_BUFFER: usize = 16;
 
 /// The most upstreams at which a call is tried.
-const ATTEMPTS_MAX: usize = 4;
+const ATTEMPTS_MAX: u32 = 4;
 
 /// A call to forward.
 #[derive(Clone, Debug)]
@@ -57,6 +59,7 @@
 /// Forwards a call and returns the caller's response.
 pub async fn forward<C: Context>(
     shared: Arc<Shared<C>>,
+    permit: Permit,
     team: &Team,
     key: Option<IdempotencyKey>,
     spec: &ServiceSpec,
@@ -66,16 +69,34 @@
         Repeatability::Never => Repeat::Never,
         Repeatability::Unstated => spec.repeat(call.method.as_str(), &call.path),
     };
+    let permit = Arc::new(permit);
     let result = match key {
         Some(key) => {
             let key = CallKey { team: team.clone(), key };
-            once::forward(shared, key, spec.pool.clone(), repeat, call).await
+            once::forward(shared, permit, key, spec.pool.clone(), repeat, call).await
         }
-        None => forward_unkeyed(&shared, &spec.pool, repeat, call).await,
+        None => forward_unkeyed(&shared, permit, &spec.pool, repeat, call).await,
     };
     result.unwrap_or_else(|refusal| problem_response(&refusal))
 }
 
+/// Whether a retry was granted after a wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Waited {
+    Granted,
+    Refused,
+}
+
+async fn wait_for_retry(permit: &Permit, retries: u32) -> Waited {
+    match permit.retry(retries).await {
+        Retry::Granted { after } => {
+            tokio::time::sleep(after).await;
+            Waited::Granted
+        }
+        Retry::Exhausted { .. } => Waited::Refused,
+    }
+}
+
 /// Forwards a call without a key and relays the answer.
 ///
 /// # Errors
@@ -83,16 +104,20 @@
 /// No upstream answered.
 pub async fn forward_unkeyed<C: Context>(
     shared: &Shared<C>,
+    permit: Arc<Permit>,
     pool: &Pool,
     repeat: Repeat,
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
-    let Answered { response, route } = deliver(shared, pool, repeat, call).await?;
+    let Answered { response, route } = deliver(shared, &permit, pool, repeat, call).await?;
     let (head, answer) = response.into_parts();
     let (sender, body) = Body::pieces(ANSWER_BUFFER);
     let upstreams = shared.upstreams.clone();
     tokio::spawn(async move {
         let end = relay(answer, sender).await;
+        if end == AttemptEnd::Completed {
+            permit.success();
+        }
         upstreams.end(route.key, end).await;
     });
     Ok(Response::from_parts(head, body))
@@ -117,6 +142,7 @@
 /// No upstream answered; the refusal tells whether the call may have run.
 pub async fn deliver<C: Context>(
     shared: &Shared<C>,
+    permit: &Permit,
     pool: &Pool,
     repeat: Repeat,
     call: Call,
@@ -124,7 +150,10 @@
     let demand = Demand::call(pool.clone());
     let mut custody = Custody::new(call);
     let mut excluded = Vec::new();
-    for _ in 0..ATTEMPTS_MAX {
+    for retries in 0..ATTEMPTS_MAX {
+        if retries > 0 && wait_for_retry(permit, retries - 1).await == Waited::Refused {
+            return Err(custody.give_up(RefusalReason::RetryBudget));
+        }
         let Some(route) = shared.upstreams.choose(&demand, &excluded).await else {
             break;
         };
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon: starts its tasks, and stops them without cutting anything off.
 
 use crate::admin::{self, Admin};
+use crate::admission::{self, Admissions, Watches};
 use crate::claims::{self, Claims};
 use crate::context::Context;
 use crate::evacuation::{self, Evacuation};
@@ -52,6 +53,8 @@
     pub lease: Lease,
     /// The router.
     pub upstreams: Upstreams,
+    /// Admission and the retry budgets.
+    pub admission: Admissions,
     /// The daemons, itself included.
     pub members: MemberWatch,
     /// The least revision in force at every live daemon.
@@ -95,44 +98,14 @@
     /// A listen address can't be bound.
     pub async fn start(context: C, settings: Settings) -> eyre::Result<Self> {
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
-        let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
-        let claims = claims::start(&context, incarnation, &settings.claim);
-        let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
-        let drain = refusing.signal();
-        let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
-        let (plans, planning) = plans::start(context.clone());
         let (listener, caller) = bind_callers(&settings).await?;
         let listen = settings.peer.listen;
         let server = bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))?;
         let peer = server.address();
-        let (peers, inbound) = PeerService::new(state.follower.clone());
-        let parts = members::Parts {
-            own: own_record(&settings.identity, incarnation, caller, peer),
-            heartbeat: settings.peer.heartbeat,
-            follower: state.follower.clone(),
-            daemons,
-            upstreams: upstreams.clone(),
-            inbound,
-            in_force: state.in_force_sender,
-        };
-        let members = members::start(context.clone(), parts);
-        let shared = Arc::new(Shared {
-            context,
-            settings,
-            incarnation,
-            config: state.follower.config.clone(),
-            follower: state.follower,
-            publisher: state.publisher,
-            plans,
-            lease: state.lease,
-            upstreams,
-            members,
-            in_force: state.in_force,
-            claims,
-            evacuation,
-            drain,
-        });
+        let own = own_record(&settings.identity, incarnation, caller, peer);
+        let Parts { shared, tasks, planning, peers } =
+            start_parts(context, settings, own, refusing.signal());
         let rpc = server.start(peers.methods()?);
         let serving = start_front(&shared, listener, closing.signal());
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
@@ -215,6 +188,56 @@
     }
 }
 
+/// The tasks of a daemon, apart from its servers.
+struct Parts<C> {
+    shared: Arc<Shared<C>>,
+    tasks: StateTasks,
+    planning: JoinHandle<()>,
+    peers: PeerService,
+}
+
+fn start_parts<C: Context>(context: C, settings: Settings, own: Record, drain: Drain) -> Parts<C> {
+    let incarnation = own.incarnation;
+    let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
+    let claims = claims::start(&context, incarnation, &settings.claim);
+    let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
+    let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
+    let (plans, planning) = plans::start(context.clone());
+    let (peers, inbound) = PeerService::new(state.follower.clone());
+    let parts = members::Parts {
+        own,
+        heartbeat: settings.peer.heartbeat,
+        follower: state.follower.clone(),
+        daemons,
+        upstreams: upstreams.clone(),
+        inbound,
+        in_force: state.in_force_sender,
+    };
+    let members = members::start(context.clone(), parts);
+    let config = state.follower.config.clone();
+    let capacity = upstreams.capacity();
+    let watches = Watches { config: config.clone(), members: members.clone(), capacity };
+    let admission = admission::start(context.clone(), &settings, watches);
+    let shared = Arc::new(Shared {
+        context,
+        settings,
+        incarnation,
+        config,
+        follower: state.follower,
+        publisher: state.publisher,
+        plans,
+        lease: state.lease,
+        upstreams,
+        admission,
+        members,
+        in_force: state.in_force,
+        claims,
+        evacuation,
+        drain,
+    });
+    Parts { shared, tasks, planning, peers }
+}
+
 async fn bind_callers(settings: &Settings) -> eyre::Result<(TcpListener, SocketAddr)> {
     let listen = settings.caller.listen;
     bind(listen).await.wrap_err_with(|| format!("caller.listen {listen}"))
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -14,7 +14,7 @@
 use serde_json::value::to_raw_value;
 use spindle_cloud::{Offer, Running};
 use spindle_instances::{Entry, Kind, State};
-use spindle_policy::membership::Member;
+use spindle_policy::membership::{Member, MemberStatus};
 use spindle_standin::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
@@ -420,7 +420,9 @@
                 config.wait_for(|config| config.revision >= revision).await?;
                 let mut members = daemon.shared().members.clone();
                 let met = |members: &Arc<Vec<Member>>| {
-                    let heard = members.iter().filter(|member| member.incarnation.is_some());
+                    let heard = members.iter().filter(|member| {
+                        member.incarnation.is_some() && member.status == MemberStatus::Live
+                    });
                     heard.count() >= self.daemons.len()
                 };
                 members.wait_for(met).await?;
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -3,16 +3,21 @@
 //! A broken attempt is resumed at another upstream from the prompt and the tokens produced so far.
 //! When its upstream is about to be taken back, it moves as [`crate::evacuation`] orders.
 
+use crate::admission::Permit;
 use crate::context::Context;
 use crate::custody::Custody;
 use crate::daemon::Shared;
 use crate::demand;
 use crate::evacuation::{Seat, StreamInfo};
+use crate::meter::Meter;
 use crate::transfer::{Source, Transferred, transfer};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use spindle_caller::{Completion, Refusal};
 use spindle_engine::wire::Finish;
 use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, KvHandle, Step};
 use spindle_policy::answer::{Answer, Part, Received};
+use spindle_policy::retry::{Retry, full_jitter};
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_policy::survival::Move;
 use spindle_types::{Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId};
@@ -24,9 +29,6 @@
 /// Events that a slow caller may lag behind.
 const PROGRESS_BUFFER: usize = 64;
 
-/// The pause before the pool is asked again when no upstream can take work.
-const ROUTE_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// What a generation tells its caller.
 #[derive(Debug)]
 pub enum Progress {
@@ -56,10 +58,14 @@
     id: RequestId,
     completion: Completion,
     pool: Pool,
+    permit: Permit,
 ) -> mpsc::Receiver<Progress> {
     let (progress, receiver) = mpsc::channel(PROGRESS_BUFFER);
     let started = shared.context.clock().now();
     let demand = demand::of(&shared.config.borrow(), &completion, &pool);
+    let speed = shared.settings.routing.params(shared.settings.identity.data_centre.clone()).speed;
+    let prefill = Duration::from_secs_f64(speed.prefill(demand.tokens));
+    let meter = Meter::new(permit, shared.upstreams.clone(), &demand, prefill);
     let driver = Driver {
         shared,
         id,
@@ -69,6 +75,10 @@
         answer: Answer::new(id, completion.max_tokens),
         excluded: Vec::new(),
         recomputed: 0,
+        meter,
+        pauses: 0,
+        retries: 0,
+        retry: None,
     };
     tokio::spawn(driver.run(Custody::new(completion)));
     receiver
@@ -102,6 +112,13 @@
 /// A transfer that is under way, stopped when dropped.
 type Transfer = AbortOnDropHandle<Option<Transferred>>;
 
+/// Whether a retry was granted after a wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Waited {
+    Granted,
+    Refused,
+}
+
 struct Driver<C> {
     shared: Arc<Shared<C>>,
     id: RequestId,
@@ -111,6 +128,12 @@
     answer: Answer,
     excluded: Vec<Instance>,
     recomputed: u32,
+    meter: Meter,
+    pauses: u32,
+    retries: u32,
+    /// The upstream whose failure makes a retry necessary. An attempt that brought the answer
+    /// forward is no failure: its resumption can't multiply the load.
+    retry: Option<Instance>,
 }
 
 impl<C: Context> Driver<C> {
@@ -126,17 +149,26 @@
             if now.since(progressed_at) >= self.shared.settings.caller.stall_timeout.get() {
                 return self.refuse(custody.give_up(RefusalReason::NoUpstream)).await;
             }
+            if let Some(failed) = self.retry.take()
+                && self.wait_for_retry(failed).await == Waited::Refused
+            {
+                continue;
+            }
             let Some(place) = self.place(moved.take()).await else {
                 self.excluded.clear();
-                tokio::time::sleep(ROUTE_RETRY_DELAY).await;
+                self.pause().await;
                 continue;
             };
+            self.pauses = 0;
+            let now = self.shared.context.clock().now();
+            self.meter.on_dispatch(now, place.route.key, length);
             let (next, attempted) = self.attempt(custody, &place).await;
             custody = next;
             self.shared.upstreams.end(place.route.key, attempted.end()).await;
             match attempted {
                 Attempted::Finished | Attempted::CallerGone => return,
-                Attempted::Failed => {}
+                Attempted::Failed if self.answer.length() > length => {}
+                Attempted::Failed => self.retry = Some(place.route.instance.clone()),
                 Attempted::Moved(transferred) => moved = transferred,
             }
             if self.answer.length() > length {
@@ -158,6 +190,35 @@
         Some(Place { route, kv: None })
     }
 
+    /// Waits as the retry budget says. The loss of an upstream that was announced needs no budget,
+    /// for it tells nothing of the load.
+    async fn wait_for_retry(&mut self, failed: Instance) -> Waited {
+        if self.shared.upstreams.leaving().borrow().contains(&failed) {
+            return Waited::Granted;
+        }
+        match self.meter.permit().retry(self.retries).await {
+            Retry::Granted { after } => {
+                self.retries += 1;
+                tokio::time::sleep(after).await;
+                Waited::Granted
+            }
+            Retry::Exhausted { again } => {
+                self.retry = Some(failed);
+                tokio::time::sleep(again).await;
+                Waited::Refused
+            }
+        }
+    }
+
+    /// Waits before the pool is asked again when no upstream can take work.
+    async fn pause(&mut self) {
+        let seed = u64::try_from(self.shared.context.random() >> 64).unwrap_or_default();
+        let params = self.shared.settings.admission.retry();
+        let delay = full_jitter(&params, self.pauses, &mut StdRng::seed_from_u64(seed));
+        self.pauses += 1;
+        tokio::time::sleep(delay).await;
+    }
+
     async fn refuse(self, refusal: Refusal) {
         // A caller that has gone needs no refusal.
         let _ = self.progress.send(Progress::Refused(refusal)).await;
@@ -301,6 +362,7 @@
         let finish = chunk.finish;
         let length = self.answer.length();
         let received = self.answer.on_part(part(chunk));
+        self.meter.on_length(self.shared.context.clock().now(), self.answer.length());
         if let Some(text) = self.text_from(length) {
             let sent = self.progress.send(Progress::Text { offset: length, text }).await;
             if sent.is_err() {
@@ -320,8 +382,9 @@
         Some(new.concat())
     }
 
-    async fn finish(&self, finish: Finish) -> Attempted {
+    async fn finish(&mut self, finish: Finish) -> Attempted {
         let (length, recomputed) = (self.answer.length(), self.recomputed);
+        self.meter.on_finished(length);
         let finished = Progress::Finished { finish, length, recomputed };
         match self.progress.send(finished).await {
             Ok(()) => Attempted::Finished,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod addresses;
 pub mod admin;
+pub mod admission;
 pub mod call;
 pub mod checkpoints;
 pub mod claims;
@@ -24,6 +25,7 @@
 pub mod load;
 pub mod logs;
 pub mod members;
+mod meter;
 pub mod metrics;
 pub mod mix;
 pub mod once;
--- a/src/once.rs
+++ b/src/once.rs
@@ -5,8 +5,9 @@
 //! claim can't be settled, the caller is told `unknown` and not `not_run`: an earlier attempt
 //! under the same key may have run elsewhere. A repeatable call is forwarded all the same.
 
+use crate::admission;
 use crate::call::{Answered, Call, deliver, forward_unkeyed};
-use crate::claims::{Outcome, Permit, Run};
+use crate::claims::{self, Outcome, Run};
 use crate::context::Context;
 use crate::custody::Custody;
 use crate::daemon::Shared;
@@ -38,6 +39,7 @@
 /// The call was refused, or its outcome is not known.
 pub async fn forward<C: Context>(
     shared: Arc<Shared<C>>,
+    admitted: Arc<admission::Permit>,
     key: CallKey,
     pool: Pool,
     repeat: Repeat,
@@ -45,7 +47,9 @@
 ) -> Result<Response<Body>, Refusal> {
     let nonce = u64::try_from(shared.context.random() >> 64).unwrap_or_default();
     let reason = match shared.claims.claim(key, nonce, digest(&call)).await {
-        Outcome::Won(permit) => return run(shared, permit, pool, repeat, call).await,
+        Outcome::Won(permit) => {
+            return run(shared, permit, Work { admitted, pool, repeat, call }).await;
+        }
         Outcome::Answered(answer) => return replay(answer),
         Outcome::Mismatch => return Err(mismatch()),
         Outcome::Lost => RefusalReason::KeyClaimed,
@@ -53,7 +57,7 @@
         Outcome::Unsettled => RefusalReason::ClaimUnavailable,
     };
     match repeat {
-        Repeat::Allowed => forward_unkeyed(&shared, &pool, repeat, call).await,
+        Repeat::Allowed => forward_unkeyed(&shared, admitted, &pool, repeat, call).await,
         Repeat::Never => Err(Custody::new(call).doubt(reason)),
     }
 }
@@ -85,31 +89,37 @@
     Ok(response)
 }
 
-/// Runs a claimed call in a task of its own, which a caller that goes away does not stop.
-async fn run<C: Context>(
-    shared: Arc<Shared<C>>,
-    permit: Permit,
+/// A call that has been let in, and what is needed to send it.
+struct Work {
+    admitted: Arc<admission::Permit>,
     pool: Pool,
     repeat: Repeat,
     call: Call,
+}
+
+/// Runs a claimed call in a task of its own, which a caller that goes away does not stop.
+async fn run<C: Context>(
+    shared: Arc<Shared<C>>,
+    permit: claims::Permit,
+    work: Work,
 ) -> Result<Response<Body>, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    tokio::spawn(run_to_end(shared, permit, pool, repeat, call, sender));
+    tokio::spawn(run_to_end(shared, permit, work, sender));
     receiver.await.unwrap_or(Err(Refusal::NotFound))
 }
 
 async fn run_to_end<C: Context>(
     shared: Arc<Shared<C>>,
-    permit: Permit,
-    pool: Pool,
-    repeat: Repeat,
-    call: Call,
+    permit: claims::Permit,
+    work: Work,
     sender: oneshot::Sender<Result<Response<Body>, Refusal>>,
 ) {
     let Some(run) = permit.start() else {
         return;
     };
-    let Answered { response, route } = match deliver(&shared, &pool, repeat, call).await {
+    let Work { admitted, pool, repeat, call } = work;
+    let Answered { response, route } = match deliver(&shared, &admitted, &pool, repeat, call).await
+    {
         Ok(answered) => answered,
         Err(refusal) => {
             if matches!(refusal, Refusal::NotRun(_)) {
@@ -126,6 +136,9 @@
     let _ = sender.send(Ok(Response::from_parts(head, body)));
     let stall = shared.settings.caller.stall_timeout.get();
     let end = relay_recorded(answer, pieces, record, run, stall).await;
+    if end == AttemptEnd::Completed {
+        admitted.success();
+    }
     shared.upstreams.end(route.key, end).await;
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! Each unit has its own settings struct with defaults. The schema of the document is generated
 //! from these types.
 
+mod admission;
 mod caller;
 mod claim;
 mod drain;
@@ -19,6 +20,7 @@
 mod survival;
 mod traffic;
 
+pub use admission::AdmissionSettings;
 pub use caller::CallerSettings;
 pub use claim::ClaimSettings;
 pub use drain::DrainSettings;
@@ -65,6 +67,9 @@
     /// How streams survive the loss of their upstream.
     #[serde(default)]
     pub survival: SurvivalSettings,
+    /// How requests are let in and retried.
+    #[serde(default)]
+    pub admission: AdmissionSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -86,6 +91,7 @@
             identity,
             platform,
             caller: CallerSettings::default(),
+            admission: AdmissionSettings::default(),
             claim: ClaimSettings::default(),
             peer: PeerSettings::default(),
             routing: RoutingSettings::default(),
@@ -107,6 +113,7 @@
         self.routing.check(&mut problems);
         self.state.check(&mut problems);
         self.survival.check(&mut problems);
+        self.admission.check(&mut problems);
         self.drain.check(&mut problems);
         self.operator.check(&mut problems);
         problems
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -15,7 +15,7 @@
     AttemptEnd, AttemptKey, CacheChange, Demand, Report, Route, Router, UpstreamInfo,
 };
 use spindle_types::{Clock, Instance, MonotonicInstant, Pool};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +41,8 @@
 
 /// When the instances stop that are about to be taken back.
 pub type StopWatch = watch::Receiver<Arc<HashMap<Instance, MonotonicInstant>>>;
+/// The number of upstreams of each pool that take work.
+pub type CapacityWatch = watch::Receiver<Arc<BTreeMap<Pool, u32>>>;
 
 enum Message {
     Choose { demand: Demand, excluded: Vec<Instance>, reply: oneshot::Sender<Option<Route>> },
@@ -68,6 +70,7 @@
     mailbox: mpsc::Sender<Message>,
     leaving: LeavingWatch,
     stops: StopWatch,
+    capacity: CapacityWatch,
 }
 
 impl Upstreams {
@@ -98,6 +101,11 @@
         let _ = self.mailbox.send(Message::Leaving(vec![instance])).await;
     }
 
+    /// The number of upstreams of each pool that take work.
+    pub fn capacity(&self) -> CapacityWatch {
+        self.capacity.clone()
+    }
+
     /// The instances that are marked as leaving.
     pub fn leaving(&self) -> LeavingWatch {
         self.leaving.clone()
@@ -115,6 +123,7 @@
     let (daemons, daemon_watch) = watch::channel(Arc::default());
     let (leaving, leaving_watch) = watch::channel(Arc::default());
     let (stops, stop_watch) = watch::channel(Arc::default());
+    let (capacity, capacity_watch) = watch::channel(Arc::default());
     poll::start(&context, settings, &mailbox);
     let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
     let params = settings.routing.params(settings.identity.data_centre.clone());
@@ -126,9 +135,12 @@
         daemons,
         leaving,
         stops,
+        capacity,
     };
     tokio::spawn(task.run(messages));
-    (Upstreams { mailbox, leaving: leaving_watch, stops: stop_watch }, daemon_watch)
+    let upstreams =
+        Upstreams { mailbox, leaving: leaving_watch, stops: stop_watch, capacity: capacity_watch };
+    (upstreams, daemon_watch)
 }
 
 struct Task<C> {
@@ -139,6 +151,7 @@
     daemons: watch::Sender<Arc<Vec<ListedDaemon>>>,
     leaving: watch::Sender<Arc<Vec<Instance>>>,
     stops: watch::Sender<Arc<HashMap<Instance, MonotonicInstant>>>,
+    capacity: watch::Sender<Arc<BTreeMap<Pool, u32>>>,
 }
 
 impl<C: Context> Task<C> {
@@ -163,6 +176,7 @@
             Message::Listing(entries) => self.on_listing(entries),
             Message::Leaving(instances) => {
                 instances.iter().for_each(|instance| self.mark_leaving(instance));
+                self.publish_capacity();
             }
             Message::Notices(notices) => self.on_notices(now, &notices),
             Message::Offers(offers) => self.prices.on_offers(offers),
@@ -203,6 +217,16 @@
         let now = self.context.clock().now();
         self.router.on_listing(now, upstreams);
         self.daemons.send_replace(Arc::new(daemons));
+        self.publish_capacity();
+    }
+
+    fn publish_capacity(&self) {
+        let counts = Arc::new(self.router.counts());
+        self.capacity.send_if_modified(|known| {
+            let changed = **known != *counts;
+            *known = counts;
+            changed
+        });
     }
 
     fn on_notices(&mut self, now: MonotonicInstant, notices: &[Notice]) {
