--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -177,6 +177,30 @@
     }
 }
 
+/// How often daemons of a deployment look around.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Pace {
+    /// More often than ordinarily, so that tests are short.
+    #[default]
+    Fast,
+    /// As the settings' defaults say.
+    Ordinary,
+}
+
+impl Pace {
+    fn peer(self, listen: SocketAddr) -> PeerSettings {
+        match self {
+            Self::Ordinary => PeerSettings { listen, ..PeerSettings::default() },
+            Self::Fast => PeerSettings {
+                listen,
+                heartbeat: Span::from_millis(100),
+                list_interval: Span::from_millis(200),
+                notice_interval: Span::from_millis(100),
+            },
+        }
+    }
+}
+
 /// How large a deployment is, and how its daemons run.
 #[derive(Clone, Debug, Default)]
 pub struct Sizes {
@@ -186,6 +210,8 @@
     pub engines: Option<usize>,
     /// How daemons choose upstreams.
     pub routing: RoutingSettings,
+    /// How often daemons look around.
+    pub pace: Pace,
     /// The runtime on which daemons run; none takes that of the stand-ins.
     pub runtime: Option<Handle>,
 }
@@ -214,6 +240,7 @@
     /// The newest revision published here.
     published: Mutex<Revision>,
     routing: RoutingSettings,
+    pace: Pace,
     runtime: Option<Handle>,
 }
 
@@ -269,6 +296,7 @@
             launched,
             published,
             routing: sizes.routing,
+            pace: sizes.pace,
             runtime: sizes.runtime,
         };
         for index in 0..sizes.daemons {
@@ -317,12 +345,7 @@
         };
         Ok(Settings {
             caller: CallerSettings { listen: free_port, ..CallerSettings::default() },
-            peer: PeerSettings {
-                listen: free_port,
-                heartbeat: Span::from_millis(100),
-                list_interval: Span::from_millis(200),
-                notice_interval: Span::from_millis(100),
-            },
+            peer: self.pace.peer(free_port),
             routing: self.routing.clone(),
             drain: DrainSettings { linger: Span::from_millis(400) },
             operator: OperatorSettings {
--- a/src/experiment.rs
+++ b/src/experiment.rs
@@ -10,7 +10,7 @@
 pub use headline::headline;
 pub use table::{print, promises};
 
-use crate::deployment::{Deployment, Example, Sizes, UpstreamStandin};
+use crate::deployment::{Deployment, Example, Pace, Sizes, UpstreamStandin};
 use crate::load::{self, LoadReport, Progress, Targets};
 use crate::settings::{
     ExperimentSettings, LoadError, RoutingSettings, TrafficSettings, check_document,
@@ -99,6 +99,7 @@
         daemons: settings.daemons,
         engines: None,
         routing: RoutingSettings { strategy, ..RoutingSettings::default() },
+        pace: Pace::Ordinary,
         runtime: Some(threads.handle()),
     };
     let deployment = Deployment::start_sized(example, sizes, settings.engine.model()).await?;
--- a/src/standins.rs
+++ b/src/standins.rs
@@ -1,8 +1,8 @@
 //! The stand-ins of platform and upstreams as a process of their own, for daemons that run as
 //! processes of their own.
 
-use crate::deployment::{Deployment, Example, Sizes};
-use crate::settings::{PeerSettings, Settings};
+use crate::deployment::{Deployment, Example, Pace, Sizes};
+use crate::settings::Settings;
 use eyre::WrapErr;
 use spindle_standin::EngineModel;
 use spindle_types::{Span, Team};
@@ -39,7 +39,12 @@
 ///
 /// A port can't be bound or a file can't be written.
 pub async fn stay(plan: Plan) -> eyre::Result<()> {
-    let sizes = Sizes { daemons: plan.inside, engines: plan.engines, ..Sizes::default() };
+    let sizes = Sizes {
+        daemons: plan.inside,
+        engines: plan.engines,
+        pace: Pace::Ordinary,
+        ..Sizes::default()
+    };
     let deployment = Deployment::start_sized(plan.example, sizes, plan.timing).await?;
     for index in 0..plan.outside {
         let settings = outside_settings(&deployment, plan.inside + index)?;
@@ -65,7 +70,7 @@
 fn outside_settings(deployment: &Deployment, index: usize) -> eyre::Result<Settings> {
     let mut settings = deployment.settings(index)?;
     settings.caller.listen = free_port()?;
-    settings.peer = PeerSettings { listen: free_port()?, ..PeerSettings::default() };
+    settings.peer.listen = free_port()?;
     settings.drain.linger = Span::from_secs(2);
     Ok(settings)
 }
