--- a/src/cli.rs
+++ b/src/cli.rs
@@ -3,15 +3,18 @@
 mod experiment;
 mod load;
 mod operate;
+mod soak;
 mod standin;
 
 use self::experiment::ExperimentArguments;
 use self::load::LoadArguments;
 use self::operate::OperateCommand;
+use self::soak::SoakArguments;
 use self::standin::StandinArguments;
 use crate::context::LiveContext;
 use crate::daemon::Daemon;
 use crate::deployment::Example;
+use crate::reference::reference;
 use crate::settings::{self, LoadError, LogLevel, Settings, schema};
 use crate::{demo, logs, metrics};
 use clap::{CommandFactory, Parser, Subcommand};
@@ -65,6 +68,8 @@
     },
     /// Prints the JSON schema of the settings
     Schema,
+    /// Prints the settings reference, in Markdown
+    Reference,
     /// Runs a whole deployment in one process, with stand-ins for platform and upstreams
     Demo {
         /// Which deployment
@@ -78,6 +83,8 @@
     Load(LoadArguments),
     /// Runs an experiment and prints its table
     Experiment(ExperimentArguments),
+    /// Runs load under random faults for minutes, and fails if a promise was broken
+    Soak(SoakArguments),
     /// Runs the stand-ins of platform and upstreams, for daemons that `serve` runs
     Standin(StandinArguments),
     /// Works on plans and shows what is in force, through a daemon's administration API
@@ -127,6 +134,10 @@
             println!("{:#}", schema::<Settings>());
             Ok(ExitCode::SUCCESS)
         }
+        Command::Reference => {
+            print!("{}", reference());
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Demo { example, once } => {
             logs::start(level.unwrap_or(LogLevel::Error));
             if once {
@@ -146,6 +157,11 @@
             block_on(arguments.execute())?;
             Ok(ExitCode::SUCCESS)
         }
+        Command::Soak(arguments) => {
+            logs::start(level.unwrap_or(LogLevel::Off));
+            block_on(arguments.execute())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Standin(arguments) => {
             logs::start(level.unwrap_or(LogLevel::Error));
             block_on(arguments.execute())?;
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -12,7 +12,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::value::to_raw_value;
-use spindle_cloud::{Offer, Running};
+use spindle_cloud::{Cloud, HttpCloud, Offer, Running, StartRequest};
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::membership::Member;
 use spindle_standin::EngineModel;
@@ -20,8 +20,8 @@
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
 use spindle_types::config::{Change, FencingCheck, KeyHash, Market, PoolSpec, TeamSpec};
 use spindle_types::{
-    ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Money, Operator, Pool, Region,
-    Revision, Size, Span, Team, UtcInstant,
+    ClientToken, ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Money, Operator,
+    Pool, Region, Revision, Size, Span, Team, UtcInstant,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -395,6 +395,31 @@
         lock(&self.launched).iter().map(|(id, upstream)| (id.clone(), upstream.clone())).collect()
     }
 
+    /// Starts as many upstreams in a data centre as the example places there.
+    ///
+    /// # Errors
+    ///
+    /// The cloud does not start one.
+    pub async fn refill(&self, data_centre: usize) -> eyre::Result<()> {
+        let cloud = HttpCloud::new(self.platform.cloud_address());
+        let data_centres = self.example.data_centres();
+        let started = self.platform.running().len();
+        for (pool, count) in self.example.upstreams() {
+            let here = (0..count).filter(|index| index % data_centres.len() == data_centre);
+            for index in here {
+                let start = StartRequest {
+                    token: ClientToken::try_from(format!("refill-{started}-{pool}-{index}"))?,
+                    data_centre: DataCentre::try_from(data_centres[data_centre])?,
+                    class: MachineClass::try_from(CLASS)?,
+                    market: Market::Reclaimable,
+                    pool: Pool::try_from(pool)?,
+                };
+                cloud.start(&start).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Sets what an instance costs an hour in each data centre, in both markets.
     pub fn set_prices(&self, prices: &BTreeMap<DataCentre, Money>) {
         let Ok(class) = MachineClass::try_from(CLASS) else {
--- a/src/experiment/faults.rs
+++ b/src/experiment/faults.rs
@@ -8,6 +8,7 @@
 use spindle_standin::Faults;
 use spindle_types::{DataCentre, Instance, Revision, Team};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
@@ -82,6 +83,8 @@
     prices: Prices,
     watched: Watched,
     faults: Vec<FaultSettings>,
+    /// The index of the next daemon to start.
+    next: Arc<AtomicUsize>,
 }
 
 impl Player {
@@ -91,7 +94,13 @@
         watched: Watched,
         faults: &[FaultSettings],
     ) -> Self {
-        Self { deployment, prices, watched, faults: faults.to_vec() }
+        Self {
+            deployment,
+            prices,
+            watched,
+            faults: faults.to_vec(),
+            next: Arc::new(AtomicUsize::new(REPLACEMENTS_FROM)),
+        }
     }
 
     /// Causes every fault at its time, side by side, and waits for the last one's end.
@@ -119,6 +128,10 @@
         match fault {
             Fault::Reclaim { data_centre, notice } => self.reclaim(data_centre, notice.get()).await,
             Fault::Loss { data_centre } => self.lose(data_centre).await,
+            Fault::Refill { data_centre } => {
+                self.deployment.lock().await.refill(data_centre).await?;
+                Ok(Caused::default())
+            }
             Fault::LogOutage { lasting } => {
                 let log = self.deployment.lock().await.log.clone();
                 Ok(outage(log.faults(), lasting.get()).await)
@@ -174,9 +187,10 @@
 
     async fn replace(&self) -> eyre::Result<Caused> {
         let count = self.deployment.lock().await.daemons.len();
-        for index in 0..count {
+        for _ in 0..count {
+            let index = self.next.fetch_add(1, Ordering::Relaxed);
             let mut deployment = self.deployment.lock().await;
-            deployment.start_daemon(REPLACEMENTS_FROM + index).await?;
+            deployment.start_daemon(index).await?;
             if let Some(daemon) = deployment.daemons.last() {
                 let shared = daemon.shared();
                 watch(&self.watched, shared.incarnation.0, shared.config.clone());
--- /dev/null
+++ b/src/reference/tests.rs
@@ -0,0 +1,8 @@
+use super::*;
+
+#[test]
+fn the_committed_reference_is_current() {
+    let committed = include_str!("../../docs/settings.md");
+    let hint = "run: cargo run -- reference > docs/settings.md";
+    assert!(committed == reference(), "docs/settings.md is not current; {hint}");
+}
--- a/src/settings/experiment.rs
+++ b/src/settings/experiment.rs
@@ -131,6 +131,7 @@
         let index = match &self.fault {
             Fault::Reclaim { data_centre, .. }
             | Fault::Loss { data_centre }
+            | Fault::Refill { data_centre }
             | Fault::Price { data_centre, .. } => *data_centre,
             _ => 0,
         };
@@ -151,6 +152,11 @@
         /// The time between notice and stop.
         notice: Span,
     },
+    /// The upstreams that the example places in a data centre are started again.
+    Refill {
+        /// The data centre, by its place in the example.
+        data_centre: usize,
+    },
     /// Every upstream of a data centre stops without notice.
     Loss {
         /// The data centre, by its place in the example.
--- /dev/null
+++ b/tests/decoders.rs
@@ -0,0 +1,197 @@
+//! Every decoder of wire and settings documents, fed with damaged documents of fixed seeds: it must
+//! not panic, and what it accepts must come back the same after it is encoded again.
+
+use bolero::TypeGenerator;
+use bolero::generator::bolero_generator::driver::{ByteSliceDriver, Options};
+use bronzespindle::settings::{ExperimentSettings, Settings, TrafficSettings, check_document};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use spindle_caller::{ChatRequest, Completion, CompletionRequest};
+use spindle_types::{ConfigRecord, Configuration};
+
+/// The damaged documents tried for each decoder.
+const CASES: u64 = 2_000;
+
+/// The damaged settings documents tried, each of which is checked against a schema.
+const DOCUMENT_CASES: u64 = 40;
+
+/// One change of a document.
+#[derive(Clone, Debug, TypeGenerator)]
+enum Damage {
+    Replace(u16, u8),
+    Remove(u16),
+    Insert(u16, u8),
+    Truncate(u16),
+    Repeat(u16, u8),
+}
+
+impl Damage {
+    fn apply(&self, text: &mut Vec<u8>) {
+        if text.is_empty() {
+            return;
+        }
+        let length = text.len();
+        let place = |at: u16| usize::from(at) % length;
+        match *self {
+            Self::Replace(at, byte) => text[place(at)] = byte,
+            Self::Remove(at) => {
+                text.remove(place(at));
+            }
+            Self::Insert(at, byte) => text.insert(place(at), byte),
+            Self::Truncate(at) => text.truncate(place(at)),
+            Self::Repeat(at, count) => {
+                let at = place(at);
+                let part = text[at..(at + usize::from(count)).min(length)].to_vec();
+                text.splice(at..at, part);
+            }
+        }
+    }
+}
+
+fn damaged(sample: &str, seed: u64) -> Vec<u8> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let bytes: Vec<u8> = (0..64).map(|_| random.random()).collect();
+    let mut driver = ByteSliceDriver::new(&bytes, &Options::default());
+    let mut text = sample.as_bytes().to_vec();
+    for _ in 0..random.random_range(1..4) {
+        if let Some(damage) = Damage::generate(&mut driver) {
+            damage.apply(&mut text);
+        }
+    }
+    text
+}
+
+/// Checks a decoder whose values can be encoded again.
+fn check<T: DeserializeOwned + Serialize>(name: &str, sample: &str) {
+    let whole: T = serde_json::from_str(sample).unwrap_or_else(|e| panic!("{name}: {e}"));
+    drop(whole);
+    let mut accepted = 0;
+    for seed in 0..CASES {
+        let Ok(value) = serde_json::from_slice::<T>(&damaged(sample, seed)) else {
+            continue;
+        };
+        accepted += 1;
+        let first = serde_json::to_string(&value).unwrap();
+        let again: T = serde_json::from_str(&first)
+            .unwrap_or_else(|e| panic!("{name}, seed {seed}: {e}: {first}"));
+        assert_eq!(first, serde_json::to_string(&again).unwrap(), "{name}, seed {seed}");
+    }
+    assert!(accepted > 0, "{name}: no damaged document was accepted");
+}
+
+const CHUNK: &str = r#"{"request":"000000000000000000000000000000ff","attempt":2,"offset":7,
+    "tokens":[" a"," b"],"finish":"stop","prefilled":12}"#;
+
+const CHANGE: &str = r#"{"record":"change","base":3,"operator":"ana","at":17,"nonce":9,
+    "change":{"kind":"put_team","team":"casa-limon","spec":{"keys":[],"weight":2}}}"#;
+
+#[test]
+fn engine_messages() {
+    use spindle_engine::wire::{CacheEvents, Chunk, Generate, Load, Order, OrderReply};
+    check::<Chunk>("chunk", CHUNK);
+    check::<Generate>(
+        "generate",
+        r#"{"request":"000000000000000000000000000000ff","attempt":1,"model":"m","prompt":"a b",
+            "produced":[" c"],"max_tokens":9,"priority":"batch"}"#,
+    );
+    check::<Load>(
+        "load",
+        r#"{"age_ms":5,"running":1,"waiting":2,"queued_tokens":3,"model":"m","version":"v1","adapters":["a"],"role":"decode"}"#,
+    );
+    check::<CacheEvents>(
+        "cache events",
+        r#"{"next":3,"events":[[1,{"kind":"stored","hash":7}],[2,{"kind":"evicted","hash":7}]]}"#,
+    );
+    check::<Order>(
+        "order",
+        r#"{"fencing":4,"revision":5,"model":"m","version":"v1","adapters":[],"role":"mixed"}"#,
+    );
+    check::<OrderReply>("order reply", r#""fenced""#);
+}
+
+#[test]
+fn platform_messages() {
+    use spindle_cloud::wire::{Notices, Offer, RunningList, StartRequest};
+    use spindle_log::wire::{AppendReply, AppendRequest, Batch};
+    let start = r#"{"token":"t-1","data_centre":"a","class":"c","market":"on_demand","pool":"p"}"#;
+    check::<StartRequest>("start", start);
+    check::<RunningList>(
+        "running",
+        &format!(r#"{{"running":[{{"instance":"i-1","start":{start}}}]}}"#),
+    );
+    check::<Vec<Offer>>(
+        "offers",
+        r#"[{"data_centre":"a","class":"c","market":"reclaimable","hourly_price":"1.50","available":3}]"#,
+    );
+    check::<Notices>(
+        "notices",
+        r#"{"notices":[{"number":1,"instance":"i-1","stops_at":99,"remaining_ms":5}]}"#,
+    );
+    check::<spindle_instances::Listing>(
+        "listing",
+        r#"{"entries":[{"instance":"i-1","data_centre":"a","class":"c","market":"on_demand",
+            "address":"127.0.0.1:80","kind":{"kind":"upstream","pool":"p"},"state":"live"}]}"#,
+    );
+    check::<AppendRequest>("append", r#"{"records":[{"a":1}]}"#);
+    check::<AppendReply>("append reply", r#"{"first":3}"#);
+    check::<Batch>(
+        "batch",
+        r#"{"oldest":1,"end":3,"records":[{"offset":1,"at":7,"body":{"a":1}}]}"#,
+    );
+    check::<spindle_weights::ReadReply>("read reply", &weights_reply());
+}
+
+fn weights_reply() -> String {
+    serde_json::to_string(&spindle_weights::ReadReply::Wait { after_ms: 5 }).unwrap()
+}
+
+#[test]
+fn configuration_records() {
+    check::<ConfigRecord>("change", CHANGE);
+    check::<Configuration>(
+        "configuration",
+        r#"{"revision":4,"teams":{"a":{"keys":[],"weight":1}},"pools":{"p":{"model":"m"}},
+            "services":{"s":{"pool":"p","routes":[{"method":"GET","path":"/","repeat":"never"}]}},
+            "plan":null}"#,
+    );
+}
+
+#[test]
+fn callers_requests() {
+    let chat = r#"{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":5,
+        "stream":true,"priority":"batch"}"#;
+    let text = r#"{"model":"m","prompt":"a","max_tokens":5,"stream":true}"#;
+    let mut accepted = 0;
+    for seed in 0..CASES {
+        if let Ok(raw) = serde_json::from_slice::<ChatRequest>(&damaged(chat, seed)) {
+            accepted += usize::from(Completion::try_from(raw).is_ok());
+        }
+        if let Ok(raw) = serde_json::from_slice::<CompletionRequest>(&damaged(text, seed)) {
+            accepted += usize::from(Completion::try_from(raw).is_ok());
+        }
+    }
+    assert!(accepted > 0);
+}
+
+#[test]
+fn settings_documents() {
+    let settings = include_str!("../examples/vendimia/settings.yaml");
+    let experiment = include_str!("../experiments/reclaim.yaml");
+    let configuration = include_str!("../examples/kanem/configuration.yaml");
+    for seed in 0..DOCUMENT_CASES {
+        let text = |sample| String::from_utf8_lossy(&damaged(sample, seed)).into_owned();
+        for problems in [
+            check_document::<Settings>(&text(settings)).err(),
+            check_document::<ExperimentSettings>(&text(experiment)).err(),
+            check_document::<TrafficSettings>(&text("seed: 3\nrate: 5.0\n")).err(),
+            check_document::<Configuration>(&text(configuration)).err(),
+        ]
+        .into_iter()
+        .flatten()
+        {
+            assert!(!problems.is_empty(), "seed {seed}");
+        }
+    }
+}
