feat: service levels by team and model, with a multi-window burn report

Every daemon counts first tokens and token intervals before the caller and appends its counts to the log; report burn shows them as a table, JSON or a page with plots. The instruments of the request path are recorded.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use spindle_http::client::json_request;
 use spindle_http::{CallError, Client, read_body};
+use spindle_policy::burn::BurnReport;
 use spindle_types::Intent;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -105,6 +106,15 @@
         self.call::<(), _>(Method::GET, "/v1/status", None).await
     }
 
+    /// Shows the service levels.
+    ///
+    /// # Errors
+    ///
+    /// The call fails.
+    pub async fn burn(&self) -> Result<BurnReport, AdminError> {
+        self.call::<(), _>(Method::GET, "/v1/burn", None).await
+    }
+
     async fn call<Q: Serialize + Sync, A: DeserializeOwned>(
         &self,
         method: Method,
--- /dev/null
+++ b/crates/policy/src/burn/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+const START: UtcInstant = UtcInstant(1_800_000_000_000);
+
+fn record(sequence: u64, at: UtcInstant, good: u64, total: u64) -> LevelRecord {
+    let first_token = Ratio { good, total };
+    let counts = Counts { requests: total, first_token, ..Counts::default() };
+    let (team, model) = ("a".parse().unwrap(), "m".parse().unwrap());
+    let cells = vec![Cell { team, model, counts }];
+    LevelRecord { incarnation: Incarnation(1), sequence, at, cells }
+}
+
+/// The alerts after each hour, with the share that misses the target in that hour.
+fn alerts(missed: &[u64]) -> Vec<Option<Severity>> {
+    let mut book = BurnBook::default();
+    let mut sequence = 0;
+    let mut now = START;
+    let hour = |missed: &u64| {
+        for _ in 0..12 {
+            now = now + SLOT;
+            sequence += 1;
+            book.on_record(now, Offset(sequence), record(sequence, now, 100 - missed, 100));
+        }
+        let report = book.report(now);
+        report.rows.iter().find(|row| row.indicator == Indicator::FirstToken).unwrap().alert
+    };
+    missed.iter().map(hour).collect()
+}
+
+#[test]
+fn fast_burn_pages_slow_burn_opens_a_ticket_and_recovery_ends_both() {
+    use Severity::{Page, Ticket};
+    assert_eq!(vec![None, None, None], alerts(&[0, 2, 4]));
+    assert_eq!(vec![Some(Page), Some(Page)], alerts(&[80, 80]));
+    // The short windows have recovered; those of hours have not.
+    assert_eq!(Some(&Some(Ticket)), alerts(&[80, 80, 0]).last());
+    assert_eq!(Some(&None), alerts(&[80, 0, 0, 0, 0, 0, 0, 0]).last());
+    assert_eq!(vec![Some(Ticket); 3], alerts(&[20, 20, 20]));
+}
+
+#[test]
+fn repeated_append_counts_once_and_old_slots_are_forgotten() {
+    let mut book = BurnBook::default();
+    book.on_record(START, Offset(1), record(1, START, 5, 10));
+    book.on_record(START, Offset(2), record(1, START, 5, 10));
+    assert_eq!(10, book.totals(START, PERIOD)[0].counts.requests);
+    let later = START + PERIOD + SLOT * 2;
+    book.on_record(later, Offset(3), record(2, later, 1, 1));
+    assert_eq!(1, book.totals(later, PERIOD)[0].counts.requests);
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod breaker;
+pub mod burn;
 pub mod capacity;
 pub mod checkpoint;
 pub mod claim;
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -16,6 +16,7 @@
 use spindle_cloud::Cloud;
 use spindle_http::{Body, Drain, Handler, ServerLimits, bind, json, read_json, serve};
 use spindle_operator::{AdminRefusal, ChangeRequest, Confirmed, PlanSummary, PlanView, StatusView};
+use spindle_policy::burn::BurnReport;
 use spindle_policy::plan::{PlanError, PlanInput, ReclaimRates, plan};
 use spindle_policy::proposal::{Author, Entry, PlanRecord, PlanState, check_confirmation};
 use spindle_types::config::KeyHash;
@@ -89,6 +90,9 @@
         if (request.method(), parts.as_slice()) == (&Method::GET, &["v1", "status"]) {
             return Ok(ok(&self.status().await?));
         }
+        if (request.method(), parts.as_slice()) == (&Method::GET, &["v1", "burn"]) {
+            return Ok(ok(&self.burn(&principal)));
+        }
         let operator = match principal {
             Principal::Operator(operator) => operator,
             Principal::Team(team) => {
@@ -129,6 +133,16 @@
         Ok(Principal::Team(team.clone()))
     }
 
+    /// The service levels; a team sees its own.
+    fn burn(&self, principal: &Principal) -> BurnReport {
+        let book = Arc::clone(&self.0.levels.book.borrow());
+        let mut report = book.report(self.0.context.clock().utc());
+        if let Principal::Team(team) = principal {
+            report.rows.retain(|row| row.team == *team);
+        }
+        report
+    }
+
     async fn offers(&self) -> Result<Vec<PricedOffer>, AdminRefusal> {
         let offers = self.0.context.cloud().offers().await;
         offers.map_err(|error| unavailable(format!("cloud: {error}")))
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -1,11 +1,13 @@
 //! The subcommands of operators: clients of the administration API.
 
 use super::{EXIT_INVALID, block_on};
+use crate::burn;
 use crate::settings::check_document;
 use crate::show;
-use clap::{Args, Subcommand};
+use clap::{Args, Subcommand, ValueEnum};
 use eyre::{WrapErr, eyre};
 use spindle_operator::{AdminClient, AdminError, AdminRefusal};
+use spindle_policy::burn::BurnReport;
 use spindle_types::{Intent, Problems};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -45,6 +47,9 @@
         #[command(flatten)]
         access: Access,
     },
+    /// Reports on service levels
+    #[command(subcommand)]
+    Report(ReportCommand),
     /// Shows what is in force, what runs and what it costs
     Status {
         #[command(flatten)]
@@ -52,6 +57,31 @@
     },
 }
 
+/// What is reported on.
+#[derive(Debug, Subcommand)]
+pub(super) enum ReportCommand {
+    /// Service levels by team and model, and how fast their error budgets burn
+    Burn {
+        /// The form of the report
+        #[arg(long, value_enum, default_value_t)]
+        format: Format,
+        #[command(flatten)]
+        access: Access,
+    },
+}
+
+/// The form of a report.
+#[derive(Clone, Copy, Debug, Default, ValueEnum)]
+pub(super) enum Format {
+    /// A table
+    #[default]
+    Table,
+    /// JSON
+    Json,
+    /// A page with plots
+    Html,
+}
+
 /// Where the administration API is, and the key for it.
 #[derive(Debug, Args)]
 pub(super) struct Access {
@@ -138,6 +168,9 @@
             access.client()?.reject(&plan).await?;
             "rejected".to_owned()
         }
+        OperateCommand::Report(ReportCommand::Burn { format, access }) => {
+            burn_text(&access.client()?.burn().await?, format)?
+        }
         OperateCommand::Status { access } => show::status(&access.client()?.status().await?),
     })
 }
@@ -148,3 +181,11 @@
     let problems = intent.check();
     problems.finish(|| intent).map_err(Failure::Invalid)
 }
+
+fn burn_text(report: &BurnReport, format: Format) -> eyre::Result<String> {
+    match format {
+        Format::Table => Ok(burn::table(report)),
+        Format::Json => Ok(serde_json::to_string_pretty(report)?),
+        Format::Html => burn::page(report),
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
 use crate::lease::Lease;
+use crate::levels::{self, Levels};
 use crate::members::{self, InForceWatch, MemberWatch, PeerService};
 use crate::plans::{self, PlanWatch};
 use crate::publisher::Publisher;
@@ -48,6 +49,8 @@
     pub follower: Follower,
     /// Publishes changes of the configuration.
     pub publisher: Publisher<C>,
+    /// The service levels.
+    pub levels: Levels,
     /// The plans that wait for a confirmation.
     pub plans: PlanWatch,
     /// The lease of the single actor.
@@ -83,7 +86,7 @@
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
-    operating: [JoinHandle<()>; 3],
+    operating: Vec<JoinHandle<()>>,
     state: StateTasks,
     rpc: ServerHandle,
     peers: PeerService,
@@ -103,7 +106,7 @@
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let drain = refusing.signal();
         let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
-        let (plans, planning) = plans::start(context.clone());
+        let (levels, plans, following) = start_reading(&context, incarnation, &settings);
         let (listener, caller) = bind_callers(&settings).await?;
         let server = bind_peers(&settings).await?;
         let peer = server.address();
@@ -125,6 +128,7 @@
             config: state.follower.config.clone(),
             follower: state.follower,
             publisher: state.publisher,
+            levels,
             plans,
             lease: state.lease,
             upstreams,
@@ -136,9 +140,9 @@
         });
         let rpc = server.start(peers.methods()?);
         let serving = start_front(&shared, listener, closing.signal());
-        let operating = start_operating(&shared, planning);
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
         let daemon = Self {
+            operating: start_operating(&shared, following),
             shared,
             caller,
             peer,
@@ -146,7 +150,6 @@
             closing,
             refusing,
             serving,
-            operating,
             state: tasks,
             rpc,
             peers,
@@ -217,13 +220,26 @@
     }
 }
 
-/// Follows drains and carries out plans, beside the task that follows plans.
+/// Follows the plans and the service levels.
+fn start_reading<C: Context>(
+    context: &C,
+    own: Incarnation,
+    settings: &Settings,
+) -> (Levels, PlanWatch, Vec<JoinHandle<()>>) {
+    let interval = settings.operator.report_interval.get();
+    let (levels, counting) = levels::start(context.clone(), own, interval);
+    let (plans, planning) = plans::start(context.clone());
+    (levels, plans, counting.into_iter().chain([planning]).collect())
+}
+
+/// Follows drains and carries out plans, beside the tasks that read what they need.
 fn start_operating<C: Context>(
     shared: &Arc<Shared<C>>,
-    planning: JoinHandle<()>,
-) -> [JoinHandle<()>; 3] {
-    let draining = draining::start(shared.context.clone(), shared.upstreams.clone());
-    [planning, draining, reconciler::start(Arc::clone(shared))]
+    mut tasks: Vec<JoinHandle<()>>,
+) -> Vec<JoinHandle<()>> {
+    tasks.push(draining::start(shared.context.clone(), shared.upstreams.clone()));
+    tasks.push(reconciler::start(Arc::clone(shared)));
+    tasks
 }
 
 async fn bind_peers(settings: &Settings) -> eyre::Result<BoundServer> {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -333,6 +333,7 @@
                     Operator::try_from(DEMO_OPERATOR)?,
                     BTreeSet::from([KeyHash::of(DEMO_OPERATOR_KEY)]),
                 )]),
+                report_interval: Span::from_millis(500),
             },
             ..Settings::new(identity, platform)
         })
--- a/src/front.rs
+++ b/src/front.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::daemon::Shared;
 use crate::generation::{self, Progress};
+use crate::levels::{self, Subject};
 use crate::reply;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -57,8 +58,12 @@
             (&Method::GET, "/v1/addresses") => {
                 Ok(json(StatusCode::OK, &addresses::answer(&self.0)))
             }
-            (&Method::POST, "/v1/chat/completions") => self.generate::<ChatRequest>(request).await,
-            (&Method::POST, "/v1/completions") => self.generate::<CompletionRequest>(request).await,
+            (&Method::POST, "/v1/chat/completions") => {
+                self.generate::<ChatRequest>(request, team).await
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.generate::<CompletionRequest>(request, team).await
+            }
             (_, path) if path.starts_with(SERVICE_PREFIX) => self.call(request, &team).await,
             _ => Err(Refusal::NotFound),
         }
@@ -86,7 +91,11 @@
         read.map_err(|error| invalid("body", &error, "a whole body within its limits"))
     }
 
-    async fn generate<R>(&self, request: Request<Incoming>) -> Result<Response<Body>, Refusal>
+    async fn generate<R>(
+        &self,
+        request: Request<Incoming>,
+        team: Team,
+    ) -> Result<Response<Body>, Refusal>
     where
         R: DeserializeOwned,
         Completion: TryFrom<R, Error = Problems>,
@@ -103,7 +112,9 @@
         let id = RequestId(self.0.context.random());
         let head = reply::Head::new(id, &completion);
         let stream = completion.stream;
-        let mut progress = generation::start(Arc::clone(&self.0), id, completion, pool);
+        let subject = self.subject(team, &completion, &pool);
+        let progress = generation::start(Arc::clone(&self.0), id, completion, pool);
+        let mut progress = levels::observe(&self.0, subject, progress);
         match progress.recv().await {
             Some(Progress::Refused(refusal)) => Err(refusal),
             Some(first) if stream => Ok(reply::streamed(head, first, progress)),
@@ -112,6 +123,12 @@
         }
     }
 
+    fn subject(&self, team: Team, completion: &Completion, pool: &Pool) -> Subject {
+        let config = self.0.config.borrow();
+        let target = config.pools.get(pool).map(|spec| spec.target).unwrap_or_default();
+        Subject { team, model: completion.model.clone(), target }
+    }
+
     fn pool(&self, completion: &Completion) -> Result<Pool, Refusal> {
         let config = self.0.config.borrow();
         let pool = config.pools_of(&completion.model).next().map(|(pool, _)| pool.clone());
--- /dev/null
+++ b/src/levels.rs
@@ -0,0 +1,254 @@
+//! Counts service levels on the way to the caller, and shares the counts through the log.
+
+use crate::context::Context;
+use crate::daemon::Shared;
+use crate::follower::stream_name;
+use crate::generation::Progress;
+use crate::metrics::INSTRUMENTS;
+use opentelemetry::KeyValue;
+use spindle_log::{Log, ReadError};
+use spindle_policy::burn::{BurnBook, Cell, Counts, LevelRecord};
+use spindle_types::config::LatencyTarget;
+use spindle_types::{Clock, Incarnation, Model, MonotonicInstant, Team, Tokens};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+/// The stream that holds the counts.
+pub const LEVEL_STREAM: &str = "levels";
+
+/// Counts that may wait for the task; further ones are dropped.
+const MAILBOX: usize = 4_096;
+
+/// Steps that a slow caller may lag behind.
+const PROGRESS_BUFFER: usize = 64;
+
+/// How long a read waits for the first record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+
+/// The pause after a failed read.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Talks to the task that counts, and shows what all daemons have counted.
+#[derive(Clone, Debug)]
+pub struct Levels {
+    mailbox: mpsc::Sender<Cell>,
+    /// The counts of all daemons.
+    pub book: watch::Receiver<Arc<BurnBook>>,
+}
+
+/// Starts to count, and to follow the counts of all daemons.
+pub fn start<C: Context>(
+    context: C,
+    own: Incarnation,
+    interval: Duration,
+) -> (Levels, [JoinHandle<()>; 2]) {
+    let (mailbox, cells) = mpsc::channel(MAILBOX);
+    let (sender, book) = watch::channel(Arc::default());
+    let counter = Counter { context: context.clone(), own, sequence: 0, counts: BTreeMap::new() };
+    let counting = tokio::spawn(counter.run(cells, interval));
+    let following = tokio::spawn(follow(context, sender));
+    (Levels { mailbox, book }, [counting, following])
+}
+
+/// Whose request is observed, and what was promised.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// The team.
+    pub team: Team,
+    /// The model.
+    pub model: Model,
+    /// The latency promised.
+    pub target: LatencyTarget,
+}
+
+/// Passes the progress of a generation on and counts how it went. Dropping the receiver cancels
+/// the generation.
+pub fn observe<C: Context>(
+    shared: &Arc<Shared<C>>,
+    subject: Subject,
+    progress: mpsc::Receiver<Progress>,
+) -> mpsc::Receiver<Progress> {
+    let (sender, receiver) = mpsc::channel(PROGRESS_BUFFER);
+    let now = shared.context.clock().now();
+    let observer = Observer {
+        shared: Arc::clone(shared),
+        attributes: [KeyValue::new("team", subject.team.to_string())],
+        subject,
+        counts: Counts { requests: 1, ..Counts::default() },
+        last: now,
+        begun: false,
+    };
+    tokio::spawn(observer.run(progress, sender));
+    receiver
+}
+
+struct Observer<C> {
+    shared: Arc<Shared<C>>,
+    subject: Subject,
+    attributes: [KeyValue; 1],
+    counts: Counts,
+    last: MonotonicInstant,
+    begun: bool,
+}
+
+impl<C: Context> Observer<C> {
+    async fn run(mut self, mut from: mpsc::Receiver<Progress>, to: mpsc::Sender<Progress>) {
+        loop {
+            let step = tokio::select! {
+                step = from.recv() => step,
+                () = to.closed() => None,
+            };
+            let Some(step) = step else { break };
+            let outcome = self.on_step(&step);
+            if to.send(step).await.is_err() {
+                break;
+            }
+            if let Some(outcome) = outcome {
+                return self.finish(outcome);
+            }
+        }
+        self.finish("cancelled");
+    }
+
+    /// Counts a step; the outcome is returned if it is the last.
+    fn on_step(&mut self, step: &Progress) -> Option<&'static str> {
+        match step {
+            Progress::Text { .. } => {
+                self.on_text();
+                None
+            }
+            Progress::Finished { length, recomputed, .. } => {
+                self.counts.tokens = Tokens(u64::from(*length));
+                self.counts.recomputed = Tokens(u64::from(*recomputed));
+                Some("finished")
+            }
+            Progress::Refused(_) => {
+                if !self.begun {
+                    self.counts.first_token.count(false);
+                }
+                Some("refused")
+            }
+        }
+    }
+
+    fn on_text(&mut self) {
+        let now = self.shared.context.clock().now();
+        let took = now.since(self.last);
+        self.last = now;
+        let target = self.subject.target;
+        if self.begun {
+            INSTRUMENTS.token_interval.record(took.as_secs_f64(), &self.attributes);
+            self.counts.token_interval.count(took <= target.token_interval.get());
+        } else {
+            INSTRUMENTS.first_token.record(took.as_secs_f64(), &self.attributes);
+            self.counts.first_token.count(took <= target.first_token.get());
+            self.begun = true;
+        }
+    }
+
+    fn finish(self, outcome: &'static str) {
+        let [team] = self.attributes.clone();
+        INSTRUMENTS.requests.add(1, &[team, KeyValue::new("outcome", outcome)]);
+        INSTRUMENTS.tokens.add(self.counts.tokens.0, &self.attributes);
+        INSTRUMENTS.recomputed.add(self.counts.recomputed.0, &self.attributes);
+        let Subject { team, model, .. } = self.subject;
+        let cell = Cell { team, model, counts: self.counts };
+        if self.shared.levels.mailbox.try_send(cell).is_err() {
+            log::warn!("event=level_dropped");
+        }
+    }
+}
+
+struct Counter<C> {
+    context: C,
+    own: Incarnation,
+    sequence: u64,
+    counts: BTreeMap<(Team, Model), Counts>,
+}
+
+impl<C: Context> Counter<C> {
+    async fn run(mut self, mut cells: mpsc::Receiver<Cell>, interval: Duration) {
+        let mut ticks = tokio::time::interval(interval);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut unsent: Option<LevelRecord> = None;
+        loop {
+            tokio::select! {
+                cell = cells.recv() => match cell {
+                    Some(cell) => self.count(cell),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    let record = unsent.take().or_else(|| self.take_record());
+                    unsent = self.append(record).await;
+                }
+            }
+        }
+    }
+
+    fn count(&mut self, cell: Cell) {
+        *self.counts.entry((cell.team, cell.model)).or_default() += cell.counts;
+    }
+
+    fn take_record(&mut self) -> Option<LevelRecord> {
+        if self.counts.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        let counts = std::mem::take(&mut self.counts).into_iter();
+        let cells = counts.map(|((team, model), counts)| Cell { team, model, counts }).collect();
+        let at = self.context.clock().utc();
+        Some(LevelRecord { incarnation: self.own, sequence: self.sequence, at, cells })
+    }
+
+    /// Appends a record; it is returned if that must be repeated.
+    async fn append(&self, record: Option<LevelRecord>) -> Option<LevelRecord> {
+        let record = record?;
+        match self.context.log().append_value(&stream_name(LEVEL_STREAM), &record).await {
+            Ok(_) => None,
+            Err(error) => {
+                log::warn!("event=levels_append_failed error={:?}", error.to_string());
+                Some(record)
+            }
+        }
+    }
+}
+
+async fn follow<C: Context>(context: C, sender: watch::Sender<Arc<BurnBook>>) {
+    while !sender.is_closed() {
+        if let Err(error) = read(&context, &sender).await {
+            log::warn!("event=levels_read_failed error={:?}", error.to_string());
+            tokio::time::sleep(READ_RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn read<C: Context>(
+    context: &C,
+    sender: &watch::Sender<Arc<BurnBook>>,
+) -> Result<(), ReadError> {
+    let next = sender.borrow().next();
+    let batch = context.log().read(&stream_name(LEVEL_STREAM), next, READ_WAIT).await?;
+    if batch.records.is_empty() {
+        return Ok(());
+    }
+    let now = context.clock().utc();
+    sender.send_modify(|book| {
+        let book = Arc::make_mut(book);
+        for record in batch.records {
+            match serde_json::from_str(record.body.get()) {
+                Ok(body) => book.on_record(now, record.offset, body),
+                Err(error) => {
+                    log::warn!("event=level_invalid offset={} error={error:?}", record.offset);
+                    book.skip(record.offset);
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod addresses;
 pub mod admin;
+mod burn;
 pub mod call;
 pub mod checkpoints;
 pub mod claims;
@@ -22,6 +23,7 @@
 pub mod front;
 pub mod generation;
 pub mod lease;
+pub mod levels;
 pub mod load;
 pub mod logs;
 pub mod members;
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -3,12 +3,12 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use spindle_types::config::KeyHash;
-use spindle_types::{Operator, Problems};
+use spindle_types::{Operator, Problems, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// How operators are served.
-#[derive(Clone, Debug, Default, JsonSchema, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, JsonSchema, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct OperatorSettings {
     /// The address of the administration API; none serves none.
@@ -16,6 +16,14 @@
     pub listen: Option<SocketAddr>,
     /// Hashes of each operator's bearer keys.
     pub keys: BTreeMap<Operator, BTreeSet<KeyHash>>,
+    /// The time between two reports of a daemon's service levels to the log.
+    pub report_interval: Span,
+}
+
+impl Default for OperatorSettings {
+    fn default() -> Self {
+        Self { listen: None, keys: BTreeMap::new(), report_interval: Span::from_secs(300) }
+    }
 }
 
 impl OperatorSettings {
@@ -28,5 +36,8 @@
         if self.listen.is_some() && self.keys.is_empty() {
             problems.add("operator.keys", "none", "at least one key, or no operator.listen");
         }
+        if self.report_interval < Span::from_millis(100) {
+            problems.add("operator.report_interval", self.report_interval, "100ms or more");
+        }
     }
 }
