--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod answer;
 pub mod breaker;
+pub mod burn;
 pub mod capacity;
 #[cfg(test)]
 mod cases;
@@ -21,9 +22,11 @@
 pub mod plan;
 pub mod proposal;
 pub mod quota;
+pub mod reconcile;
 pub mod retry;
 pub mod roster;
 pub mod routing;
+pub mod signal;
 pub mod solve;
 pub mod steering;
 pub mod survival;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -4,19 +4,22 @@
 use crate::admission::{self, Admissions, Watches};
 use crate::claims::{self, Claims};
 use crate::context::Context;
+use crate::draining;
 use crate::evacuation::{self, Evacuation};
 use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
 use crate::lease::Lease;
+use crate::levels::{self, Levels};
 use crate::members::{self, InForceWatch, MemberWatch, PeerService};
 use crate::plans::{self, PlanWatch};
 use crate::publisher::Publisher;
+use crate::reconciler;
 use crate::settings::{IdentitySettings, Settings};
 use crate::state::{self, StateTasks};
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::bind_server;
+use spindle_daemon::{BoundServer, bind_server};
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
 use spindle_policy::freshness::Freshness;
@@ -47,6 +50,8 @@
     pub follower: Follower,
     /// Publishes changes of the configuration.
     pub publisher: Publisher<C>,
+    /// The service levels.
+    pub levels: Levels,
     /// The plans that wait for a confirmation.
     pub plans: PlanWatch,
     /// The lease of the single actor.
@@ -84,7 +89,7 @@
     closing: DrainTrigger,
     refusing: DrainTrigger,
     serving: JoinHandle<()>,
-    planning: JoinHandle<()>,
+    operating: Vec<JoinHandle<()>>,
     state: StateTasks,
     rpc: ServerHandle,
     peers: PeerService,
@@ -100,16 +105,16 @@
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let (listener, caller) = bind_callers(&settings).await?;
-        let listen = settings.peer.listen;
-        let server = bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))?;
+        let server = bind_peers(&settings).await?;
         let peer = server.address();
         let own = own_record(&settings.identity, incarnation, caller, peer);
-        let Parts { shared, tasks, planning, peers } =
+        let Parts { shared, tasks, following, peers } =
             start_parts(context, settings, own, refusing.signal());
         let rpc = server.start(peers.methods()?);
         let serving = start_front(&shared, listener, closing.signal());
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
         let daemon = Self {
+            operating: start_operating(&shared, following),
             shared,
             caller,
             peer,
@@ -117,7 +122,6 @@
             closing,
             refusing,
             serving,
-            planning,
             state: tasks,
             rpc,
             peers,
@@ -192,7 +196,7 @@
 struct Parts<C> {
     shared: Arc<Shared<C>>,
     tasks: StateTasks,
-    planning: JoinHandle<()>,
+    following: Vec<JoinHandle<()>>,
     peers: PeerService,
 }
 
@@ -202,7 +206,7 @@
     let claims = claims::start(&context, incarnation, &settings.claim);
     let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
     let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
-    let (plans, planning) = plans::start(context.clone());
+    let (levels, plans, following) = start_reading(&context, incarnation, &settings);
     let (peers, inbound) = PeerService::new(state.follower.clone());
     let parts = members::Parts {
         own,
@@ -225,6 +229,7 @@
         config,
         follower: state.follower,
         publisher: state.publisher,
+        levels,
         plans,
         lease: state.lease,
         upstreams,
@@ -235,7 +240,34 @@
         evacuation,
         drain,
     });
-    Parts { shared, tasks, planning, peers }
+    Parts { shared, tasks, following, peers }
+}
+
+/// Follows the plans and the service levels.
+fn start_reading<C: Context>(
+    context: &C,
+    own: Incarnation,
+    settings: &Settings,
+) -> (Levels, PlanWatch, Vec<JoinHandle<()>>) {
+    let interval = settings.operator.report_interval.get();
+    let (levels, counting) = levels::start(context.clone(), own, interval);
+    let (plans, planning) = plans::start(context.clone());
+    (levels, plans, counting.into_iter().chain([planning]).collect())
+}
+
+/// Follows drains and carries out plans, beside the tasks that read what they need.
+fn start_operating<C: Context>(
+    shared: &Arc<Shared<C>>,
+    mut tasks: Vec<JoinHandle<()>>,
+) -> Vec<JoinHandle<()>> {
+    tasks.push(draining::start(shared.context.clone(), shared.upstreams.clone()));
+    tasks.push(reconciler::start(Arc::clone(shared)));
+    tasks
+}
+
+async fn bind_peers(settings: &Settings) -> eyre::Result<BoundServer> {
+    let listen = settings.peer.listen;
+    bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))
 }
 
 async fn bind_callers(settings: &Settings) -> eyre::Result<(TcpListener, SocketAddr)> {
@@ -274,7 +306,7 @@
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
         self.serving.abort();
-        self.planning.abort();
+        self.operating.iter().for_each(JoinHandle::abort);
         // The server may have stopped by itself.
         let _ = self.rpc.stop();
     }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -5,7 +5,7 @@
 use crate::follower::CONFIG_STREAM;
 use crate::settings::{
     CallerSettings, DrainSettings, IdentitySettings, OperatorSettings, PeerSettings,
-    PlatformSettings, RoutingSettings, Settings, check_document,
+    PlannerSettings, PlatformSettings, RoutingSettings, Settings, check_document,
 };
 use clap::ValueEnum;
 use eyre::{WrapErr, eyre};
@@ -15,6 +15,7 @@
 use spindle_cloud::{Cloud, HttpCloud, Offer, Running, StartRequest};
 use spindle_instances::{Entry, Kind, State};
 use spindle_policy::membership::{Member, MemberStatus};
+use spindle_policy::reconcile::InstanceKind;
 use spindle_standin::EngineModel;
 use spindle_standin::platform::PlatformEvent;
 use spindle_standin::{EngineStandin, LogStandin, PlatformStandin, ServiceStandin, WeightsStandin};
@@ -348,12 +349,14 @@
             peer: self.pace.peer(free_port),
             routing: self.routing.clone(),
             drain: DrainSettings { linger: Span::from_millis(400) },
+            planner: PlannerSettings { interval: Span::from_millis(200) },
             operator: OperatorSettings {
                 listen: Some(free_port),
                 keys: BTreeMap::from([(
                     Operator::try_from(DEMO_OPERATOR)?,
                     BTreeSet::from([KeyHash::of(DEMO_OPERATOR_KEY)]),
                 )]),
+                report_interval: Span::from_millis(500),
             },
             ..Settings::new(identity, platform)
         })
@@ -526,25 +529,27 @@
             for index in 0..count {
                 let instance = Instance::try_from(format!("{pool}-{index:02}"))?;
                 let data_centre = DataCentre::try_from(data_centres[index % data_centres.len()])?;
-                self.launch(instance, Pool::try_from(pool)?, data_centre).await?;
+                let kind = InstanceKind {
+                    pool: Pool::try_from(pool)?,
+                    data_centre,
+                    class: MachineClass::try_from(CLASS)?,
+                    market: Market::Reclaimable,
+                };
+                self.launch(instance, kind).await?;
             }
         }
         Ok(())
     }
 
-    async fn launch(
-        &self,
-        instance: Instance,
-        pool: Pool,
-        data_centre: DataCentre,
-    ) -> eyre::Result<()> {
+    async fn launch(&self, instance: Instance, kind: InstanceKind) -> eyre::Result<()> {
+        let InstanceKind { pool, data_centre, class, market } = kind;
         let spec = self.pools.get(&pool).ok_or_else(|| eyre!("no pool {pool}"))?;
         let upstream = UpstreamStandin::start(spec, self.timing).await?;
         let entry = Entry {
             instance: instance.clone(),
             data_centre,
-            class: MachineClass::try_from(CLASS)?,
-            market: Market::Reclaimable,
+            class,
+            market,
             address: upstream.address(),
             kind: Kind::Upstream { pool },
             state: State::Live,
@@ -564,7 +569,9 @@
                     }
                 }
                 PlatformEvent::Started(Running { instance, start }) => {
-                    if let Err(error) = self.launch(instance, start.pool, start.data_centre).await {
+                    let StartRequest { pool, data_centre, class, market, .. } = start;
+                    let kind = InstanceKind { pool, data_centre, class, market };
+                    if let Err(error) = self.launch(instance, kind).await {
                         log::warn!("event=launch_failed error={error:?}");
                     }
                 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -6,6 +6,7 @@
 use crate::custody::Custody;
 use crate::daemon::Shared;
 use crate::generation::{self, Progress};
+use crate::levels::{self, Subject};
 use crate::reply;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -125,7 +126,9 @@
         let better = addresses::better(&self.0, completion.model.as_str(), &head.headers);
         let head = reply::Head::new(id, &completion);
         let stream = completion.stream;
-        let mut progress = generation::start(Arc::clone(&self.0), id, completion, pool, permit);
+        let subject = self.subject(team.clone(), &completion, &pool);
+        let progress = generation::start(Arc::clone(&self.0), id, completion, pool, permit);
+        let mut progress = levels::observe(&self.0, subject, progress);
         let response = match progress.recv().await {
             Some(Progress::Refused(refusal)) => return Err(refusal),
             Some(first) if stream => reply::streamed(head, first, progress),
@@ -150,6 +153,12 @@
         }
     }
 
+    fn subject(&self, team: Team, completion: &Completion, pool: &Pool) -> Subject {
+        let config = self.0.config.borrow();
+        let target = config.pools.get(pool).map(|spec| spec.target).unwrap_or_default();
+        Subject { team, model: completion.model.clone(), target }
+    }
+
     fn pool(&self, completion: &Completion) -> Result<Pool, Refusal> {
         let config = self.0.config.borrow();
         let pool = config.pools_of(&completion.model).next().map(|(pool, _)| pool.clone());
