--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -1,10 +1,10 @@
 //! Whether a daemon may take new work, given what it can know of newer configuration.
 //!
-//! A daemon is fresh while it reads the log, or hears a peer that does and has nothing newer. When
-//! no peer that it hears reads the log either, the log is down for all, and the daemon serves on
-//! with the newest revision that anybody has. A daemon that hears neither the log nor any peer is
-//! cut off and takes nothing new. The instants are compared when a request arrives, so a process
-//! that has been paused finds itself cut off before it serves.
+//! A daemon is fresh while it reads the log, or hears a peer that knows the newest revision and has
+//! nothing newer. When no peer that it hears knows the log either, the log is down for all, and the
+//! daemon serves on with the newest revision that anybody has. A daemon that hears neither the log
+//! nor any peer is cut off and takes nothing new. The instants are compared when a request arrives,
+//! so a process that has been paused finds itself cut off before it serves.
 
 use spindle_types::{MonotonicInstant, Revision};
 use std::time::Duration;
@@ -13,6 +13,9 @@
 /// The time without log and peers after which a daemon counts as cut off.
 pub const CONTACT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The age of the newest knowledge of the log from which the log counts as down.
+pub const FRESH_MAX: Duration = Duration::from_secs(15);
+
 /// Whether a daemon may take new work.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -38,30 +41,30 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contacts {
     fresh: Option<MonotonicInstant>,
-    peer: Option<MonotonicInstant>,
-    alone: Option<MonotonicInstant>,
+    contact: Option<MonotonicInstant>,
 }
 
 impl Contacts {
     /// Notes that everything in the log up to `at` has been read.
     pub fn on_log(&mut self, at: MonotonicInstant) {
         self.fresh = self.fresh.max(Some(at));
+        self.contact = self.contact.max(Some(at));
     }
 
-    /// Notes that a peer was heard at `now`, given the revision in force here.
-    pub fn on_peer(&mut self, now: MonotonicInstant, own: Revision, contact: PeerContact) {
+    /// Notes that a peer answered a request sent at `sent`, given the revision in force here.
+    pub fn on_peer(&mut self, sent: MonotonicInstant, own: Revision, contact: PeerContact) {
         if contact.revision > own {
             return;
         }
-        self.peer = self.peer.max(Some(now));
+        self.contact = self.contact.max(Some(sent));
         if let Some(age) = contact.age {
-            self.fresh = self.fresh.max(Some(now - age));
+            self.fresh = self.fresh.max(Some(sent - age));
         }
     }
 
     /// Notes that a current instance list shows no other daemon.
     pub fn on_alone(&mut self, at: MonotonicInstant) {
-        self.alone = self.alone.max(Some(at));
+        self.contact = self.contact.max(Some(at));
     }
 
     /// The time since this daemon knew the newest revision; none if it never did.
@@ -71,15 +74,13 @@
 
     /// Whether new work may be taken.
     pub fn freshness(&self, now: MonotonicInstant) -> Freshness {
-        let recent =
-            |at: Option<MonotonicInstant>| at.is_some_and(|at| now.since(at) <= CONTACT_TIMEOUT);
-        if recent(self.fresh) {
-            return Freshness::Fresh;
-        }
-        if recent(self.peer) || recent(self.alone) {
-            return Freshness::LogOutage;
+        let within = |at: Option<MonotonicInstant>, span: Duration| {
+            at.is_some_and(|at| now.since(at) <= span)
+        };
+        if !within(self.contact, CONTACT_TIMEOUT) {
+            return Freshness::CutOff;
         }
-        Freshness::CutOff
+        if within(self.fresh, FRESH_MAX) { Freshness::Fresh } else { Freshness::LogOutage }
     }
 }
 
--- a/crates/policy/src/freshness/tests.rs
+++ b/crates/policy/src/freshness/tests.rs
@@ -51,3 +51,12 @@
     contacts.on_alone(at(100));
     assert_eq!(Freshness::LogOutage, contacts.freshness(at(101)));
 }
+
+#[test]
+fn paused_daemon_is_cut_off_though_its_knowledge_is_young() {
+    let mut contacts = Contacts::default();
+    contacts.on_log(at(10));
+    assert_eq!(Freshness::CutOff, contacts.freshness(at(18)));
+    contacts.on_peer(at(18), Revision(3), contact(3, Some(9)));
+    assert_eq!(Freshness::Fresh, contacts.freshness(at(18)));
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -25,6 +25,12 @@
 /// The heartbeats for which a suspicion can be contradicted.
 const SUSPICION_BEATS: u32 = 4;
 
+/// The daemons among which each one reads the log itself.
+const READERS_MAX: usize = 34;
+
+/// The readers of the log in each data centre of a larger deployment.
+const READERS_NEAR: usize = 2;
+
 /// The time after which a daemon that is down is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(2 * 60 * 60);
 
@@ -140,6 +146,17 @@
     Everywhere,
 }
 
+/// Whether a daemon reads the log itself.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Duty {
+    /// It reads the log, for itself and for others.
+    #[default]
+    Reads,
+    /// It hears from its neighbours what the log holds.
+    Relies,
+}
+
 /// Whether the neighbours must hear at once of what has changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Urgency {
@@ -488,6 +505,16 @@
         if urgent { Urgency::Now } else { Urgency::Later }
     }
 
+    /// Whether this daemon reads the log itself.
+    pub fn duty(&self) -> Duty {
+        let live = || self.roster.records().filter(|record| record.health == Health::Live);
+        if live().count() <= READERS_MAX {
+            return Duty::Reads;
+        }
+        let place = view::place(self.own_record(), live());
+        if place < READERS_NEAR { Duty::Reads } else { Duty::Relies }
+    }
+
     /// The daemons, one for each instance, this one included.
     pub fn members(&self) -> Vec<Member> {
         let mut members: BTreeMap<&Instance, &Record> = BTreeMap::new();
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -214,3 +214,20 @@
     net.run(6);
     assert_eq!(BTreeSet::from([9]), in_force(&net));
 }
+
+#[test]
+fn few_read_the_log_of_a_large_deployment() {
+    let mut net = Net::new(48);
+    net.run(6);
+    let readers = |net: &Net| {
+        let nodes = net.nodes.iter().flatten();
+        nodes.filter(|node| node.duty() == Duty::Reads).map(|node| node.own.0).collect::<Vec<_>>()
+    };
+    let first = readers(&net);
+    assert_eq!(8, first.len());
+    net.nodes[first[0] as usize - 1_000] = None;
+    net.run(12);
+    let second = readers(&net);
+    assert_eq!(8, second.len());
+    assert!(!second.contains(&first[0]));
+}
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -34,6 +34,13 @@
         .min_by_key(|record| rank(record.incarnation, data_centre))
 }
 
+/// The number of daemons of the same data centre that come before `own`.
+pub fn place<'a>(own: &Record, records: impl Iterator<Item = &'a Record>) -> usize {
+    let near = records.filter(|record| record.data_centre == own.data_centre);
+    let rank = |record: &Record| rank(record.incarnation, &own.data_centre);
+    near.filter(|record| rank(record) < rank(own)).count()
+}
+
 fn rank(incarnation: Incarnation, centre: &DataCentre) -> u64 {
     xxh3_64_with_seed(centre.as_str().as_bytes(), incarnation.0)
 }
--- a/src/follower.rs
+++ b/src/follower.rs
@@ -7,6 +7,8 @@
 use crate::freshness::ContactState;
 use spindle_log::{Batch, Log, ReadError};
 use spindle_policy::fold::{Fold, Folded, Standing};
+use spindle_policy::freshness::FRESH_MAX;
+use spindle_policy::membership::Duty;
 use spindle_policy::update::Update;
 use spindle_types::{Clock, ConfigRecord, Configuration, MonotonicInstant, Offset, StreamName};
 use std::sync::Arc;
@@ -23,6 +25,9 @@
 /// The pause after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// The time between two looks whether the peers still tell what the log holds.
+const RELY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Updates that may wait for the task.
 const MAILBOX: usize = 64;
 
@@ -48,9 +53,20 @@
     /// When the log and peers were last heard.
     pub contacts: ContactState,
     updates: mpsc::Sender<Update>,
+    duty: Arc<watch::Sender<Duty>>,
 }
 
 impl Follower {
+    /// Sets whether this daemon reads the log itself.
+    pub fn set_duty(&self, duty: Duty) {
+        self.duty.send_if_modified(|old| std::mem::replace(old, duty) != duty);
+    }
+
+    /// Whether this daemon reads the log itself.
+    pub fn duty(&self) -> watch::Receiver<Duty> {
+        self.duty.subscribe()
+    }
+
     /// Hands over what another reader has folded.
     pub async fn update(&self, update: Update) {
         // Without the task there is nothing to bring forward.
@@ -64,12 +80,15 @@
     let (followed_sender, followed) = watch::channel(Arc::default());
     let (updates, receiver) = mpsc::channel(MAILBOX);
     let contacts = ContactState::default();
-    let follower = Follower { config, followed, contacts: contacts.clone(), updates };
+    let duty = Arc::new(watch::Sender::new(Duty::Reads));
+    let duty_watch = duty.subscribe();
+    let follower = Follower { config, followed, contacts: contacts.clone(), updates, duty };
     let task = Task {
         context,
         contacts,
         state: Followed::default(),
         caught_up: false,
+        duty: duty_watch,
         sender,
         followed: followed_sender,
     };
@@ -86,6 +105,7 @@
     contacts: ContactState,
     state: Followed,
     caught_up: bool,
+    duty: watch::Receiver<Duty>,
     sender: watch::Sender<Arc<Configuration>>,
     followed: watch::Sender<Arc<Followed>>,
 }
@@ -96,13 +116,21 @@
         while !self.sender.is_closed() {
             let context = self.context.clone();
             let next = self.state.fold.next();
+            let relies = self.relies();
             tokio::select! {
                 Some(update) = updates.recv() => self.on_update(update),
-                sent = read(&context, &stream, next) => self.on_read(sent),
+                sent = read(&context, &stream, next), if !relies => self.on_read(sent),
+                () = tokio::time::sleep(RELY_CHECK_INTERVAL), if relies => {}
             }
         }
     }
 
+    /// Whether peers tell what the log holds, so that it need not be read here.
+    fn relies(&self) -> bool {
+        let known = self.contacts.age(&self.context).is_some_and(|age| age <= FRESH_MAX);
+        *self.duty.borrow() == Duty::Relies && known && self.caught_up
+    }
+
     fn on_read(&mut self, (sent, batch): Read) {
         let batch = match batch {
             Ok(batch) => batch,
--- a/src/freshness.rs
+++ b/src/freshness.rs
@@ -17,9 +17,9 @@
         self.0.send_modify(|contacts| contacts.on_log(at));
     }
 
-    /// Notes that a peer was heard at `now`, given the revision in force here.
-    pub fn on_peer(&self, now: MonotonicInstant, own: Revision, contact: PeerContact) {
-        self.0.send_modify(|contacts| contacts.on_peer(now, own, contact));
+    /// Notes that a peer answered a request sent at `sent`, given the revision in force here.
+    pub fn on_peer(&self, sent: MonotonicInstant, own: Revision, contact: PeerContact) {
+        self.0.send_modify(|contacts| contacts.on_peer(sent, own, contact));
     }
 
     /// Notes that a current instance list shows no other daemon.
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -1,5 +1,6 @@
 //! Takes and keeps the lease of the single actor. The holder plans, sends orders and appends
-//! checkpoints. A daemon that stops as planned gives the lease back.
+//! checkpoints. A daemon that stops as planned gives the lease back; one that does not read the
+//! log itself does not compete.
 
 use crate::context::Context;
 use crate::follower::stream_name;
@@ -9,6 +10,7 @@
 use spindle_policy::lease::{
     Granted, LeaseAction, LeaseFold, LeaseRecord, LeaseStep, Permission, Permitted,
 };
+use spindle_policy::membership::Duty;
 use spindle_types::config::FencingCheck;
 use spindle_types::{Clock, Fencing, Incarnation, MonotonicInstant, Offset, Span, StreamName};
 use std::collections::VecDeque;
@@ -68,6 +70,7 @@
     settings: &StateSettings,
     own: Incarnation,
     leaving: Drain,
+    duty: watch::Receiver<Duty>,
 ) -> (Lease, JoinHandle<()>) {
     let (sender, watch) = watch::channel(None);
     let now = context.clock().now();
@@ -82,6 +85,7 @@
         sent: VecDeque::new(),
         waited: now,
         sender,
+        duty,
     };
     let lease = Lease { watch, order_timeout: settings.order_timeout.get() };
     (lease, tokio::spawn(task.run(leaving)))
@@ -98,6 +102,7 @@
     sent: VecDeque<(u64, MonotonicInstant)>,
     waited: MonotonicInstant,
     sender: watch::Sender<Option<Permission>>,
+    duty: watch::Receiver<Duty>,
 }
 
 impl<C: Context> Task<C> {
@@ -111,6 +116,10 @@
     }
 
     async fn turn(&mut self) {
+        let holds = self.fold.grant().is_some_and(|grant| grant.holder == self.own);
+        if *self.duty.borrow() == Duty::Relies && !holds {
+            return tokio::time::sleep(READ_WAIT).await;
+        }
         let now = self.context.clock().now();
         let step = self.fold.step(now, self.own, self.term, self.renewed, CANDIDATE_SPREAD);
         let wait = match step {
--- a/src/members.rs
+++ b/src/members.rs
@@ -23,7 +23,7 @@
 };
 use spindle_policy::roster::Record;
 use spindle_policy::update::Update;
-use spindle_types::{Clock, Instance, Revision, Span};
+use spindle_types::{Clock, Instance, MonotonicInstant, Revision, Span};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,9 +91,12 @@
     receiver
 }
 
-/// What a call to another daemon brought.
+/// The answer to a heartbeat, and the connection on which it came.
+type Answer = Result<(Arc<KeptConnection>, Beat), ClientError>;
+
+/// What a call to another daemon brought; `sent` is the instant before a heartbeat was sent.
 enum Called {
-    Beat { target: Target, answer: Result<(Arc<KeptConnection>, Beat), ClientError> },
+    Beat { target: Target, sent: MonotonicInstant, answer: Answer },
     Update(Result<Update, ClientError>),
 }
 
@@ -167,6 +170,7 @@
         let clock = self.context.clock();
         self.membership.on_tick(clock.now(), clock.utc());
         self.urgent = false;
+        self.follower.set_duty(self.membership.duty());
         for target in self.membership.targets(&mut self.random) {
             if !self.busy.contains(&target.peer) {
                 let beat = self.membership.request(self.age(), target);
@@ -182,25 +186,22 @@
     fn call(&mut self, target: Target, beat: Beat) {
         self.busy.insert(target.peer);
         let kept = self.connections.get(&target.peer).cloned();
+        let sent = self.context.clock().now();
         self.calls.spawn(async move {
             let answer = send(kept, target.peer, beat).await;
-            Called::Beat { target, answer }
+            Called::Beat { target, sent, answer }
         });
     }
 
     async fn on_called(&mut self, called: Called) {
         match called {
-            Called::Beat { target, answer } => self.on_answer(target, answer),
+            Called::Beat { target, sent, answer } => self.on_answer(target, sent, answer),
             Called::Update(Ok(update)) => self.follower.update(update).await,
             Called::Update(Err(error)) => log::debug!("event=update_failed error={error:?}"),
         }
     }
 
-    fn on_answer(
-        &mut self,
-        target: Target,
-        answer: Result<(Arc<KeptConnection>, Beat), ClientError>,
-    ) {
+    fn on_answer(&mut self, target: Target, sent: MonotonicInstant, answer: Answer) {
         self.busy.remove(&target.peer);
         let (connection, beat) = match answer {
             Ok(answer) => answer,
@@ -212,7 +213,7 @@
             }
         };
         self.connections.insert(target.peer, Arc::clone(&connection));
-        self.on_heard(&beat, Some(&connection));
+        self.on_contact(sent, &beat, &connection);
         let (now, age) = (self.context.clock().now(), self.age());
         if let Some(next) = self.membership.on_reply(now, age, target, beat) {
             self.call(target, next);
@@ -222,7 +223,8 @@
     fn on_inbound(&mut self, message: Inbound) {
         match message {
             Inbound::Beat { beat, reply } => {
-                self.on_heard(&beat, None);
+                // A heartbeat that waited while this process was paused says nothing of the present.
+                self.urgent |= beat.revision > self.follower.config.borrow().revision;
                 let (now, age) = (self.context.clock().now(), self.age());
                 let answer = self.membership.on_request(now, age, beat);
                 // A caller that has gone needs no answer.
@@ -235,20 +237,21 @@
     }
 
     /// Notes a peer's contact with the log, and fetches configuration that is newer there.
-    fn on_heard(&mut self, beat: &Beat, connection: Option<&Arc<KeptConnection>>) {
+    fn on_contact(
+        &mut self,
+        sent: MonotonicInstant,
+        beat: &Beat,
+        connection: &Arc<KeptConnection>,
+    ) {
         let own = self.follower.config.borrow().revision;
         let age = beat.age.map(Duration::from_millis);
         let contact = PeerContact { revision: beat.revision, age };
-        self.follower.contacts.on_peer(self.context.clock().now(), own, contact);
+        self.follower.contacts.on_peer(sent, own, contact);
         let behind = self.follower.followed.borrow().fold.standing() == Standing::Behind;
-        if beat.revision <= own && !behind {
-            return;
+        if beat.revision > own || behind {
+            let connection = Arc::clone(connection);
+            self.calls.spawn(async move { Called::Update(connection.since(own).await) });
         }
-        let Some(connection) = connection.cloned() else {
-            self.urgent = true;
-            return;
-        };
-        self.calls.spawn(async move { Called::Update(connection.since(own).await) });
     }
 
     fn on_listing(&mut self) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,7 +62,7 @@
     let (in_force_sender, in_force) = watch::channel(Revision(0));
     let timeout = settings.publish_timeout.get();
     let publisher = Publisher::new(context.clone(), follower.clone(), in_force.clone(), timeout);
-    let (lease, leasing) = lease::start(context.clone(), settings, own, drain);
+    let (lease, leasing) = lease::start(context.clone(), settings, own, drain, follower.duty());
     let retention = settings.retention.get();
     let checkpoints =
         checkpoints::start(context.clone(), follower.clone(), lease.clone(), retention);
