--- a/src/members.rs
+++ b/src/members.rs
@@ -163,7 +163,7 @@
 
     fn grown(&self, interval: Duration) -> Duration {
         let count = self.membership.roster().records().count();
-        interval * u32::try_from(count.div_ceil(MEMBERS_PER_INTERVAL).max(1)).unwrap_or(1)
+        interval * u32::try_from(1 + count / MEMBERS_PER_INTERVAL).unwrap_or(1)
     }
 
     fn on_tick(&mut self) {
