feat(policy): raise the marginal cost as the target comes near; comparison programs

Cause: the cheapest upstream that met the target took everything until it missed it.

Change: the cost is divided by one less the share of the target in use. Ties of the baselines are drawn at random, for the daemons all took the first one. The test of the cached prefix expects the batch at which the raised costs cross.

Conclusion: the raised cost becomes the default.

--- /dev/null
+++ b/crates/policy/examples/compare/engine.rs
@@ -0,0 +1,194 @@
+//! An engine with continuous batching and a prefix cache of limited size.
+
+use spindle_policy::routing::{CacheChange, Report, Speed};
+use spindle_types::{BlockHash, MonotonicInstant, block_tokens};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Prompt tokens computed in one step at most.
+const CHUNK_TOKENS: u32 = 512;
+
+/// The time between two load reports that an engine publishes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A generation at an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// The request.
+    pub(crate) request: usize,
+    /// Its prompt's blocks.
+    pub(crate) blocks: Arc<[BlockHash]>,
+    /// Tokens to compute before the first new one, less those cached once it is admitted.
+    pub(crate) prefill: u32,
+    /// Tokens still to generate.
+    pub(crate) answer: u32,
+}
+
+/// What a step brought.
+#[derive(Debug, Default)]
+pub(crate) struct Stepped {
+    /// Requests that got a token.
+    pub(crate) tokens: Vec<usize>,
+    /// Requests that have ended.
+    pub(crate) ended: Vec<usize>,
+    /// Requests admitted, with the tokens that they have to compute.
+    pub(crate) admitted: Vec<(usize, u32)>,
+}
+
+/// A prefix cache that evicts the least recently used block.
+#[derive(Debug, Default)]
+struct Cache {
+    used: HashMap<BlockHash, u64>,
+    order: BTreeMap<u64, BlockHash>,
+    tick: u64,
+    events: Vec<(u64, CacheChange)>,
+}
+
+impl Cache {
+    fn cached(&self, blocks: &[BlockHash]) -> u32 {
+        block_tokens(blocks.iter().take_while(|block| self.used.contains_key(block)).count())
+    }
+
+    fn store(&mut self, blocks: &[BlockHash], capacity: usize) {
+        for block in blocks.iter().rev() {
+            self.tick += 1;
+            match self.used.insert(*block, self.tick) {
+                Some(old) => {
+                    self.order.remove(&old);
+                }
+                None => self.note(CacheChange::Stored(*block)),
+            }
+            self.order.insert(self.tick, *block);
+        }
+        while self.used.len() > capacity {
+            let Some((_, block)) = self.order.pop_first() else { return };
+            self.used.remove(&block);
+            self.note(CacheChange::Evicted(block));
+        }
+    }
+
+    fn note(&mut self, change: CacheChange) {
+        self.events.push((self.events.len() as u64, change));
+    }
+}
+
+/// An engine.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    /// Its price an hour.
+    pub(crate) price: f64,
+    /// Whether it has been taken back.
+    pub(crate) dead: bool,
+    /// Whether a step is under way.
+    pub(crate) stepping: bool,
+    /// Seconds spent in steps.
+    pub(crate) busy: f64,
+    speed: Speed,
+    cache_blocks: usize,
+    cache: Cache,
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+    published: Report,
+}
+
+impl Engine {
+    /// An idle engine with an empty cache.
+    pub(crate) fn new(
+        now: MonotonicInstant,
+        speed: Speed,
+        price: f64,
+        cache_blocks: usize,
+    ) -> Self {
+        let (running, waiting, queued_tokens, loaded) = (0, 0, 0, None);
+        Self {
+            price,
+            dead: false,
+            stepping: false,
+            busy: 0.0,
+            speed,
+            cache_blocks,
+            cache: Cache::default(),
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            published: Report { taken: now, running, waiting, queued_tokens, loaded },
+        }
+    }
+
+    /// Takes a generation.
+    pub(crate) fn push(&mut self, job: Job) {
+        self.waiting.push_back(job);
+    }
+
+    /// Starts a step and returns how long it takes, if there is work.
+    pub(crate) fn start_step(&mut self) -> Option<(Duration, Stepped)> {
+        let mut stepped = Stepped::default();
+        while self.running.len() < self.speed.slots as usize
+            && let Some(mut job) = self.waiting.pop_front()
+        {
+            job.prefill -= self.cache.cached(&job.blocks).min(job.prefill);
+            self.cache.store(&job.blocks, self.cache_blocks);
+            stepped.admitted.push((job.request, job.prefill));
+            self.running.push(job);
+        }
+        if self.running.is_empty() {
+            return None;
+        }
+        let decoding = self.running.iter().filter(|job| job.prefill == 0).count();
+        let mut chunk = CHUNK_TOKENS;
+        for job in &mut self.running {
+            if job.prefill == 0 {
+                job.answer -= 1;
+                stepped.tokens.push(job.request);
+                continue;
+            }
+            let part = job.prefill.min(chunk);
+            chunk -= part;
+            job.prefill -= part;
+            if job.prefill == 0 && part > 0 {
+                job.answer -= 1;
+                stepped.tokens.push(job.request);
+            }
+        }
+        let ended = self.running.extract_if(.., |job| job.answer == 0);
+        stepped.ended = ended.map(|job| job.request).collect();
+        let secs = self.speed.step(decoding as f64) + self.speed.prefill(CHUNK_TOKENS - chunk);
+        self.busy += secs;
+        Some((Duration::from_secs_f64(secs), stepped))
+    }
+
+    /// Publishes a load report if it is time to.
+    pub(crate) fn publish(&mut self, now: MonotonicInstant) {
+        if now.since(self.published.taken) < REPORT_INTERVAL {
+            return;
+        }
+        let queued = |job: &Job| u64::from(job.prefill);
+        let queued_tokens = self.running.iter().map(queued).sum::<u64>()
+            + self.waiting.iter().map(queued).sum::<u64>();
+        self.published = Report {
+            taken: now,
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            queued_tokens,
+            loaded: None,
+        };
+    }
+
+    /// The newest load report.
+    pub(crate) fn report(&self) -> Report {
+        self.published.clone()
+    }
+
+    /// The cache events from a number on, and the number to ask for next.
+    pub(crate) fn events(&self, from: u64) -> (u64, &[(u64, CacheChange)]) {
+        let events = &self.cache.events;
+        (events.len() as u64, &events[usize::try_from(from).unwrap_or(0).min(events.len())..])
+    }
+
+    /// Stops for good; returns the requests cut off.
+    pub(crate) fn kill(&mut self) -> Vec<usize> {
+        self.dead = true;
+        let running = std::mem::take(&mut self.running).into_iter();
+        running.chain(std::mem::take(&mut self.waiting)).map(|job| job.request).collect()
+    }
+}
--- a/crates/policy/src/routing/strategy.rs
+++ b/crates/policy/src/routing/strategy.rs
@@ -37,7 +37,8 @@
     PowerOfTwo,
     /// The most cached prompt tokens, whatever the load.
     Affinity,
-    /// The lowest marginal cost that meets the latency target; the best chance when none does.
+    /// The lowest marginal cost that meets the latency target, raised as the target comes near; the
+    /// best chance when none meets it.
     #[default]
     ExpectedCost,
 }
@@ -76,23 +77,29 @@
         headroom: &Headroom,
         generator: &mut impl Rng,
     ) -> Option<Candidate> {
-        let fewest =
-            |candidates: &[Candidate]| candidates.iter().copied().min_by_key(|c| c.running);
         match self {
             Self::RoundRobin => candidates.get(turn % candidates.len().max(1)).copied(),
-            Self::LeastInFlight => fewest(candidates),
-            Self::PowerOfTwo => fewest(&draw_two(candidates, generator)),
-            Self::Affinity => {
-                let fewest_uncached = candidates.iter().map(|c| c.estimate.uncached).min()?;
-                let best = |c: &&Candidate| c.estimate.uncached == fewest_uncached;
-                let best: Vec<_> = candidates.iter().filter(best).copied().collect();
-                best.get(generator.random_range(0..best.len())).copied()
+            Self::LeastInFlight => draw_least(candidates, |c| c.running, generator),
+            Self::PowerOfTwo => {
+                draw_least(&draw_two(candidates, generator), |c| c.running, generator)
             }
+            Self::Affinity => draw_least(candidates, |c| c.estimate.uncached, generator),
             Self::ExpectedCost => cheapest(candidates, &demand.target, headroom),
         }
     }
 }
 
+/// One of the candidates with the least figure, drawn at random.
+fn draw_least(
+    candidates: &[Candidate],
+    figure: impl Fn(&Candidate) -> u32,
+    generator: &mut impl Rng,
+) -> Option<Candidate> {
+    let least = candidates.iter().map(&figure).min()?;
+    let equal: Vec<_> = candidates.iter().filter(|c| figure(c) == least).collect();
+    equal.get(generator.random_range(0..equal.len())).map(|c| **c)
+}
+
 fn draw_two(candidates: &[Candidate], generator: &mut impl Rng) -> Vec<Candidate> {
     if candidates.len() < 2 {
         return candidates.to_vec();
@@ -110,16 +117,25 @@
     (estimate.first_token / first).max(estimate.token_interval / interval)
 }
 
+/// The cost of a request, raised as its estimate nears the target. So a cached prefix or a lower
+/// price wins while there is room, and load spreads before the target is missed.
+fn raised_cost(cost: f64, strain: f64) -> f64 {
+    cost / (1.0 - strain).max(f64::EPSILON)
+}
+
 fn cheapest(
     candidates: &[Candidate],
     target: &LatencyTarget,
     headroom: &Headroom,
 ) -> Option<Candidate> {
-    let strain = |c: &Candidate| strain(&c.estimate, target, headroom);
-    let order = |a: &Candidate, b: &Candidate| {
-        let cost = a.estimate.cost.total_cmp(&b.estimate.cost);
-        cost.then(strain(a).total_cmp(&strain(b)))
-    };
-    let meeting = candidates.iter().filter(|c| strain(c) <= 1.0).copied().min_by(order);
-    meeting.or_else(|| candidates.iter().copied().min_by(|a, b| strain(a).total_cmp(&strain(b))))
+    let strained = candidates.iter().map(|c| (strain(&c.estimate, target, headroom), c));
+    let cheapest = strained
+        .clone()
+        .filter(|(strain, _)| *strain < 1.0)
+        .map(|(strain, c)| (raised_cost(c.estimate.cost, strain), strain, c))
+        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    if let Some((_, _, candidate)) = cheapest {
+        return Some(*candidate);
+    }
+    strained.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, candidate)| *candidate)
 }
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn cached_prefix_wins_until_its_upstream_misses_the_target() {
+fn cached_prefix_wins_until_its_upstream_nears_the_target() {
     let mut router = router(Strategy::ExpectedCost, &["a", "b"]);
     let target = LatencyTarget {
         token_interval: spindle_types::Span::from_millis(16),
@@ -107,7 +107,11 @@
         actual.push(chosen(&mut router, at(step * 100), &work));
     }
     let same = actual.iter().take_while(|name| **name == first).count();
-    let batch_max = (0.016 * 0.9 - 0.008) / 0.0003;
+    // On the idle upstream, the prefill costs 80 ms and the strain is that of a step with one.
+    let (cached_cost, cost) = (100.0 * 0.000_3, 100.0 * 0.000_3 + 0.08);
+    let (interval_max, idle_step) = (0.016 * 0.9, 0.008_3);
+    let strain_max = 1.0 - (1.0 - idle_step / interval_max) * cached_cost / cost;
+    let batch_max = (strain_max * interval_max - 0.008) / 0.000_3;
     assert_eq!(batch_max as usize - 1, same, "attempts until the batch is too slow");
 }
 
