fix(admission): each refusal tells when to come back

Cause: a refusal for streams beyond the quota named no time, and a keyed call that was not let in named a fixed one.

Change: at least one second in the first, the measured time in the second.

Conclusion: tests/admission.rs checks the header.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -177,6 +177,7 @@
         if let Some(state) = self.teams.get_mut(&asked.team)
             && let Allowed::After(retry_after) = state.quota.on_request(now)
         {
+            let retry_after = Some(retry_after.unwrap_or_default().max(RETRY_AFTER_MIN));
             return Verdict::Refused(Refused { reason: RefusalReason::QuotaExceeded, retry_after });
         }
         let Asked { team, pool, priority, cost, bytes } = asked;
--- a/crates/policy/src/admission/tests.rs
+++ b/crates/policy/src/admission/tests.rs
@@ -113,7 +113,8 @@
     let running = key(admission.on_request(at(0), asked("a", Priority::Interactive)));
     let waiting = key(admission.on_request(at(0), asked("a", Priority::Interactive)));
     let refused = admission.on_request(at(0), asked("a", Priority::Interactive));
-    let expected = Refused { reason: RefusalReason::QuotaExceeded, retry_after: None };
+    let retry_after = Some(RETRY_AFTER_MIN);
+    let expected = Refused { reason: RefusalReason::QuotaExceeded, retry_after };
     assert_eq!(Verdict::Refused(expected), refused);
     admission.on_end(at(0), waiting);
     key(admission.on_request(at(0), asked("a", Priority::Interactive)));
--- a/src/front.rs
+++ b/src/front.rs
@@ -3,7 +3,6 @@
 use crate::addresses::{self, AddressQuery};
 use crate::call::{Call, forward};
 use crate::context::Context;
-use crate::custody::Custody;
 use crate::daemon::Shared;
 use crate::generation::{self, Progress};
 use crate::levels::{self, Subject};
@@ -139,8 +138,7 @@
     }
 
     fn asked(&self, team: &Team, pool: &Pool, completion: &Completion, bytes: usize) -> Asked {
-        let settings = &self.0.settings;
-        let speed = settings.routing.params(settings.identity.data_centre.clone()).speed;
+        let speed = self.0.settings.routing.speed();
         let tokens = completion.prompt.split_whitespace().count();
         let prefill = speed.prefill(u32::try_from(tokens).unwrap_or(u32::MAX));
         let decode = speed.step_slope.as_secs_f64() * f64::from(completion.max_tokens);
@@ -206,7 +204,7 @@
         let permit = match self.0.admission.admit(asked).await {
             Ok(permit) => permit,
             // Under a key, an earlier attempt may have run.
-            Err(refused) if key.is_some() => return Err(Custody::new(call).doubt(refused.reason)),
+            Err(refused) if key.is_some() => return Err(doubtful(call, refused)),
             Err(refused) => return Err(not_admitted(call, refused)),
         };
         let response = forward(Arc::clone(&self.0), permit, team, key, &spec, call).await;
@@ -219,6 +217,11 @@
     Refusal::NotRun(Unsent::new(request).refuse(refused.reason, refused.retry_after))
 }
 
+/// The refusal of a request that was not let in, but may have run under the same key.
+fn doubtful<R>(request: R, refused: Refused) -> Refusal {
+    Refusal::Unknown(Unsent::new(request).doubt(refused.reason, refused.retry_after))
+}
+
 fn invalid(path: &str, found: &impl std::fmt::Display, allowed: &str) -> Refusal {
     let mut problems = Problems::new();
     problems.add(path, found, allowed);
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -59,12 +59,7 @@
         Params {
             home,
             strategy: self.strategy,
-            speed: Speed {
-                prefill_rate: f64::from(self.prefill_rate),
-                step_base: self.step_base.get(),
-                step_slope: self.step_slope.get(),
-                slots: self.slots,
-            },
+            speed: self.speed(),
             headroom: Headroom {
                 first_token: self.first_share.get(),
                 token_interval: self.interval_share.get(),
@@ -74,6 +69,16 @@
         }
     }
 
+    /// The speed of engines before any is observed.
+    pub fn speed(&self) -> Speed {
+        Speed {
+            prefill_rate: f64::from(self.prefill_rate),
+            step_base: self.step_base.get(),
+            step_slope: self.step_slope.get(),
+            slots: self.slots,
+        }
+    }
+
     pub(super) fn check(&self, problems: &mut Problems) {
         for (name, number) in [("prefill_rate", self.prefill_rate), ("slots", self.slots)] {
             if number == 0 {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -35,6 +35,7 @@
         Err(ClientError::Refused(refused)) => {
             refused.status == StatusCode::TOO_MANY_REQUESTS
                 && refused.outcome == Outcome::NotRun
+                && refused.retry_after.is_some()
                 && refused.document.contains("quota_exceeded")
         }
         _ => false,
