feat: cost report, and budgets of teams enforced at every daemon

Spend is shown by pool, data centre, class and market against the plan, and by team at the token price of full pools. The holder of the lease publishes which teams are over their budgets; every daemon refuses them as not run.

--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -7,6 +7,7 @@
 use spindle_http::client::json_request;
 use spindle_http::{CallError, Client, read_body};
 use spindle_policy::burn::BurnReport;
+use spindle_policy::spend::CostReport;
 use spindle_types::Intent;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -115,6 +116,15 @@
         self.call::<(), _>(Method::GET, "/v1/burn", None).await
     }
 
+    /// Shows the spend.
+    ///
+    /// # Errors
+    ///
+    /// The call fails.
+    pub async fn cost(&self) -> Result<CostReport, AdminError> {
+        self.call::<(), _>(Method::GET, "/v1/cost", None).await
+    }
+
     async fn call<Q: Serialize + Sync, A: DeserializeOwned>(
         &self,
         method: Method,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod routing;
 pub mod signal;
 pub mod solve;
+pub mod spend;
 pub mod steering;
 pub mod survival;
 pub mod update;
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -7,6 +7,7 @@
 use crate::daemon::Shared;
 use crate::plans;
 use crate::publisher::Outcome;
+use crate::reconciler::SPEND_WINDOW;
 use eyre::WrapErr;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -19,9 +20,11 @@
 use spindle_policy::burn::BurnReport;
 use spindle_policy::plan::{PlanError, PlanInput, ReclaimRates, plan};
 use spindle_policy::proposal::{Author, Entry, PlanRecord, PlanState, check_confirmation};
+use spindle_policy::reconcile::{InstanceKind, hourly_spend};
+use spindle_policy::spend::{CostInput, CostReport, cost_report};
 use spindle_types::config::KeyHash;
 use spindle_types::{
-    Change, Clock, Configuration, Intent, Money, Operator, PricedOffer, Problems, Revision, Team,
+    Change, Clock, Configuration, Intent, Operator, PricedOffer, Problems, Revision, Team,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -93,6 +96,9 @@
         if (request.method(), parts.as_slice()) == (&Method::GET, &["v1", "burn"]) {
             return Ok(ok(&self.burn(&principal)));
         }
+        if (request.method(), parts.as_slice()) == (&Method::GET, &["v1", "cost"]) {
+            return Ok(ok(&self.cost(&principal).await?));
+        }
         let operator = match principal {
             Principal::Operator(operator) => operator,
             Principal::Team(team) => {
@@ -135,7 +141,7 @@
 
     /// The service levels; a team sees its own.
     fn burn(&self, principal: &Principal) -> BurnReport {
-        let book = Arc::clone(&self.0.levels.book.borrow());
+        let book = Arc::clone(&self.0.reading.levels.book.borrow());
         let mut report = book.report(self.0.context.clock().utc());
         if let Principal::Team(team) = principal {
             report.rows.retain(|row| row.team == *team);
@@ -143,6 +149,35 @@
         report
     }
 
+    /// The spend; a team sees its own.
+    async fn cost(&self, principal: &Principal) -> Result<CostReport, AdminRefusal> {
+        let (offers, running) = (self.offers().await?, self.running().await?);
+        let now = self.0.context.clock().utc();
+        let cells = self.0.reading.levels.book.borrow().totals(now, SPEND_WINDOW);
+        let config = Arc::clone(&self.0.config.borrow());
+        let input =
+            CostInput { config: &config, running: &running, offers: &offers, cells: &cells };
+        let mut report = cost_report(now, &input);
+        if let Principal::Team(team) = principal {
+            report.teams.retain(|cost| cost.team == *team);
+            report.budgets.retain(|name, _| name == team);
+            report.rows.clear();
+        }
+        Ok(report)
+    }
+
+    async fn running(&self) -> Result<Vec<InstanceKind>, AdminRefusal> {
+        let running = self.0.context.cloud().running().await;
+        let running = running.map_err(|error| unavailable(format!("cloud: {error}")))?.running;
+        let kinds = running.into_iter().map(|running| InstanceKind {
+            pool: running.start.pool,
+            data_centre: running.start.data_centre,
+            class: running.start.class,
+            market: running.start.market,
+        });
+        Ok(kinds.collect())
+    }
+
     async fn offers(&self) -> Result<Vec<PricedOffer>, AdminRefusal> {
         let offers = self.0.context.cloud().offers().await;
         offers.map_err(|error| unavailable(format!("cloud: {error}")))
@@ -194,7 +229,7 @@
     }
 
     async fn wait_until_read(&self, digest: &str) -> Result<(), AdminRefusal> {
-        let mut plans = self.0.plans.clone();
+        let mut plans = self.0.reading.plans.clone();
         let read = plans.wait_for(|book| book.find(digest).is_some());
         match tokio::time::timeout(READ_BACK_TIMEOUT, read).await {
             Ok(Ok(_)) => Ok(()),
@@ -203,7 +238,7 @@
     }
 
     fn entry(&self, prefix: &str) -> Result<(String, Entry), AdminRefusal> {
-        let book = self.0.plans.borrow();
+        let book = self.0.reading.plans.borrow();
         let (digest, entry) = book.find(prefix).ok_or(AdminRefusal::NotFound)?;
         Ok((digest.clone(), entry.clone()))
     }
@@ -215,7 +250,7 @@
     }
 
     fn plans(&self) -> Vec<PlanSummary> {
-        let (book, config) = (self.0.plans.borrow(), self.0.config.borrow());
+        let (book, config) = (self.0.reading.plans.borrow(), self.0.config.borrow());
         let summary = |(digest, entry): (&String, &Entry)| PlanSummary {
             digest: digest.clone(),
             author: entry.author.clone(),
@@ -285,17 +320,8 @@
 
     async fn status(&self) -> Result<StatusView, AdminRefusal> {
         let offers = self.offers().await?;
-        let running = self.0.context.cloud().running().await;
-        let running = running.map_err(|error| unavailable(format!("cloud: {error}")))?.running;
-        let price = |start: &spindle_cloud::StartRequest| {
-            let offer = offers.iter().find(|offer| {
-                offer.data_centre == start.data_centre
-                    && offer.class == start.class
-                    && offer.market == start.market
-            });
-            offer.map_or(Money(0), |offer| offer.hourly_price)
-        };
-        let spend = running.iter().map(|running| price(&running.start)).sum();
+        let running = self.running().await?;
+        let spend = hourly_spend(&running, &offers).unwrap_or_default();
         let config = Arc::clone(&self.0.config.borrow());
         let members = Arc::clone(&self.0.members.borrow());
         let current = members.iter().filter(|member| member.revision >= config.revision);
--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -8,6 +8,7 @@
 use eyre::{WrapErr, eyre};
 use spindle_operator::{AdminClient, AdminError, AdminRefusal};
 use spindle_policy::burn::BurnReport;
+use spindle_policy::spend::CostReport;
 use spindle_types::{Intent, Problems};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -68,6 +69,24 @@
         #[command(flatten)]
         access: Access,
     },
+    /// Spend by pool, data centre, market and team, against the plan and the budgets
+    Cost {
+        /// The form of the report
+        #[arg(long, value_enum, default_value_t)]
+        format: PlainFormat,
+        #[command(flatten)]
+        access: Access,
+    },
+}
+
+/// The form of a report without plots.
+#[derive(Clone, Copy, Debug, Default, ValueEnum)]
+pub(super) enum PlainFormat {
+    /// A table
+    #[default]
+    Table,
+    /// JSON
+    Json,
 }
 
 /// The form of a report.
@@ -171,6 +190,9 @@
         OperateCommand::Report(ReportCommand::Burn { format, access }) => {
             burn_text(&access.client()?.burn().await?, format)?
         }
+        OperateCommand::Report(ReportCommand::Cost { format, access }) => {
+            cost_text(&access.client()?.cost().await?, format)?
+        }
         OperateCommand::Status { access } => show::status(&access.client()?.status().await?),
     })
 }
@@ -189,3 +211,10 @@
         Format::Html => burn::page(report),
     }
 }
+
+fn cost_text(report: &CostReport, format: PlainFormat) -> eyre::Result<String> {
+    match format {
+        PlainFormat::Table => Ok(show::cost(report)),
+        PlainFormat::Json => Ok(serde_json::to_string_pretty(report)?),
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::{self, Admin};
 use crate::admission::{self, Admissions, Watches};
+use crate::budgets::{self, BudgetWatch};
 use crate::claims::{self, Claims};
 use crate::context::Context;
 use crate::draining;
@@ -50,10 +51,8 @@
     pub follower: Follower,
     /// Publishes changes of the configuration.
     pub publisher: Publisher<C>,
-    /// The service levels.
-    pub levels: Levels,
-    /// The plans that wait for a confirmation.
-    pub plans: PlanWatch,
+    /// What operators are shown.
+    pub reading: Reading,
     /// The lease of the single actor.
     pub lease: Lease,
     /// The router.
@@ -79,6 +78,17 @@
     }
 }
 
+/// What a daemon reads from the log for operators.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// The service levels.
+    pub levels: Levels,
+    /// The plans that wait for a confirmation.
+    pub plans: PlanWatch,
+    /// The teams that are over their budgets.
+    pub over_budget: BudgetWatch,
+}
+
 /// A running daemon; dropping it stops it at once.
 #[derive(Debug)]
 pub struct Daemon<C> {
@@ -206,7 +216,7 @@
     let claims = claims::start(&context, incarnation, &settings.claim);
     let evacuation = evacuation::start(context.clone(), &settings.survival, upstreams.stops());
     let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
-    let (levels, plans, following) = start_reading(&context, incarnation, &settings);
+    let (reading, following) = start_reading(&context, incarnation, &settings);
     let (peers, inbound) = PeerService::new(state.follower.clone());
     let parts = members::Parts {
         own,
@@ -229,8 +239,7 @@
         config,
         follower: state.follower,
         publisher: state.publisher,
-        levels,
-        plans,
+        reading,
         lease: state.lease,
         upstreams,
         admission,
@@ -243,16 +252,18 @@
     Parts { shared, tasks, following, peers }
 }
 
-/// Follows the plans and the service levels.
+/// Follows the plans, the service levels and the budgets.
 fn start_reading<C: Context>(
     context: &C,
     own: Incarnation,
     settings: &Settings,
-) -> (Levels, PlanWatch, Vec<JoinHandle<()>>) {
+) -> (Reading, Vec<JoinHandle<()>>) {
     let interval = settings.operator.report_interval.get();
     let (levels, counting) = levels::start(context.clone(), own, interval);
     let (plans, planning) = plans::start(context.clone());
-    (levels, plans, counting.into_iter().chain([planning]).collect())
+    let (over_budget, budgeting) = budgets::start(context.clone());
+    let tasks = counting.into_iter().chain([planning, budgeting]).collect();
+    (Reading { levels, plans, over_budget }, tasks)
 }
 
 /// Follows drains and carries out plans, beside the tasks that read what they need.
--- a/src/front.rs
+++ b/src/front.rs
@@ -18,7 +18,9 @@
 use spindle_policy::admission::{Asked, Refused};
 use spindle_policy::freshness::Freshness;
 use spindle_types::config::{KeyHash, Priority};
-use spindle_types::{Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent};
+use spindle_types::{
+    Clock, MonotonicInstant, Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent,
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +34,9 @@
 /// The service that a call to a plain service takes, in seconds of one upstream.
 const CALL_COST: f64 = 0.01;
 
+/// The delay after which a team that is over its budget may try again.
+const BUDGET_RETRY_AFTER: Duration = Duration::from_secs(300);
+
 /// Answers callers of one daemon.
 #[derive(Debug)]
 pub struct Front<C>(pub Arc<Shared<C>>);
@@ -116,6 +121,12 @@
             let not_run = Unsent::new(completion).refuse(reason, Some(RETRY_AFTER));
             return Err(Refusal::NotRun(not_run));
         }
+        if self.0.reading.over_budget.borrow().contains(team) {
+            let reason = RefusalReason::QuotaExceeded;
+            let not_run = Unsent::new(completion).refuse(reason, Some(BUDGET_RETRY_AFTER));
+            return Err(Refusal::NotRun(not_run));
+        }
+        let arrived = self.0.context.clock().now();
         let asked = self.asked(team, &pool, &completion, body.len());
         let permit = match self.0.admission.admit(asked).await {
             Ok(permit) => permit,
@@ -125,7 +136,7 @@
         let better = addresses::better(&self.0, completion.model.as_str(), &head.headers);
         let head = reply::Head::new(id, &completion);
         let stream = completion.stream;
-        let subject = self.subject(team.clone(), &completion, &pool);
+        let subject = self.subject(arrived, team, &completion, &pool);
         let progress = generation::start(Arc::clone(&self.0), id, completion, pool, permit);
         let mut progress = levels::observe(&self.0, subject, progress);
         let response = match progress.recv().await {
@@ -151,10 +162,16 @@
         }
     }
 
-    fn subject(&self, team: Team, completion: &Completion, pool: &Pool) -> Subject {
+    fn subject(
+        &self,
+        arrived: MonotonicInstant,
+        team: &Team,
+        completion: &Completion,
+        pool: &Pool,
+    ) -> Subject {
         let config = self.0.config.borrow();
         let target = config.pools.get(pool).map(|spec| spec.target).unwrap_or_default();
-        Subject { team, model: completion.model.clone(), target }
+        Subject { arrived, team: team.clone(), model: completion.model.clone(), target }
     }
 
     fn pool(&self, completion: &Completion) -> Result<Pool, Refusal> {
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -56,6 +56,8 @@
 /// Whose request is observed, and what was promised.
 #[derive(Clone, Debug)]
 pub struct Subject {
+    /// When the request had arrived, before it was queued.
+    pub arrived: MonotonicInstant,
     /// The team.
     pub team: Team,
     /// The model.
@@ -72,14 +74,13 @@
     progress: mpsc::Receiver<Progress>,
 ) -> mpsc::Receiver<Progress> {
     let (sender, receiver) = mpsc::channel(PROGRESS_BUFFER);
-    let now = shared.context.clock().now();
     let observer = Observer {
         shared: Arc::clone(shared),
         attributes: [KeyValue::new("team", subject.team.to_string())],
-        subject,
         counts: Counts { requests: 1, ..Counts::default() },
-        last: now,
+        last: subject.arrived,
         begun: false,
+        subject,
     };
     tokio::spawn(observer.run(progress, sender));
     receiver
@@ -156,7 +157,7 @@
         INSTRUMENTS.recomputed.add(self.counts.recomputed.0, &self.attributes);
         let Subject { team, model, .. } = self.subject;
         let cell = Cell { team, model, counts: self.counts };
-        if self.shared.levels.mailbox.try_send(cell).is_err() {
+        if self.shared.reading.levels.mailbox.try_send(cell).is_err() {
             log::warn!("event=level_dropped");
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod addresses;
 pub mod admin;
 pub mod admission;
+pub mod budgets;
 mod burn;
 pub mod call;
 pub mod checkpoints;
--- a/src/reconciler.rs
+++ b/src/reconciler.rs
@@ -6,6 +6,7 @@
 mod proposer;
 
 use self::census::{Census, take_census};
+use crate::budgets;
 use crate::context::Context;
 use crate::daemon::Shared;
 use crate::draining;
@@ -14,6 +15,7 @@
 use spindle_policy::lease::Permitted;
 use spindle_policy::reconcile::{Action, InstanceKind, OrderAction, Reconciler, StartOutcome};
 use spindle_policy::signal::{Observation, Watcher};
+use spindle_policy::spend::{CostInput, cost_report};
 use spindle_types::config::FencingCheck;
 use spindle_types::{
     ClientToken, Clock, Configuration, Fencing, Instance, Model, MonotonicInstant, Version,
@@ -24,6 +26,9 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
+/// The time over which the spend of teams is counted.
+pub(crate) const SPEND_WINDOW: Duration = Duration::from_secs(3_600);
+
 /// Starts to carry out plans while the daemon holds the lease.
 pub fn start<C: Context>(shared: Arc<Shared<C>>) -> JoinHandle<()> {
     let task = Task {
@@ -105,6 +110,7 @@
                 self.reconciler.on_start(now, &token, StartOutcome::NotSent);
             }
         }
+        self.check_budgets(config, census).await;
         self.look(config, census).await;
     }
 
@@ -231,6 +237,18 @@
         }
     }
 
+    /// Compares the teams' spend of the last hour with their budgets.
+    async fn check_budgets(&self, config: &Configuration, census: &Census) {
+        let reading = &self.shared.reading;
+        let now = self.shared.context.clock().utc();
+        let cells = reading.levels.book.borrow().totals(now, SPEND_WINDOW);
+        let running: Vec<_> = census.running.iter().map(|r| r.kind.clone()).collect();
+        let offers = &census.offers;
+        let input = CostInput { config, running: &running, offers, cells: &cells };
+        let report = cost_report(now, &input);
+        budgets::publish(&self.shared.context, &reading.over_budget, &report).await;
+    }
+
     /// Looks for signals, and proposes a new plan if one is raised.
     async fn look(&mut self, config: &Configuration, census: &Census) {
         let Some(plan) = &config.plan else { return };
--- a/src/show.rs
+++ b/src/show.rs
@@ -3,6 +3,8 @@
 use spindle_operator::{PlanSummary, PlanView, StatusView};
 use spindle_policy::plan::{Difference, PoolOutlook, PricedPlacement};
 use spindle_policy::proposal::Author;
+use spindle_policy::spend::{CostReport, CostRow, Standing, TeamCost};
+use spindle_types::Money;
 use std::fmt::Write;
 use tabled::settings::Style;
 use tabled::{Table, Tabled};
@@ -87,6 +89,77 @@
     }
 }
 
+#[derive(Tabled)]
+struct CostLine {
+    pool: String,
+    #[tabled(rename = "data centre")]
+    data_centre: String,
+    class: String,
+    market: String,
+    planned: u32,
+    running: u32,
+    #[tabled(rename = "spend/h")]
+    spend: String,
+}
+
+impl From<&CostRow> for CostLine {
+    fn from(row: &CostRow) -> Self {
+        Self {
+            pool: row.pool.to_string(),
+            data_centre: row.data_centre.to_string(),
+            class: row.class.to_string(),
+            market: row.market.to_string(),
+            planned: row.planned,
+            running: row.running,
+            spend: amount(row.hourly_spend),
+        }
+    }
+}
+
+#[derive(Tabled)]
+struct TeamLine {
+    team: String,
+    model: String,
+    tokens: u64,
+    recomputed: u64,
+    #[tabled(rename = "spend/h")]
+    spend: String,
+    #[tabled(rename = "budget/h")]
+    budget: String,
+    standing: String,
+}
+
+impl TeamLine {
+    fn new(report: &CostReport, cost: &TeamCost) -> Self {
+        Self {
+            team: cost.team.to_string(),
+            model: cost.model.to_string(),
+            tokens: cost.tokens.0,
+            recomputed: cost.recomputed.0,
+            spend: cost.hourly_spend.to_string(),
+            budget: amount(report.budgets.get(&cost.team).copied()),
+            standing: report.standing(&cost.team, Standing::Within).to_string(),
+        }
+    }
+}
+
+/// The spend against the plan, by kind of instance and by team.
+pub(crate) fn cost(report: &CostReport) -> String {
+    let mut text = format!(
+        "spend {} an hour; confirmed {}, at most {}\n",
+        amount(report.spend),
+        amount(report.planned),
+        amount(report.limit)
+    );
+    line(&mut text, &table(report.rows.iter().map(CostLine::from)));
+    line(&mut text, &table(report.teams.iter().map(|cost| TeamLine::new(report, cost))));
+    text
+}
+
+fn amount(money: Option<Money>) -> String {
+    money.map_or_else(|| "-".to_owned(), |money| money.to_string())
+}
+
 /// A plan with its cost, its outlook, its envelope and what it changes.
 pub(crate) fn plan(view: &PlanView) -> String {
     let plan = &view.plan;
