fix(load): requests that outlast the caller's patience are told from lost ones

Such requests are `late` now, and the reasons of all that got no whole answer are listed. Callers name their prefix family and follow the daemon's steering.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,5 +1,6 @@
 //! A client of the callers' interface, which checks streamed answers as it reads them.
 
+use crate::addresses::{PREFIX_HEADER, USE_HEADER};
 use futures_util::StreamExt;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -61,6 +62,8 @@
     pub status: StatusCode,
     /// What became of the request.
     pub outcome: Outcome,
+    /// Why, as the problem document says.
+    pub reason: Option<String>,
     /// When the caller may try again.
     pub retry_after: Option<Duration>,
     /// The document, cut off at a few kilobytes.
@@ -73,12 +76,15 @@
         struct Problem {
             #[serde(default)]
             outcome: Outcome,
+            #[serde(default)]
+            reason: Option<String>,
         }
         let problem: Option<Problem> = serde_json::from_str(&document).ok();
-        let outcome = problem.map(|problem| problem.outcome).unwrap_or_default();
+        let (outcome, reason) =
+            problem.map(|problem| (problem.outcome, problem.reason)).unwrap_or_default();
         let after = headers.get(header::RETRY_AFTER);
         let seconds = after.and_then(|value| value.to_str().ok()?.parse().ok());
-        Self { status, outcome, retry_after: seconds.map(Duration::from_secs), document }
+        Self { status, outcome, reason, retry_after: seconds.map(Duration::from_secs), document }
     }
 }
 
@@ -93,6 +99,8 @@
     pub max_tokens: u32,
     /// The order in which it is served.
     pub priority: Priority,
+    /// The label of its prefix family, as in the address query.
+    pub prefix: Option<&'a str>,
 }
 
 /// A call to a plain service.
@@ -163,7 +171,7 @@
         max_tokens: u32,
     ) -> Result<ChatStream, ClientError> {
         let priority = Priority::Interactive;
-        self.start_chat(daemon, Chat { model, prompt, max_tokens, priority }).await
+        self.start_chat(daemon, Chat { model, prompt, max_tokens, priority, prefix: None }).await
     }
 
     /// Starts a streamed chat.
@@ -184,7 +192,10 @@
             "stream": true,
         });
         let body = Body::from(body.to_string());
-        let request = self.request(Method::POST, daemon, "/v1/chat/completions", body)?;
+        let mut request = self.request(Method::POST, daemon, "/v1/chat/completions", body)?;
+        if let Some(prefix) = chat.prefix.and_then(|prefix| prefix.parse().ok()) {
+            request.headers_mut().insert(PREFIX_HEADER, prefix);
+        }
         let response = checked(self.client.send(request).await?).await?;
         Ok(ChatStream::new(response, 0))
     }
@@ -296,12 +307,19 @@
     /// Offsets below this one may be repeated, as they are after a pick-up.
     known: u32,
     usage: Option<Usage>,
+    steered: bool,
 }
 
 impl ChatStream {
     fn new(response: Response<Incoming>, next: u32) -> Self {
+        let steered = response.headers().contains_key(USE_HEADER);
         let events = events(response.into_body());
-        Self { events, id: String::new(), last: None, next, known: next, usage: None }
+        Self { events, id: String::new(), last: None, next, known: next, usage: None, steered }
+    }
+
+    /// Whether the daemon names another one as the better one from now on.
+    pub const fn is_steered(&self) -> bool {
+        self.steered
     }
 
     /// The request's id, once an event has been read.
--- a/src/experiment/table.rs
+++ b/src/experiment/table.rs
@@ -2,7 +2,7 @@
 
 use super::Outcome;
 use super::faults::Caused;
-use crate::load::{Audit, End};
+use crate::load::{Audit, End, team_table};
 use crate::settings::ExperimentSettings;
 use tabled::Table;
 use tabled::builder::Builder;
@@ -14,6 +14,20 @@
     println!("seed {}, {} daemons\n", settings.traffic.seed, settings.daemons);
     println!("{}\n", measures(outcomes));
     println!("{}", promises(outcomes));
+    for outcome in outcomes {
+        print_details(settings, outcome);
+    }
+}
+
+/// Why requests got no whole answer, and in a flood what each team met.
+fn print_details(settings: &ExperimentSettings, outcome: &Outcome) {
+    let name = format!("{} {}", outcome.load.example, outcome.strategy);
+    for (reason, count) in &outcome.load.reasons {
+        println!("{name}: {count} {reason}");
+    }
+    if !settings.traffic.floods.is_empty() {
+        println!("\n{name}\n\n{}", team_table(&outcome.load));
+    }
 }
 
 /// One line a run: what callers met, and both measures.
@@ -26,6 +40,7 @@
         "whole",
         "not_run",
         "unknown",
+        "late",
         "lost",
         "wrong",
         "in target",
@@ -48,7 +63,7 @@
     let share = 100.0 * load.in_target as f64 / (load.offered as f64).max(1.0);
     let mut row =
         vec![load.example.clone(), outcome.strategy.to_string(), load.offered.to_string()];
-    let ends = [End::Whole, End::NotRun, End::Unknown, End::Lost, End::Wrong];
+    let ends = [End::Whole, End::NotRun, End::Unknown, End::Late, End::Lost, End::Wrong];
     row.extend(ends.iter().map(|end| load.ended(*end).to_string()));
     row.push(format!("{share:.1}%"));
     let first = load.first_token;
--- a/src/load.rs
+++ b/src/load.rs
@@ -14,7 +14,7 @@
 pub use caller::{Caller, End, Record};
 pub use directory::Directory;
 pub use plot::plot;
-pub use report::{Audit, LoadReport, Spread, TeamReport, print};
+pub use report::{Audit, LoadReport, Spread, TeamReport, print, team_table};
 
 use crate::daemon::Daemon;
 use crate::deployment::Deployment;
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -31,7 +31,9 @@
     NotRun,
     /// The outcome is not known, and the system said so.
     Unknown,
-    /// No whole answer and no statement of the outcome.
+    /// The caller's patience ended while it waited for an answer.
+    Late,
+    /// The answer broke off, or no answer came, without a statement of the outcome.
     Lost,
     /// An answer that is not the one expected.
     Wrong,
@@ -91,6 +93,7 @@
 #[derive(Clone, Copy)]
 pub(super) struct Prompt<'a> {
     pub(super) text: &'a str,
+    pub(super) family: &'a str,
     pub(super) max_tokens: u32,
     pub(super) priority: Priority,
 }
@@ -122,7 +125,7 @@
             team,
             kind,
             submission,
-            end: End::Lost,
+            end: End::Late,
             detail: String::new(),
             first_token: None,
             intervals: Vec::new(),
@@ -135,11 +138,8 @@
         };
         let began = start + at;
         let tries = self.tries(&work, began, &mut record);
-        if tokio::time::timeout_at(began + self.patience, tries).await.is_err()
-            && record.end == End::Whole
-        {
-            record.end = End::Lost;
-        }
+        // When the caller's patience ends, the record holds the end of the newest try.
+        let _ = tokio::time::timeout_at(began + self.patience, tries).await;
         record.total = began.elapsed();
         record
     }
@@ -147,13 +147,13 @@
     /// Tries until an end is reached; the record holds the end of the newest try at all times.
     async fn tries(&self, work: &Work, began: Instant, record: &mut Record) {
         loop {
-            record.end = End::Lost;
-            "no answer within the caller's patience".clone_into(&mut record.detail);
+            record.end = End::Late;
+            "waiting for an answer".clone_into(&mut record.detail);
             let next = match work {
                 Work::Generation { prompt, family, max_tokens, priority } => {
                     let query = format!("model={}&prefix={}", self.model, encoded(family));
                     let (text, priority) = (prompt.as_str(), *priority);
-                    let prompt = Prompt { text, max_tokens: *max_tokens, priority };
+                    let prompt = Prompt { text, family, max_tokens: *max_tokens, priority };
                     self.generate(&query, prompt, began, record).await
                 }
                 Work::Call { method, path, key, body } => {
@@ -186,15 +186,21 @@
     ) -> Next {
         record.first_token = None;
         record.intervals.clear();
-        let Prompt { text, max_tokens, priority } = prompt;
-        let chat = Chat { model: self.model.as_str(), prompt: text, max_tokens, priority };
+        let Prompt { text, family, max_tokens, priority } = prompt;
+        let (model, prefix) = (self.model.as_str(), Some(family));
+        let chat = Chat { model, prompt: text, max_tokens, priority, prefix };
         if let Some(direct) = &self.direct {
             return direct.generate(&self.model, prompt, began, record).await;
         }
         let mut failure = Next::Retry(RETRY_DELAY, End::Lost, "no address".to_owned());
         for daemon in self.directory.addresses(&self.client, query).await {
             match self.client.start_chat(daemon, chat).await {
-                Ok(stream) => return self.follow(query, prompt, stream, began, record).await,
+                Ok(stream) => {
+                    if stream.is_steered() {
+                        self.directory.forget(query).await;
+                    }
+                    return self.follow(query, prompt, stream, began, record).await;
+                }
                 Err(ClientError::Call(CallError::NotSent(error))) => {
                     self.directory.forget(query).await;
                     failure = Next::Retry(RETRY_DELAY, End::NotRun, error);
@@ -282,12 +288,13 @@
 
 fn after_error(error: ClientError, repeats: Repeats) -> Next {
     let detail = error.to_string();
-    let ClientError::Refused(Refused { status, outcome, retry_after, .. }) = error else {
+    let ClientError::Refused(Refused { status, outcome, retry_after, reason, .. }) = error else {
         return match repeats {
             Repeats::Allowed => Next::Retry(RETRY_DELAY, End::Lost, detail),
             Repeats::Never => Next::End(End::Lost, detail),
         };
     };
+    let detail = format!("{status} {}", reason.unwrap_or_default());
     let delay = retry_after.unwrap_or(RETRY_DELAY);
     let may_help = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
     match (outcome, repeats) {
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -14,6 +14,9 @@
 /// The longest time that a histogram holds, in microseconds.
 const TIME_MAX_US: u64 = 3_600_000_000;
 
+/// The longest part of a reason that is told.
+const REASON_MAX_CHARS: usize = 80;
+
 /// The significant digits that a histogram keeps.
 const DIGITS: u8 = 3;
 
@@ -89,6 +92,8 @@
     pub peak: usize,
     /// Requests by what became of them.
     pub ends: BTreeMap<End, u64>,
+    /// Why requests got no whole answer, with how often.
+    pub reasons: BTreeMap<String, u64>,
     /// Whole answers within the latency target.
     pub in_target: u64,
     /// Whole answers within the latency target, a second.
@@ -139,8 +144,13 @@
         let whole = || records.iter().filter(|record| record.end == End::Whole);
         let tokens: u64 = whole().map(|record| u64::from(record.tokens)).sum();
         let mut ends = BTreeMap::new();
+        let mut reasons = BTreeMap::new();
         for record in records {
             *ends.entry(record.end).or_default() += 1;
+            if record.end != End::Whole {
+                let reason: String = record.detail.chars().take(REASON_MAX_CHARS).collect();
+                *reasons.entry(format!("{}: {reason}", record.end)).or_default() += 1;
+            }
         }
         let mut teams: BTreeMap<Team, Vec<Record>> = BTreeMap::new();
         for record in records {
@@ -154,6 +164,7 @@
             offered: records.len() as u64,
             peak: run.peak,
             ends,
+            reasons,
             in_target,
             goodput: in_target as f64 / seconds,
             tokens,
@@ -266,6 +277,9 @@
             core_share * 100.0
         );
     }
+    for (reason, count) in &report.reasons {
+        println!("{count} {reason}");
+    }
     println!("{}", times_table(report));
     println!("{}", team_table(report));
 }
@@ -288,7 +302,8 @@
     table
 }
 
-fn team_table(report: &LoadReport) -> tabled::Table {
+/// One line a team.
+pub fn team_table(report: &LoadReport) -> tabled::Table {
     let mut table = Builder::default();
     table.push_record(["team", "offered", "whole", "in target", "first token p95 ms"]);
     for (team, row) in &report.teams {
