--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,10 +3,10 @@
 
 pub mod configuration;
 pub mod gossip;
+pub mod tls;
 pub mod transport;
 
 pub use configuration::{ConfigurationSourceClient, ConfigurationSourceServer};
 pub use gossip::{GossipClient, GossipServer};
-pub use transport::{
-    BoundServer, KeptConnection, PeerConnection, bind_server, connect, open, start_server,
-};
+pub use tls::{Tls, TlsError, TlsFiles};
+pub use transport::{BoundServer, Dialer, KeptConnection, PeerConnection, bind_server, connect};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Faults`].
 
 pub mod answer;
+pub mod authority;
 pub mod batch;
 pub mod distortion;
 pub mod engine;
--- a/examples/control.rs
+++ b/examples/control.rs
@@ -11,7 +11,7 @@
 use bronzespindle::publisher::Outcome;
 use bronzespindle::settings::{PeerSettings, Settings};
 use eyre::{OptionExt, bail};
-use spindle_daemon::{GossipClient, open};
+use spindle_daemon::{Dialer, GossipClient};
 use spindle_policy::exchange::Packet;
 use spindle_policy::membership::Beat;
 use spindle_standin::EngineModel;
@@ -160,7 +160,7 @@
     let deployment = Deployment::start(Example::Vendimia, 1, EngineModel::default()).await?;
     let count = Arc::new(AtomicU64::new(0));
     let address = relay(deployment.daemons[0].peer_address(), Arc::clone(&count)).await?;
-    let connection = open(address).await?;
+    let connection = Dialer::default().open(address).await?;
     let beat = Beat {
         from: Incarnation(1),
         data_centre: DataCentre::try_from("heredia-a")?,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::evacuation::{self, Evacuation};
 use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
+use crate::keys::Keys;
 use crate::lease::Lease;
 use crate::levels::{self, Levels};
 use crate::members::{self, InForceWatch, MemberWatch, PeerService};
@@ -20,7 +21,7 @@
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{BoundServer, bind_server};
+use spindle_daemon::{BoundServer, Dialer, bind_server};
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
 use spindle_policy::freshness::Freshness;
@@ -59,6 +60,8 @@
     pub upstreams: Upstreams,
     /// Admission and the retry budgets.
     pub admission: Admissions,
+    /// Opens connections to other daemons.
+    pub dialer: Dialer,
     /// The daemons, itself included.
     pub members: MemberWatch,
     /// The least revision in force at every live daemon.
@@ -103,6 +106,7 @@
     state: StateTasks,
     rpc: ServerHandle,
     peers: PeerService,
+    _keys: Keys,
 }
 
 impl<C: Context> Daemon<C> {
@@ -115,12 +119,14 @@
         let incarnation = Incarnation(u64::try_from(context.random() >> 64).unwrap_or_default());
         let (closing, refusing) = (DrainTrigger::new(), DrainTrigger::new());
         let (listener, caller) = bind_callers(&settings).await?;
-        let server = bind_peers(&settings).await?;
+        let keys = Keys::load(&settings.peer)?;
+        let server = bind_peers(&settings, &keys).await?;
         let peer = server.address();
+        let dialer = Dialer::new(keys.tls());
         let own = own_record(&settings.identity, incarnation, caller, peer);
         let Parts { shared, tasks, following, peers } =
-            start_parts(context, settings, own, refusing.signal());
-        let rpc = server.start(peers.methods()?);
+            start_parts(context, settings, own, dialer, refusing.signal());
+        let rpc = server.start(peers.methods()?)?;
         let serving = start_front(&shared, listener, closing.signal());
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
         let daemon = Self {
@@ -135,6 +141,7 @@
             state: tasks,
             rpc,
             peers,
+            _keys: keys,
         };
         daemon.register(State::Live).await;
         log::info!("event=started incarnation={incarnation} caller={caller} peer={peer}");
@@ -210,7 +217,13 @@
     peers: PeerService,
 }
 
-fn start_parts<C: Context>(context: C, settings: Settings, own: Record, drain: Drain) -> Parts<C> {
+fn start_parts<C: Context>(
+    context: C,
+    settings: Settings,
+    own: Record,
+    dialer: Dialer,
+    drain: Drain,
+) -> Parts<C> {
     let incarnation = own.incarnation;
     let (upstreams, daemons) = upstreams::start(context.clone(), &settings);
     let claims = claims::start(&context, incarnation, &settings.claim);
@@ -225,6 +238,7 @@
         daemons,
         upstreams: upstreams.clone(),
         inbound,
+        dialer: dialer.clone(),
         in_force: state.in_force_sender,
     };
     let members = members::start(context.clone(), parts);
@@ -243,6 +257,7 @@
         lease: state.lease,
         upstreams,
         admission,
+        dialer,
         members,
         in_force: state.in_force,
         claims,
@@ -276,9 +291,9 @@
     tasks
 }
 
-async fn bind_peers(settings: &Settings) -> eyre::Result<BoundServer> {
+async fn bind_peers(settings: &Settings, keys: &Keys) -> eyre::Result<BoundServer> {
     let listen = settings.peer.listen;
-    bind_server(listen).await.wrap_err_with(|| format!("peer.listen {listen}"))
+    bind_server(listen, keys.tls()).await.wrap_err_with(|| format!("peer.listen {listen}"))
 }
 
 async fn bind_callers(settings: &Settings) -> eyre::Result<(TcpListener, SocketAddr)> {
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -197,6 +197,7 @@
                 heartbeat: Span::from_millis(100),
                 list_interval: Span::from_millis(200),
                 notice_interval: Span::from_millis(100),
+                ..PeerSettings::default()
             },
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod freshness;
 pub mod front;
 pub mod generation;
+pub mod keys;
 pub mod lease;
 pub mod levels;
 pub mod load;
--- a/src/members.rs
+++ b/src/members.rs
@@ -13,7 +13,7 @@
 use jsonrpsee::core::ClientError;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use spindle_daemon::{ConfigurationSourceClient, GossipClient, KeptConnection, open};
+use spindle_daemon::{ConfigurationSourceClient, Dialer, GossipClient, KeptConnection};
 use spindle_instances::State;
 use spindle_policy::exchange::DeltaPush;
 use spindle_policy::fold::Standing;
@@ -61,6 +61,8 @@
     pub upstreams: Upstreams,
     /// What other daemons send.
     pub inbound: mpsc::Receiver<Inbound>,
+    /// Opens the connections.
+    pub dialer: Dialer,
     /// Where the least revision in force goes.
     pub in_force: watch::Sender<Revision>,
 }
@@ -81,6 +83,7 @@
         upstreams: parts.upstreams,
         sender,
         in_force: parts.in_force,
+        dialer: parts.dialer,
         connections: HashMap::new(),
         busy: HashSet::new(),
         calls: JoinSet::new(),
@@ -111,6 +114,7 @@
     random: ChaCha8Rng,
     sender: watch::Sender<Arc<Vec<Member>>>,
     in_force: watch::Sender<Revision>,
+    dialer: Dialer,
     connections: HashMap<SocketAddr, Arc<KeptConnection>>,
     busy: HashSet<SocketAddr>,
     calls: JoinSet<Called>,
@@ -187,8 +191,9 @@
         self.busy.insert(target.peer);
         let kept = self.connections.get(&target.peer).cloned();
         let sent = self.context.clock().now();
+        let dialer = self.dialer.clone();
         self.calls.spawn(async move {
-            let answer = send(kept, target.peer, beat).await;
+            let answer = send(&dialer, kept, target.peer, beat).await;
             Called::Beat { target, sent, answer }
         });
     }
@@ -334,13 +339,14 @@
 }
 
 async fn send(
+    dialer: &Dialer,
     kept: Option<Arc<KeptConnection>>,
     peer: SocketAddr,
     beat: Beat,
 ) -> Result<(Arc<KeptConnection>, Beat), ClientError> {
     let connection = match kept.filter(|connection| connection.is_connected()) {
         Some(connection) => connection,
-        None => Arc::new(open(peer).await?),
+        None => Arc::new(dialer.open(peer).await?),
     };
     let answer = connection.beat(beat).await?;
     Ok((connection, answer))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,7 @@
 mod routing;
 mod state;
 mod survival;
+mod tls;
 mod traffic;
 
 pub use admission::AdmissionSettings;
@@ -37,6 +38,7 @@
 pub use routing::RoutingSettings;
 pub use state::StateSettings;
 pub use survival::{NoticeUse, SurvivalSettings};
+pub use tls::TlsSettings;
 pub use traffic::TrafficSettings;
 
 use schemars::JsonSchema;
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -1,11 +1,16 @@
 //! State between daemons over real sockets: configuration, membership, outages of the log.
 
 use bronzespindle::client::CallerClient;
+use bronzespindle::context::LiveContext;
+use bronzespindle::daemon::Daemon;
 use bronzespindle::deployment::{Deployment, Example};
 use bronzespindle::publisher::Outcome;
+use bronzespindle::settings::TlsSettings;
+use spindle_daemon::TlsFiles;
 use spindle_policy::freshness::Freshness;
 use spindle_policy::membership::MemberStatus;
 use spindle_standin::EngineModel;
+use spindle_standin::authority::AuthorityStandin;
 use spindle_types::config::TeamSpec;
 use spindle_types::{Change, Instance, Revision};
 use std::time::Duration;
@@ -125,3 +130,32 @@
     .await;
     stopping.await.unwrap();
 }
+
+#[tokio::test]
+async fn daemons_with_keys_meet_and_one_without_stays_outside() {
+    let mut deployment = deployment(0).await;
+    let authority = AuthorityStandin::new().unwrap();
+    let directory = tempfile::tempdir().unwrap();
+    let files = authority.write(directory.path(), "127.0.0.1", &authority).unwrap();
+    for index in 0..3 {
+        let mut settings = deployment.settings(index).unwrap();
+        if index < 2 {
+            let TlsFiles { certificate, key, authority } = files.clone();
+            settings.peer.tls = Some(TlsSettings { certificate, key, authority });
+        }
+        let context = LiveContext::new(&settings.platform);
+        deployment.daemons.push(Daemon::start(context, settings).await.unwrap());
+    }
+    let known = |daemon: usize| {
+        let members = deployment.daemons[daemon].shared().members.borrow().clone();
+        let met = members.iter().filter(|member| member.incarnation.is_some());
+        met.map(|member| member.instance.to_string()).collect::<Vec<_>>()
+    };
+    until("the daemons with keys know each other", || known(0).len() == 2).await;
+    until("the daemon without keys sees the others in the list", || {
+        deployment.daemons[2].shared().members.borrow().len() == 3
+    })
+    .await;
+    assert_eq!(vec!["entry-1", "entry-2"], known(0));
+    assert_eq!(vec!["entry-3"], known(2));
+}
