feat(members): daemons hear of each other's requests in flight

Cause: the load in the heartbeats was always 0, so the load bound of the address answers never took effect.

Change: admission publishes the requests that run, and each heartbeat takes it.

Conclusion: tests/admission.rs, other_daemons_hear_of_the_requests_in_flight.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -32,7 +32,6 @@
 #[derive(Clone, Debug)]
 pub struct Admissions {
     mailbox: mpsc::UnboundedSender<Message>,
-    running: watch::Receiver<u32>,
 }
 
 /// The right to run one request; dropping it ends the request.
@@ -60,11 +59,6 @@
         let key = decision.await.map_err(|_| TASK_ENDED)??;
         Ok(Permit { key, team, pool, mailbox: self.mailbox.clone() })
     }
-
-    /// Requests that run at this daemon.
-    pub fn running(&self) -> u32 {
-        *self.running.borrow()
-    }
 }
 
 impl Permit {
@@ -113,10 +107,15 @@
     pub(crate) capacity: CapacityWatch,
 }
 
-/// Starts the task; it ends when nobody talks to it any more.
-pub(crate) fn start<C: Context>(context: C, settings: &Settings, watches: Watches) -> Admissions {
+/// Starts the task; it ends when nobody talks to it any more. It tells the requests that run
+/// through `running`.
+pub(crate) fn start<C: Context>(
+    context: C,
+    settings: &Settings,
+    watches: Watches,
+    running: watch::Sender<u32>,
+) -> Admissions {
     let (mailbox, messages) = mpsc::unbounded_channel();
-    let (sender, running) = watch::channel(0);
     let seed = u64::try_from(context.random() >> 64).unwrap_or_default();
     let task = Task {
         context,
@@ -125,11 +124,11 @@
         generator: StdRng::seed_from_u64(seed),
         slots: settings.routing.slots,
         answers: HashMap::new(),
-        running: sender,
+        running,
         watches,
     };
     tokio::spawn(task.run(messages));
-    Admissions { mailbox, running }
+    Admissions { mailbox }
 }
 
 struct Task<C> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// The pause after a failed registration.
@@ -218,6 +219,7 @@
     let (state, tasks) = state::start(&context, &settings.state, incarnation, drain.clone());
     let (reading, following) = start_reading(&context, incarnation, &settings);
     let (peers, inbound) = PeerService::new(state.follower.clone());
+    let (running, load) = watch::channel(0);
     let parts = members::Parts {
         own,
         heartbeat: settings.peer.heartbeat,
@@ -226,12 +228,13 @@
         upstreams: upstreams.clone(),
         inbound,
         in_force: state.in_force_sender,
+        load,
     };
     let members = members::start(context.clone(), parts);
     let config = state.follower.config.clone();
     let capacity = upstreams.capacity();
     let watches = Watches { config: config.clone(), members: members.clone(), capacity };
-    let admission = admission::start(context.clone(), &settings, watches);
+    let admission = admission::start(context.clone(), &settings, watches, running);
     let shared = Arc::new(Shared {
         context,
         settings,
--- a/src/members.rs
+++ b/src/members.rs
@@ -63,6 +63,8 @@
     pub inbound: mpsc::Receiver<Inbound>,
     /// Where the least revision in force goes.
     pub in_force: watch::Sender<Revision>,
+    /// Requests in flight at this daemon.
+    pub load: watch::Receiver<u32>,
 }
 
 /// Starts to keep the view; the task ends when nobody watches it any more.
@@ -81,6 +83,7 @@
         upstreams: parts.upstreams,
         sender,
         in_force: parts.in_force,
+        load: parts.load,
         connections: HashMap::new(),
         busy: HashSet::new(),
         calls: JoinSet::new(),
@@ -111,6 +114,7 @@
     random: ChaCha8Rng,
     sender: watch::Sender<Arc<Vec<Member>>>,
     in_force: watch::Sender<Revision>,
+    load: watch::Receiver<u32>,
     connections: HashMap<SocketAddr, Arc<KeptConnection>>,
     busy: HashSet<SocketAddr>,
     calls: JoinSet<Called>,
@@ -168,6 +172,8 @@
 
     fn on_tick(&mut self) {
         let clock = self.context.clock();
+        let revision = self.follower.config.borrow().revision;
+        self.membership.on_pulse(revision, *self.load.borrow());
         self.membership.on_tick(clock.now(), clock.utc());
         self.urgent = false;
         self.follower.set_duty(self.membership.duty());
@@ -291,7 +297,7 @@
 
     fn on_config(&mut self) {
         let revision = self.follower.config.borrow().revision;
-        self.membership.on_pulse(revision, 0);
+        self.membership.on_pulse(revision, *self.load.borrow());
         self.urgent = true;
     }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -5,9 +5,11 @@
 use futures_util::future::join_all;
 use http::{Method, Request, StatusCode, header};
 use spindle_http::{Body, Client, read_body};
+use spindle_policy::membership::Member;
 use spindle_standin::EngineModel;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 const MODEL: &str = "sommelier-llm";
@@ -46,6 +48,20 @@
     assert_eq!(3, answer.rest().await.unwrap().split_whitespace().count());
 }
 
+#[tokio::test]
+async fn other_daemons_hear_of_the_requests_in_flight() {
+    let deployment = Deployment::start(Example::Vendimia, 2, SLOW).await.unwrap();
+    let daemon = deployment.daemons[0].caller_address();
+    let caller = CallerClient::new("cava-escazu-key");
+    let streams = (0..9).map(|_| caller.chat(daemon, MODEL, "offer", 400));
+    let streams = join_all(streams).await;
+    assert!(streams.iter().all(Result::is_ok));
+    let mut members = deployment.daemons[1].shared().members.clone();
+    let heard = |members: &Arc<Vec<Member>>| members.iter().any(|member| member.load >= 8);
+    let heard = tokio::time::timeout(Duration::from_secs(20), members.wait_for(heard)).await;
+    assert!(heard.is_ok_and(|heard| heard.is_ok()));
+}
+
 async fn get(daemon: SocketAddr, path: &str, prefix: Option<&str>) -> (StatusCode, String, String) {
     let client = Client::new(Duration::from_secs(10), 1 << 20);
     let mut request = Request::builder()
