fix(routing): an upstream out of reach is left out at once, a refusal opens no breaker

Cause: a refusal before the start, as for a request that is not valid or while all slots are taken, counted as a failure, so two bad requests of one caller opened the breaker; an upstream out of reach was tried twice.

Change: the proof of a refusal tells whether the upstream was reached. A stated refusal puts the upstream off for 250 ms; no connection opens the breaker.

--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -14,7 +14,7 @@
 use crate::breaker::{Changed, Severity};
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
-use spindle_types::{DataCentre, Instance, MonotonicInstant, Pool, Version};
+use spindle_types::{Contact, DataCentre, Instance, MonotonicInstant, Pool, Version};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -114,10 +114,21 @@
     Cancelled,
     /// The upstream broke off or answered with an error.
     Failed,
+    /// The upstream refused before starting, as a busy one does.
+    Refused,
     /// No connection to the upstream could be made.
     Unreachable,
 }
 
+impl From<Contact> for AttemptEnd {
+    fn from(contact: Contact) -> Self {
+        match contact {
+            Contact::Reached => Self::Refused,
+            Contact::Unreachable => Self::Unreachable,
+        }
+    }
+}
+
 /// An attempt in flight.
 #[derive(Debug)]
 struct Flight {
@@ -344,6 +355,10 @@
         let changed = match end {
             AttemptEnd::Completed => breaker.on_success(),
             AttemptEnd::Cancelled => Changed::Unchanged,
+            AttemptEnd::Refused => {
+                upstream.refused = Some(now);
+                Changed::Unchanged
+            }
             AttemptEnd::Failed => breaker.on_failure(now, flight.started, Severity::Failed),
             AttemptEnd::Unreachable => {
                 breaker.on_failure(now, flight.started, Severity::Unreachable)
--- a/crates/policy/src/routing/tests.rs
+++ b/crates/policy/src/routing/tests.rs
@@ -190,6 +190,23 @@
     assert_eq!(vec!["a", "b", "b", "b"], after);
 }
 
+#[test]
+fn refusals_put_an_upstream_off_for_a_moment_but_open_no_breaker() {
+    let mut router = router(Strategy::LeastInFlight, &["a", "b"]);
+    let work = demand(16, 0..0);
+    for _ in 0..20 {
+        let refused = route(&mut router, at(0), &work).unwrap();
+        router.on_end(at(0), refused.key, AttemptEnd::Refused);
+    }
+    let other = route(&mut router, at(300), &work).unwrap();
+    router.on_end(at(300), other.key, AttemptEnd::Refused);
+    let during: HashSet<_> = (0..9).map(|_| chosen(&mut router, at(400), &work)).collect();
+    assert_eq!(1, during.len());
+    assert!(!during.contains(&Some(other.instance.to_string())));
+    let after: HashSet<_> = (0..9).map(|_| chosen(&mut router, at(600), &work)).collect();
+    assert!(after.contains(&Some(other.instance.to_string())), "its breaker is closed");
+}
+
 #[test]
 fn only_upstream_is_used_even_with_an_open_breaker() {
     let mut router = router(Strategy::ExpectedCost, &["a"]);
--- a/crates/policy/src/routing/upstream.rs
+++ b/crates/policy/src/routing/upstream.rs
@@ -12,12 +12,15 @@
 /// Ends of attempts that are remembered to tell our own share of a late report.
 const ENDS_MAX: usize = 64;
 
+/// How long an upstream that refused an attempt is avoided while others can be chosen.
+const REFUSAL_PENALTY: Duration = Duration::from_millis(250);
+
 /// How much an upstream may be preferred; the lowest present is chosen from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Tier {
     /// It takes work.
     Ready,
-    /// It is new or has come back, and has as much as it should have for now.
+    /// It has as much as it should have for now: it is new, has come back, or has just refused.
     Warming,
     /// Its breaker is open.
     Broken,
@@ -38,6 +41,8 @@
     pub(super) loaded: Option<Loaded>,
     /// Since when it takes work, for slow start; none if it needs none.
     pub(super) since: Option<MonotonicInstant>,
+    /// When it last refused an attempt.
+    pub(super) refused: Option<MonotonicInstant>,
     /// Starts and ends of attempts that have ended lately.
     ends: VecDeque<(MonotonicInstant, MonotonicInstant)>,
 }
@@ -55,6 +60,7 @@
             cache: BelievedCache::default(),
             loaded: None,
             since,
+            refused: None,
             ends: VecDeque::new(),
         }
     }
@@ -67,6 +73,9 @@
         if matches!(self.breaker.gate(now), Gate::Open { .. }) {
             return Tier::Broken;
         }
+        if self.refused.is_some_and(|at| now.since(at) < REFUSAL_PENALTY) {
+            return Tier::Warming;
+        }
         match self.since {
             Some(since) if self.running >= warm_limit(now.since(since), params) => Tier::Warming,
             _ => Tier::Ready,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,7 +19,7 @@
     Team, Version,
 };
 pub use intent::{Intent, PricedOffer};
-pub use outcome::{NotRun, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
+pub use outcome::{Contact, NotRun, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
 pub use prefix::{BLOCK_TOKENS, BlockHash, Blocks, block_tokens};
 pub use problem::{Problem, Problems};
 pub use time::{Clock, MonotonicInstant, SystemClock, UtcInstant};
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -98,32 +98,46 @@
 
     /// Turns back into a refusal, given the upstream's own word that nothing was started.
     pub fn refused(self, proof: UpstreamRefusal, retry_after: Option<Duration>) -> NotRun {
-        let UpstreamRefusal { _private: () } = proof;
+        let UpstreamRefusal { contact: _ } = proof;
         NotRun { reason: RefusalReason::UpstreamRefused, retry_after }
     }
 
     /// Gets the request back, given proof that the upstream started nothing.
     pub fn restore<R>(self, proof: UpstreamRefusal, request: R) -> Unsent<R> {
-        let UpstreamRefusal { _private: () } = proof;
+        let UpstreamRefusal { contact: _ } = proof;
         Unsent { request }
     }
 }
 
+/// Whether an upstream was reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// It answered.
+    Reached,
+    /// No connection to it was made.
+    Unreachable,
+}
+
 /// An upstream's own word that it started nothing, or that no connection to it was made.
 #[derive(Debug)]
 pub struct UpstreamRefusal {
-    _private: (),
+    contact: Contact,
 }
 
 impl UpstreamRefusal {
     /// For peer packages alone: the connection was never established.
     pub const fn never_connected() -> Self {
-        Self { _private: () }
+        Self { contact: Contact::Unreachable }
     }
 
     /// For peer packages alone: the upstream answered that it refuses before starting.
     pub const fn stated() -> Self {
-        Self { _private: () }
+        Self { contact: Contact::Reached }
+    }
+
+    /// Whether the upstream was reached.
+    pub const fn contact(&self) -> Contact {
+        self.contact
     }
 }
 
--- a/src/call.rs
+++ b/src/call.rs
@@ -182,14 +182,19 @@
     let stall = shared.settings.caller.stall_timeout.get();
     let calling = shared.context.service().call(route.address, request);
     let outcome = tokio::time::timeout(stall, calling).await;
-    let (custody, text) = match outcome {
+    let (end, custody, text) = match outcome {
         Ok(CallOutcome::Answered(response)) => return Ok(Answered { response, route }),
-        Ok(CallOutcome::NotSent { proof, text }) => (flight.refused(proof, call), text),
-        Ok(CallOutcome::Lost(text)) => (flight.lost(call), text),
-        Err(_) => (flight.lost(call), "no answer before the stall timeout".to_owned()),
+        Ok(CallOutcome::NotSent { proof, text }) => {
+            (proof.contact().into(), flight.refused(proof, call), text)
+        }
+        Ok(CallOutcome::Lost(text)) => (AttemptEnd::Failed, flight.lost(call), text),
+        Err(_) => {
+            let text = "no answer before the stall timeout".to_owned();
+            (AttemptEnd::Failed, flight.lost(call), text)
+        }
     };
     log::info!("event=call_failed instance={} error={text:?}", route.instance);
-    shared.upstreams.end(route.key, AttemptEnd::Failed).await;
+    shared.upstreams.end(route.key, end).await;
     Err(custody)
 }
 
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -20,7 +20,9 @@
 use spindle_policy::retry::{Retry, full_jitter};
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_policy::survival::Move;
-use spindle_types::{Attempt, Clock, Instance, MonotonicInstant, Pool, RefusalReason, RequestId};
+use spindle_types::{
+    Attempt, Clock, Contact, Instance, MonotonicInstant, Pool, RefusalReason, RequestId,
+};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -89,16 +91,19 @@
     Finished,
     CallerGone,
     Failed,
+    /// The upstream started nothing.
+    Refused(Contact),
     /// The upstream is about to go; the cache may have been transferred to the next one.
     Moved(Option<Transferred>),
 }
 
 impl Attempted {
-    const fn end(&self) -> AttemptEnd {
+    fn end(&self) -> AttemptEnd {
         match self {
             Self::Finished => AttemptEnd::Completed,
             Self::CallerGone | Self::Moved(_) => AttemptEnd::Cancelled,
             Self::Failed => AttemptEnd::Failed,
+            Self::Refused(contact) => AttemptEnd::from(*contact),
         }
     }
 }
@@ -168,7 +173,9 @@
             match attempted {
                 Attempted::Finished | Attempted::CallerGone => return,
                 Attempted::Failed if self.answer.length() > length => {}
-                Attempted::Failed => self.retry = Some(place.route.instance.clone()),
+                Attempted::Failed | Attempted::Refused(_) => {
+                    self.retry = Some(place.route.instance.clone());
+                }
                 Attempted::Moved(transferred) => moved = transferred,
             }
             if self.answer.length() > length {
@@ -246,7 +253,8 @@
             }
             Err(GenerateError::Refused { proof, text }) => {
                 self.log_failure(route, number, &text);
-                (flight.refused(proof, completion), Attempted::Failed)
+                let attempted = Attempted::Refused(proof.contact());
+                (flight.refused(proof, completion), attempted)
             }
             Err(GenerateError::Lost(text)) => {
                 self.log_failure(route, number, &text);
