feat: attainment as a signal, shared reads of weights, and the loss of a data centre

A model that misses its target for half an hour is proposed larger. Engines of one data centre share a turn at the weight store. Tests: a saturated store, and each data centre lost while nothing can be started in it; needs are met throughout and the spend stays in the envelope.

--- a/crates/policy/src/reconcile/tests.rs
+++ b/crates/policy/src/reconcile/tests.rs
@@ -12,6 +12,8 @@
     running: Vec<RunningInstance>,
     started: u32,
     highest_spend: Money,
+    /// Where nothing can be started.
+    down: Option<spindle_types::DataCentre>,
 }
 
 impl Cloud {
@@ -75,6 +77,7 @@
         match action {
             Action::Start { token, kind } => {
                 let outcome = match fault() % 5 {
+                    _ if cloud.down.as_ref() == Some(&kind.data_centre) => StartOutcome::Refused,
                     0 => StartOutcome::Refused,
                     1 => StartOutcome::Unknown,
                     2 => {
@@ -229,3 +232,35 @@
     let rate: f64 = kept.map(|r| tick.rate(&r.kind)).sum();
     assert!(!ordered.is_empty() && rate >= tick.needs[&pool], "{ordered:?} leave {rate}");
 }
+
+#[test]
+fn lost_data_centre_leaves_the_need_and_is_replaced_within_the_envelope() {
+    let (config, offers) = example();
+    let plan = config.plan.as_ref().unwrap();
+    let needs = Tick::new(MonotonicInstant::default(), plan, &config, &offers);
+    for data_centre in plan.envelope.data_centres.clone() {
+        let (mut cloud, mut holder) = (Cloud::default(), Reconciler::default());
+        let mut now = MonotonicInstant::default();
+        tick(&mut holder, &mut cloud, now, (&config, &offers), || 3);
+        cloud.running.retain(|r| r.kind.data_centre != data_centre);
+        let left = cloud.running.len();
+        cloud.down = Some(data_centre.clone());
+        for _ in 0..20 {
+            now = now + STEP;
+            tick(&mut holder, &mut cloud, now, (&config, &offers), || 3);
+            for (pool, need) in &needs.needs {
+                let running = cloud.running.iter().filter(|r| r.kind.pool == *pool);
+                let rate: f64 = running.map(|r| needs.rate(&r.kind)).sum();
+                assert!(rate >= *need, "{pool} carries {rate} of {need} without {data_centre}");
+            }
+        }
+        assert!(cloud.running.len() > left, "nothing replaces {data_centre}");
+        cloud.down = None;
+        for _ in 0..CALM_TICKS {
+            now = now + STEP;
+            tick(&mut holder, &mut cloud, now, (&config, &offers), || 3);
+        }
+        assert!(cloud.highest_spend <= plan.envelope.hourly_spend);
+        assert_eq!(wanted(&config), cloud.counts());
+    }
+}
--- a/crates/policy/src/signal.rs
+++ b/crates/policy/src/signal.rs
@@ -4,11 +4,12 @@
 //! a lower one before it can be raised again; so noise proposes nothing, and a lasting change
 //! proposes once.
 
+use crate::burn::{Cell, Counts, OBJECTIVE};
 use crate::capacity::Load;
 use crate::plan::{ReclaimRates, loads};
 use crate::reconcile::{InstanceKind, RunningInstance, hourly_spend};
 use spindle_types::config::{ConfirmedPlan, Market};
-use spindle_types::{DataCentre, Instance, Intent, MonotonicInstant, Pool, PricedOffer};
+use spindle_types::{DataCentre, Instance, Intent, Model, MonotonicInstant, Pool, PricedOffer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
@@ -34,6 +35,16 @@
 const LOAD_RAISE: f64 = 0.10;
 const LOAD_CLEAR: f64 = 0.0;
 
+/// The shortfall of the attainment that raises a signal, and the one below which it is cleared.
+const ATTAINMENT_RAISE: f64 = 0.01;
+const ATTAINMENT_CLEAR: f64 = 0.0;
+
+/// The fewest requests from which an attainment is judged.
+const ATTAINMENT_EVENTS_MIN: u64 = 100;
+
+/// The factor by which a model that misses its target is planned larger.
+const ATTAINMENT_GROWTH: f64 = 1.2;
+
 /// The instance hours that the first reclaim rate counts for.
 const PRIOR_HOURS: f64 = 20.0;
 
@@ -49,6 +60,8 @@
     Prices,
     /// A pool carries more than the plan was made for.
     LoadGrowth,
+    /// A model misses its latency target more often than promised.
+    Attainment,
 }
 
 /// A signal with its measure.
@@ -77,6 +90,8 @@
     pub offers: &'a [PricedOffer],
     /// Pools whose missing instances can't be bought.
     pub short: &'a BTreeSet<Pool>,
+    /// What the teams' requests came to lately.
+    pub cells: &'a [Cell],
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -137,6 +152,7 @@
             (SignalKind::RefusedStarts, refusals(look), HOLD),
             (SignalKind::Prices, prices(look), HOLD),
             (SignalKind::LoadGrowth, growth(look), HOLD),
+            (SignalKind::Attainment, attainment(look), HOLD),
         ];
         let mut signals = Vec::new();
         for (kind, (level, detail), hold) in levels {
@@ -255,9 +271,41 @@
     planned.into_iter().filter_map(factor).collect()
 }
 
-/// The intent in force, with the demand of pools that have outgrown it raised to what they carry.
+fn attainment(look: &Observation<'_>) -> (Level, String) {
+    let worst = attainments(look).into_iter().min_by(|(_, a), (_, b)| a.total_cmp(b));
+    let Some((model, share)) = worst else {
+        return (Level::Below, String::new());
+    };
+    let level = level(OBJECTIVE - share, ATTAINMENT_RAISE, ATTAINMENT_CLEAR);
+    (level, format!("{model} meets its target for {:.1}%", share * 100.0))
+}
+
+/// The worse of the two attainments of each model, where enough was counted.
+fn attainments(look: &Observation<'_>) -> BTreeMap<Model, f64> {
+    let mut totals: BTreeMap<Model, Counts> = BTreeMap::new();
+    for cell in look.cells {
+        *totals.entry(cell.model.clone()).or_default() += cell.counts;
+    }
+    let counted = totals.into_iter().filter(|(_, c)| c.first_token.total >= ATTAINMENT_EVENTS_MIN);
+    counted
+        .map(|(model, counts)| {
+            let (first, interval) = (counts.first_token, counts.token_interval);
+            (model, first.attainment().min(interval.attainment()))
+        })
+        .collect()
+}
+
+/// The intent in force, with the demand of pools that have outgrown it raised to what they carry,
+/// and that of models that miss their targets raised by a step.
 pub fn grown_intent(look: &Observation<'_>) -> Option<Intent> {
     let mut intent = look.plan.intent.clone()?;
+    let missing = attainments(look);
+    for model in intent.models.values_mut() {
+        let share = model.spec.model.as_ref().and_then(|name| missing.get(name));
+        if share.is_some_and(|share| OBJECTIVE - share >= ATTAINMENT_RAISE) {
+            model.demand.requests *= ATTAINMENT_GROWTH;
+        }
+    }
     for (pool, factor) in growths(look) {
         if let Some(model) = intent.models.get_mut(&pool)
             && factor > 1.0 + LOAD_RAISE
--- a/crates/policy/src/signal/tests.rs
+++ b/crates/policy/src/signal/tests.rs
@@ -52,7 +52,13 @@
     let mut watcher = Watcher::default();
     let seconds = (0..1_000).step_by(10).filter(|second| {
         let offers = offers(price(*second));
-        let look = Observation { plan: &plan, running: &running, offers: &offers, short: &short };
+        let look = Observation {
+            plan: &plan,
+            running: &running,
+            offers: &offers,
+            short: &short,
+            cells: &[],
+        };
         !watcher.on_look(MonotonicInstant::from_millis(second * 1_000), &look).is_empty()
     });
     seconds.collect()
@@ -76,10 +82,45 @@
         let mut raised = 0;
         for second in 0..60 {
             let running = running(if second < 10 { 10 } else { 10 - lost });
-            let look =
-                Observation { plan: &plan, running: &running, offers: &offers, short: &short };
+            let look = Observation {
+                plan: &plan,
+                running: &running,
+                offers: &offers,
+                short: &short,
+                cells: &[],
+            };
             raised += watcher.on_look(MonotonicInstant::from_millis(second * 1_000), &look).len();
         }
         assert_eq!(expected, raised, "{lost} reclaims");
     }
 }
+
+#[test]
+fn lasting_shortfall_of_attainment_is_raised_and_plans_more() {
+    use crate::burn::Ratio;
+    let intent: Intent =
+        serde_norway::from_str(include_str!("../../../../examples/kanem/intent.yaml")).unwrap();
+    let plan = ConfirmedPlan { intent: Some(intent.clone()), ..plan(10) };
+    let (short, running, offers) = (BTreeSet::new(), running(10), offers(1.0));
+    for (good, expected) in [(99, 0), (90, 1)] {
+        let ratio = Ratio { good: good * 10, total: 1_000 };
+        let counts = Counts { first_token: ratio, token_interval: ratio, ..Counts::default() };
+        let (team, model) = ("t".parse().unwrap(), "census-llm".parse().unwrap());
+        let cells = [Cell { team, model, counts }];
+        let look = Observation {
+            plan: &plan,
+            running: &running,
+            offers: &offers,
+            short: &short,
+            cells: &cells,
+        };
+        let mut watcher = Watcher::default();
+        let mut raised = 0;
+        for second in 0..200 {
+            raised += watcher.on_look(MonotonicInstant::from_millis(second * 1_000), &look).len();
+        }
+        assert_eq!(expected, raised, "{good} of 100");
+        let grown = grown_intent(&look).unwrap();
+        assert_eq!(expected == 1, grown != intent);
+    }
+}
--- a/src/reconciler.rs
+++ b/src/reconciler.rs
@@ -21,11 +21,13 @@
     ClientToken, Clock, Configuration, Fencing, Instance, Model, MonotonicInstant, Version,
 };
 use spindle_weights::{ReadReply, ReadRequest, WeightStore};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
+/// The time over which attainment is judged.
+const ATTAINMENT_WINDOW: Duration = Duration::from_secs(1_800);
+
 /// The time over which the spend of teams is counted.
 pub(crate) const SPEND_WINDOW: Duration = Duration::from_secs(3_600);
 
@@ -88,16 +90,15 @@
     async fn tick(&mut self, config: &Configuration, census: &Census) {
         let now = self.shared.context.clock().now();
         let actions = self.reconciler.on_tick(now, &census.running, config, &census.offers);
-        let mut ordered = BTreeSet::new();
+        let mut orders = Vec::new();
         let mut actions = actions.into_iter();
         for action in actions.by_ref() {
             let next = match action {
                 Action::Start { token, kind } => self.start(token, kind).await,
                 Action::Drain { instance } => self.drain(instance).await,
                 Action::Stop { instance } => self.stop(&instance).await,
-                Action::Order(order) if ordered.contains(&order.instance) => Next::Go,
                 Action::Order(order) => {
-                    ordered.extend(self.order(config, census, &order).await);
+                    orders.push(order);
                     Next::Go
                 }
             };
@@ -110,6 +111,7 @@
                 self.reconciler.on_start(now, &token, StartOutcome::NotSent);
             }
         }
+        self.order_all(config, census, orders).await;
         self.check_budgets(config, census).await;
         self.look(config, census).await;
     }
@@ -165,32 +167,52 @@
         Next::Go
     }
 
-    /// Sends an order, and the same one to the engines that share the read of the weights.
-    async fn order(
+    /// Sends orders. Engines of one data centre that lack the same weights share one read.
+    async fn order_all(
         &mut self,
         config: &Configuration,
         census: &Census,
-        order: &OrderAction,
-    ) -> Vec<Instance> {
-        let Some(weights) = &order.weights else {
-            self.send(config, census, order, &order.instance).await;
-            return vec![order.instance.clone()];
-        };
-        if !self.may_read(&order.instance, weights).await {
-            return Vec::new();
+        orders: Vec<OrderAction>,
+    ) {
+        let mut reads: Vec<Vec<OrderAction>> = Vec::new();
+        for order in orders {
+            let key = |order: &OrderAction| {
+                order.weights.clone().zip(census.data_centre(&order.instance).cloned())
+            };
+            let shared = reads.iter_mut().find(|read| {
+                order.weights.is_some()
+                    && read.first().is_some_and(|first| key(first) == key(&order))
+            });
+            match shared {
+                Some(read) => read.push(order),
+                None => reads.push(vec![order]),
+            }
+        }
+        for read in reads {
+            let weights = read.first().and_then(|order| order.weights.clone());
+            let instances = read.iter().map(|order| order.instance.clone()).collect();
+            if let Some(weights) = weights
+                && !self.may_read(instances, weights).await
+            {
+                continue;
+            }
+            for order in &read {
+                self.send(config, census, order).await;
+            }
         }
-        self.send(config, census, order, &order.instance).await;
-        vec![order.instance.clone()]
     }
 
     /// Whether the weight store grants a read now.
-    async fn may_read(&mut self, instance: &Instance, (model, version): &(Model, Version)) -> bool {
+    async fn may_read(
+        &mut self,
+        instances: Vec<Instance>,
+        (model, version): (Model, Version),
+    ) -> bool {
         let now = self.shared.context.clock().now();
         if now < self.weights_from {
             return false;
         }
-        let (model, version) = (model.clone(), version.clone());
-        let request = ReadRequest { model, version, instances: vec![instance.clone()] };
+        let request = ReadRequest { model, version, instances };
         match self.shared.context.weights().read(&request).await {
             Ok(ReadReply::Granted) => true,
             Ok(ReadReply::Wait { after_ms }) => {
@@ -204,13 +226,8 @@
         }
     }
 
-    async fn send(
-        &self,
-        config: &Configuration,
-        census: &Census,
-        order: &OrderAction,
-        instance: &Instance,
-    ) {
+    async fn send(&self, config: &Configuration, census: &Census, order: &OrderAction) {
+        let instance = &order.instance;
         let (Some(spec), Some(address)) =
             (config.pools.get(&order.pool), census.addresses.get(instance))
         else {
@@ -252,11 +269,14 @@
     /// Looks for signals, and proposes a new plan if one is raised.
     async fn look(&mut self, config: &Configuration, census: &Census) {
         let Some(plan) = &config.plan else { return };
+        let utc = self.shared.context.clock().utc();
+        let cells = self.shared.reading.levels.book.borrow().totals(utc, ATTAINMENT_WINDOW);
         let look = Observation {
             plan,
             running: &census.running,
             offers: &census.offers,
             short: self.reconciler.short_pools(),
+            cells: &cells,
         };
         let now = self.shared.context.clock().now();
         let signals = self.watcher.on_look(now, &look);
--- a/src/reconciler/census.rs
+++ b/src/reconciler/census.rs
@@ -8,7 +8,7 @@
 use spindle_http::CallError;
 use spindle_instances::{Entry, Instances, State};
 use spindle_policy::reconcile::{EngineState, InstanceKind, RunningInstance};
-use spindle_types::{Instance, PricedOffer};
+use spindle_types::{DataCentre, Instance, PricedOffer};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -26,6 +26,14 @@
     pub(super) offers: Vec<PricedOffer>,
 }
 
+impl Census {
+    /// Where an instance runs.
+    pub(super) fn data_centre(&self, instance: &Instance) -> Option<&DataCentre> {
+        let found = self.running.iter().find(|running| running.instance == *instance);
+        found.map(|running| &running.kind.data_centre)
+    }
+}
+
 /// Looks at the deployment. Instances that the lagging list does not show have no address.
 pub(super) async fn take_census<C: Context>(shared: &Shared<C>) -> Result<Census, CallError> {
     let cloud = shared.context.cloud();
--- a/src/reconciler/tests.rs
+++ b/src/reconciler/tests.rs
@@ -4,6 +4,7 @@
 use crate::settings::check_document;
 use crate::show;
 use spindle_cloud::Running;
+use spindle_engine::{Engine, HttpEngine};
 use spindle_operator::{AdminClient, PlanView, StatusView};
 use spindle_policy::proposal::Author;
 use spindle_standin::EngineModel;
@@ -90,3 +91,26 @@
     }
     insta::assert_snapshot!(text);
 }
+
+#[tokio::test]
+async fn every_engine_gets_its_version_from_a_saturated_weight_store() {
+    let (deployment, ana, plan) = confirmed().await;
+    ana.confirm(&plan.digest).await.unwrap();
+    status_when(&ana, |status| status.running == status.wanted).await;
+    let expected = Some("v1".parse().unwrap());
+    let (engine, planned) = (HttpEngine::new(), plan.plan.placements.iter());
+    let planned = planned.filter(|p| p.placement.pool.as_str() == "sommelier-llm").count();
+    loop {
+        let mut ready = 0;
+        for (instance, upstream) in deployment.upstreams("sommelier-llm") {
+            if instance.as_str().starts_with("i-") {
+                let load = engine.load(upstream.address()).await.unwrap();
+                ready += usize::from(load.version == expected);
+            }
+        }
+        if ready == planned {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
