feat: requests are replicated, taken over after a death, and picked up at any daemon

Cause: a request lived in one daemon only; its death lost accepted work, and a lost connection lost the answer. Change: each accepted request and each token is held by another daemon, in another data centre if there is one, before its caller sees it; one message at a time carries what is new of all requests. The lease of a daemon that falls silent lapses, and the holder goes on from the tokens it has. GET /v1/requests/{id} follows an answer at any daemon, whole or as events after the last one received, for the owning team only. Without a holder a request is served or refused, as set. Failure found: update for a request that the holder did not know lost the newest tokens; they are sent again after the request.

--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::{ChatRequest, CompletionRequest, Message};
 use http::{HeaderMap, header};
+use serde::{Deserialize, Serialize};
 use spindle_types::config::Priority;
 use spindle_types::{Adapter, IdempotencyKey, Model, Problems};
 
@@ -18,7 +19,8 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 
 /// Which interface a request came by, and so which form its answer takes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Form {
     /// `POST /v1/chat/completions`.
     Chat,
@@ -27,7 +29,7 @@
 }
 
 /// A checked request for a generation.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Completion {
     /// The interface used.
     pub form: Form,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,10 +3,14 @@
 
 pub mod configuration;
 pub mod gossip;
+pub mod replica;
 pub mod tls;
 pub mod transport;
 
 pub use configuration::{ConfigurationSourceClient, ConfigurationSourceServer};
 pub use gossip::{GossipClient, GossipServer};
+pub use replica::{
+    Ending, Held, ReadReply, ReadRequest, ReplicaClient, ReplicaServer, Update, Updates,
+};
 pub use tls::{Tls, TlsError, TlsFiles};
 pub use transport::{BoundServer, Dialer, KeptConnection, PeerConnection, bind_server, connect};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod proposal;
 pub mod quota;
 pub mod reconcile;
+pub mod replica;
 pub mod retry;
 pub mod roster;
 pub mod routing;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::evacuation::{self, Evacuation};
 use crate::follower::{ConfigWatch, Follower};
 use crate::front::Front;
+use crate::journal::{self, Journal};
 use crate::keys::Keys;
 use crate::lease::Lease;
 use crate::levels::{self, Levels};
@@ -16,12 +17,14 @@
 use crate::plans::{self, PlanWatch};
 use crate::publisher::Publisher;
 use crate::reconciler;
+use crate::replicas::{self, ReplicaService};
+use crate::replicator::{self, Replicator};
 use crate::settings::{IdentitySettings, Settings};
 use crate::state::{self, StateTasks};
 use crate::upstreams::{self, Upstreams};
 use eyre::WrapErr;
 use jsonrpsee::server::ServerHandle;
-use spindle_daemon::{BoundServer, Dialer, bind_server};
+use spindle_daemon::{BoundServer, Dialer, ReplicaServer, bind_server};
 use spindle_http::{Drain, DrainTrigger, ServerLimits, bind, serve};
 use spindle_instances::{Entry, Instances, Kind, State};
 use spindle_policy::freshness::Freshness;
@@ -34,6 +37,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 /// The pause after a failed registration.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -69,13 +73,28 @@
     pub in_force: InForceWatch,
     /// Claims on calls that must run at most once.
     pub claims: Claims,
+    /// The requests served or held here.
+    pub journal: Journal,
+    /// Keeps replicas at another daemon.
+    pub replicator: Replicator,
     /// Moves streams away from upstreams that are taken back.
     pub evacuation: Evacuation,
     /// Whether the daemon takes no new work.
     pub drain: Drain,
+    /// Ends with the daemon, and every request's task with it.
+    pub life: CancellationToken,
 }
 
 impl<C: Context> Shared<C> {
+    /// Runs a request's task, which outlives its caller but not the daemon.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let life = self.life.clone();
+        tokio::spawn(async move {
+            // Cancelled means that the daemon has gone.
+            let _ = life.run_until_cancelled(task).await;
+        });
+    }
+
     /// Whether this daemon can know the newest configuration.
     pub fn freshness(&self) -> Freshness {
         self.follower.contacts.freshness(&self.context)
@@ -127,7 +146,9 @@
         let own = own_record(&settings.identity, incarnation, caller, peer);
         let Parts { shared, tasks, following, peers } =
             start_parts(context, settings, own, dialer, refusing.signal());
-        let rpc = server.start(peers.methods()?)?;
+        let mut methods = peers.methods()?;
+        methods.merge(ReplicaService(Arc::clone(&shared)).into_rpc())?;
+        let rpc = server.start(methods)?;
         let serving = start_front(&shared, listener, closing.signal());
         let admin = admin::start(Admin(Arc::clone(&shared)), closing.signal()).await?;
         let daemon = Self {
@@ -249,6 +270,15 @@
     let capacity = upstreams.capacity();
     let watches = Watches { config: config.clone(), members: members.clone(), capacity };
     let admission = admission::start(context.clone(), &settings, watches, running);
+    let life = CancellationToken::new();
+    let journal = journal::start(&settings.replica);
+    let ties = replicator::Ties {
+        journal: journal.clone(),
+        members: members.clone(),
+        dialer: dialer.clone(),
+        life: life.clone(),
+    };
+    let replicator = replicator::start(&settings, incarnation, ties);
     let shared = Arc::new(Shared {
         context,
         settings,
@@ -264,8 +294,11 @@
         members,
         in_force: state.in_force,
         claims,
+        journal,
+        replicator,
         evacuation,
         drain,
+        life,
     });
     Parts { shared, tasks, following, peers }
 }
@@ -291,6 +324,7 @@
 ) -> Vec<JoinHandle<()>> {
     tasks.push(draining::start(shared.context.clone(), shared.upstreams.clone()));
     tasks.push(reconciler::start(Arc::clone(shared)));
+    tasks.push(replicas::watch(shared));
     tasks
 }
 
@@ -334,6 +368,7 @@
 
 impl<C> Drop for Daemon<C> {
     fn drop(&mut self) {
+        self.shared.life.cancel();
         self.serving.abort();
         self.operating.iter().for_each(JoinHandle::abort);
         // The server may have stopped by itself.
--- a/src/front.rs
+++ b/src/front.rs
@@ -4,10 +4,12 @@
 use crate::call::{Call, forward};
 use crate::context::Context;
 use crate::daemon::Shared;
-use crate::generation::{self, Progress};
+use crate::generation;
+use crate::journal::Accepted;
 use crate::levels::{self, Subject};
+use crate::pickup::{self, Progress};
 use crate::reply;
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use spindle_caller::{
@@ -17,6 +19,7 @@
 use spindle_http::{Body, Handler, json, read_body};
 use spindle_policy::admission::{Asked, Refused};
 use spindle_policy::freshness::Freshness;
+use spindle_policy::replica::{request_id, tag};
 use spindle_types::config::{KeyHash, Priority};
 use spindle_types::{
     Clock, MonotonicInstant, Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent,
@@ -24,6 +27,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The path prefix of accepted requests.
+const REQUEST_PREFIX: &str = "/v1/requests/";
+
+/// The header that names the last event received.
+const LAST_EVENT_HEADER: &str = "last-event-id";
 
 /// The path prefix of plain services.
 const SERVICE_PREFIX: &str = "/v1/services/";
@@ -75,6 +85,9 @@
             (&Method::POST, "/v1/completions") => {
                 self.generate::<CompletionRequest>(request, &team).await
             }
+            (&Method::GET, path) if path.starts_with(REQUEST_PREFIX) => {
+                self.pick_up(&request, &path[REQUEST_PREFIX.len()..], &team).await
+            }
             (_, path) if path.starts_with(SERVICE_PREFIX) => self.call(request, &team).await,
             _ => Err(Refusal::NotFound),
         }
@@ -132,22 +145,56 @@
             Ok(permit) => permit,
             Err(refused) => return Err(not_admitted(completion, refused)),
         };
-        let id = RequestId(self.0.context.random());
+        let id = request_id(tag(self.0.incarnation), self.0.context.random());
         let better = addresses::better(&self.0, completion.model.as_str(), &head.headers);
         let head = reply::Head::new(id, &completion);
         let stream = completion.stream;
         let subject = self.subject(arrived, team, &completion, &pool);
-        let progress = generation::start(Arc::clone(&self.0), id, completion, pool, permit);
-        let mut progress = levels::observe(&self.0, subject, progress);
-        let response = match progress.recv().await {
-            Some(Progress::Refused(refusal)) => return Err(refusal),
-            Some(first) if stream => reply::streamed(head, first, progress),
-            Some(first) => reply::whole(head, first, progress).await?,
-            None => return Err(Refusal::NotFound),
-        };
+        let accepted = Accepted { team: team.clone(), pool, completion };
+        let reader = generation::start(&self.0, id, accepted, permit).await?;
+        let progress = levels::observe(&self.0, subject, pickup::channel(reader));
+        let response = Self::respond(head, progress, stream).await?;
         Ok(addresses::with_better(response, better))
     }
 
+    async fn respond(
+        head: reply::Head,
+        mut progress: mpsc::Receiver<Progress>,
+        stream: bool,
+    ) -> Result<Response<Body>, Refusal> {
+        match progress.recv().await {
+            Some(Progress::Refused(refusal)) => Err(refusal),
+            Some(first) if stream => Ok(reply::streamed(head, first, progress)),
+            Some(first) => reply::whole(head, first, progress).await,
+            None => Err(Refusal::NotFound),
+        }
+    }
+
+    /// Picks an answer up, as events after the last one received or as a whole.
+    async fn pick_up(
+        &self,
+        request: &Request<Incoming>,
+        id: &str,
+        team: &Team,
+    ) -> Result<Response<Body>, Refusal> {
+        let id: RequestId = id.parse().map_err(|_| Refusal::NotFound)?;
+        let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
+        let stream = header(header::ACCEPT.as_str())
+            .is_some_and(|accepted| accepted.contains("text/event-stream"));
+        let from = match header(LAST_EVENT_HEADER) {
+            Some(last) if stream => {
+                let last: u32 = last
+                    .parse()
+                    .map_err(|error| invalid(LAST_EVENT_HEADER, &error, "the id of an event"))?;
+                last.saturating_add(1)
+            }
+            _ => 0,
+        };
+        let (accepted, reader) = pickup::find(&self.0, id, team, from).await?;
+        let head = reply::Head::new(id, &accepted.completion);
+        Self::respond(head, pickup::channel(reader), stream).await
+    }
+
     fn asked(&self, team: &Team, pool: &Pool, completion: &Completion, bytes: usize) -> Asked {
         let speed = self.0.settings.routing.speed();
         let tokens = completion.prompt.split_whitespace().count();
--- a/src/generation.rs
+++ b/src/generation.rs
@@ -9,11 +9,16 @@
 use crate::daemon::Shared;
 use crate::demand;
 use crate::evacuation::{Seat, StreamInfo};
+use crate::journal::{Accepted, Attached, End, Opened, Owner, Snapshot};
 use crate::meter::Meter;
+use crate::pickup::Reader;
+use crate::replicator::Replicated;
+use crate::settings::Unreplicated;
 use crate::transfer::{Source, Transferred, transfer};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use spindle_caller::{Completion, Refusal};
+use spindle_daemon::Ending;
 use spindle_engine::wire::Finish;
 use spindle_engine::{Chunk, Engine, Generate, GenerateError, Generation, KvHandle, Step};
 use spindle_policy::answer::{Answer, Part, Received};
@@ -21,69 +26,60 @@
 use spindle_policy::routing::{AttemptEnd, Demand, Route};
 use spindle_policy::survival::Move;
 use spindle_types::{
-    Attempt, Clock, Contact, Instance, MonotonicInstant, Pool, RefusalReason, RequestId,
+    Attempt, Clock, Contact, Instance, MonotonicInstant, RefusalReason, RequestId, Unsent,
 };
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
-/// Events that a slow caller may lag behind.
-const PROGRESS_BUFFER: usize = 64;
+/// The pause before a request that was taken over is tried again.
+const TAKEN_OVER_DELAY: Duration = Duration::from_millis(50);
 
-/// What a generation tells its caller.
-#[derive(Debug)]
-pub enum Progress {
-    /// Text that follows, with the offset of its first token.
-    Text {
-        /// The offset of the first token.
-        offset: u32,
-        /// The text.
-        text: String,
-    },
-    /// The answer is whole.
-    Finished {
-        /// Why it ended.
-        finish: Finish,
-        /// Its length in tokens.
-        length: u32,
-        /// Tokens computed again by resumed attempts.
-        recomputed: u32,
-    },
-    /// The answer was given up; nothing follows.
-    Refused(Refusal),
-}
-
-/// Starts a generation for a pool. Dropping the receiver cancels it.
-pub fn start<C: Context>(
-    shared: Arc<Shared<C>>,
+/// Accepts a request and starts its generation. It goes on while its answer is read, or until it
+/// is whole.
+///
+/// # Errors
+///
+/// The request has to be replicated first, and no other daemon can.
+pub async fn start<C: Context>(
+    shared: &Arc<Shared<C>>,
     id: RequestId,
-    completion: Completion,
-    pool: Pool,
+    accepted: Accepted,
     permit: Permit,
-) -> mpsc::Receiver<Progress> {
-    let (progress, receiver) = mpsc::channel(PROGRESS_BUFFER);
-    let started = shared.context.clock().now();
-    let demand = demand::of(&shared.config.borrow(), &completion, &pool);
-    let speed = shared.settings.routing.params(shared.settings.identity.data_centre.clone()).speed;
-    let prefill = Duration::from_secs_f64(speed.prefill(demand.tokens));
-    let meter = Meter::new(permit, shared.upstreams.clone(), &demand, prefill);
-    let driver = Driver {
-        shared,
-        id,
-        demand,
-        progress,
-        started,
-        answer: Answer::new(id, completion.max_tokens),
-        excluded: Vec::new(),
-        recomputed: 0,
-        meter,
-        pauses: 0,
-        retries: 0,
-        retry: None,
+) -> Result<Reader<C>, Refusal> {
+    let accepted = Arc::new(accepted);
+    let team = accepted.team.clone();
+    let unsent = Unsent::new(accepted.completion.clone());
+    let opened = shared.journal.open(id, Arc::clone(&accepted), Owner::Here).await;
+    let Some(Opened { wanted, attached }) = opened else {
+        return Err(Custody::Unsent(unsent).give_up(RefusalReason::Leaving));
     };
-    tokio::spawn(driver.run(Custody::new(completion)));
-    receiver
+    let replicated = shared.replicator.hold(id, &accepted).await;
+    let refuses = shared.settings.replica.unreplicated == Unreplicated::Refuse;
+    if refuses && replicated == Replicated::NoHolder {
+        shared.journal.remove(id).await;
+        return Err(Custody::Unsent(unsent).give_up(RefusalReason::ReplicaUnavailable));
+    }
+    let answer = Answer::new(id, accepted.completion.max_tokens);
+    let driver = Driver::new(Arc::clone(shared), id, &accepted, answer, wanted, Some(permit));
+    shared.spawn(driver.run(Custody::Unsent(unsent), None));
+    Ok(Reader::of_accepted(Arc::clone(shared), id, team, attached))
+}
+
+/// Goes on with a request that was taken over from another daemon, until its answer is whole.
+pub async fn resume<C: Context>(shared: Arc<Shared<C>>, snapshot: Snapshot) {
+    let Snapshot { id, accepted, attempt, tokens, .. } = snapshot;
+    let opened = shared.journal.open(id, Arc::clone(&accepted), Owner::Here).await;
+    let Some(Opened { wanted, attached }) = opened else {
+        return;
+    };
+    shared.replicator.hold(id, &accepted).await;
+    let answer = Answer::resumed(id, attempt, tokens, accepted.completion.max_tokens);
+    // The former owner may have sent it.
+    let (completion, flight) = Custody::new(accepted.completion.clone()).send();
+    let driver = Driver::new(Arc::clone(&shared), id, &accepted, answer, wanted, None);
+    shared.spawn(driver.run(flight.lost(completion), Some(attached)));
 }
 
 /// How an attempt ended.
@@ -128,7 +124,7 @@
     shared: Arc<Shared<C>>,
     id: RequestId,
     demand: Demand,
-    progress: mpsc::Sender<Progress>,
+    wanted: watch::Receiver<bool>,
     started: MonotonicInstant,
     answer: Answer,
     excluded: Vec<Instance>,
@@ -142,12 +138,43 @@
 }
 
 impl<C: Context> Driver<C> {
-    async fn run(mut self, mut custody: Custody<Completion>) {
+    fn new(
+        shared: Arc<Shared<C>>,
+        id: RequestId,
+        accepted: &Accepted,
+        answer: Answer,
+        wanted: watch::Receiver<bool>,
+        permit: Option<Permit>,
+    ) -> Self {
+        let started = shared.context.clock().now();
+        let demand = demand::of(&shared.config.borrow(), &accepted.completion, &accepted.pool);
+        let home = shared.settings.identity.data_centre.clone();
+        let speed = shared.settings.routing.params(home).speed;
+        let prefill = Duration::from_secs_f64(speed.prefill(demand.tokens));
+        let meter = Meter::new(permit, shared.upstreams.clone(), &demand, prefill);
+        Self {
+            shared,
+            id,
+            demand,
+            wanted,
+            started,
+            answer,
+            excluded: Vec::new(),
+            recomputed: 0,
+            meter,
+            pauses: 0,
+            retries: 0,
+            retry: None,
+        }
+    }
+
+    /// Runs attempts until the answer is whole or wanted no more; `_attached` keeps it wanted.
+    async fn run(mut self, mut custody: Custody<Completion>, _attached: Option<Attached>) {
         let mut progressed_at = self.started;
         let mut moved = None;
         loop {
-            if self.progress.is_closed() {
-                return;
+            if !*self.wanted.borrow() {
+                return self.forget().await;
             }
             let length = self.answer.length();
             let now = self.shared.context.clock().now();
@@ -171,7 +198,8 @@
             custody = next;
             self.shared.upstreams.end(place.route.key, attempted.end()).await;
             match attempted {
-                Attempted::Finished | Attempted::CallerGone => return,
+                Attempted::Finished => return,
+                Attempted::CallerGone => return self.forget().await,
                 Attempted::Failed if self.answer.length() > length => {}
                 Attempted::Failed | Attempted::Refused(_) => {
                     self.retry = Some(place.route.instance.clone());
@@ -203,7 +231,11 @@
         if self.shared.upstreams.leaving().borrow().contains(&failed) {
             return Waited::Granted;
         }
-        match self.meter.permit().retry(self.retries).await {
+        let retry = match self.meter.permit() {
+            Some(permit) => permit.retry(self.retries).await,
+            None => Retry::Granted { after: TAKEN_OVER_DELAY },
+        };
+        match retry {
             Retry::Granted { after } => {
                 self.retries += 1;
                 tokio::time::sleep(after).await;
@@ -226,9 +258,17 @@
         tokio::time::sleep(delay).await;
     }
 
+    /// Gives up an answer that nobody wants.
+    async fn forget(self) {
+        self.shared.journal.remove(self.id).await;
+        self.shared.replicator.forget(self.id).await;
+    }
+
     async fn refuse(self, refusal: Refusal) {
-        // A caller that has gone needs no refusal.
-        let _ = self.progress.send(Progress::Refused(refusal)).await;
+        if let Some(end) = End::refused(refusal) {
+            self.shared.journal.end(self.id, end).await;
+        }
+        self.shared.replicator.forget(self.id).await;
     }
 
     async fn attempt(
@@ -322,7 +362,7 @@
         loop {
             let step = tokio::select! {
                 step = tokio::time::timeout_at(accepted + stall, stream.next()) => step,
-                () = self.progress.closed() => return Attempted::CallerGone,
+                () = unwanted(&mut self.wanted) => return Attempted::CallerGone,
                 transferred = done(&mut transfer) => return Attempted::Moved(transferred),
                 order = seat.order() => match order {
                     Move::Stay => continue,
@@ -371,36 +411,43 @@
         let length = self.answer.length();
         let received = self.answer.on_part(part(chunk));
         self.meter.on_length(self.shared.context.clock().now(), self.answer.length());
-        if let Some(text) = self.text_from(length) {
-            let sent = self.progress.send(Progress::Text { offset: length, text }).await;
-            if sent.is_err() {
-                return Some(Attempted::CallerGone);
-            }
-        }
+        self.publish(length, number).await;
         match received {
-            Received::Finished => Some(self.finish(finish.unwrap_or(Finish::Stop)).await),
+            Received::Finished => {
+                self.finish(finish.unwrap_or(Finish::Stop)).await;
+                Some(Attempted::Finished)
+            }
             Received::Gap | Received::Contradiction => Some(Attempted::Failed),
             Received::Tokens { .. } | Received::Foreign | Received::AfterEnd => None,
         }
     }
 
-    fn text_from(&self, length: u32) -> Option<String> {
+    /// Hands on the tokens from an offset on, first to the replica, then to readers.
+    async fn publish(&self, length: u32, attempt: Attempt) {
         let known = usize::try_from(length).unwrap_or(usize::MAX);
-        let new = self.answer.tokens().get(known..).filter(|new| !new.is_empty())?;
-        Some(new.concat())
+        let Some(new) = self.answer.tokens().get(known..).filter(|new| !new.is_empty()) else {
+            return;
+        };
+        // Without a holder, the answer goes on unreplicated.
+        self.shared.replicator.append(self.id, attempt, length, new.to_vec()).await;
+        self.shared.journal.append(self.id, attempt, length, new.to_vec()).await;
     }
 
-    async fn finish(&mut self, finish: Finish) -> Attempted {
+    async fn finish(&mut self, finish: Finish) {
         let (length, recomputed) = (self.answer.length(), self.recomputed);
         self.meter.on_finished(length);
-        let finished = Progress::Finished { finish, length, recomputed };
-        match self.progress.send(finished).await {
-            Ok(()) => Attempted::Finished,
-            Err(_) => Attempted::CallerGone,
-        }
+        let end = End::Whole(Ending { finish: finish.to_string(), length, recomputed });
+        self.shared.replicator.end(self.id, length, &end).await;
+        self.shared.journal.end(self.id, end).await;
     }
 }
 
+/// Waits until nobody wants the answer.
+async fn unwanted(wanted: &mut watch::Receiver<bool>) {
+    // The journal has dropped the request.
+    let _ = wanted.wait_for(|wanted| !wanted).await;
+}
+
 /// Waits until an order comes that can't be met where the attempt was to start.
 async fn ordered_away(seat: &mut Seat) {
     while seat.order().await == Move::Stay {}
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -3,8 +3,8 @@
 use crate::context::Context;
 use crate::daemon::Shared;
 use crate::follower::stream_name;
-use crate::generation::Progress;
 use crate::metrics::INSTRUMENTS;
+use crate::pickup::Progress;
 use opentelemetry::KeyValue;
 use spindle_log::{Log, ReadError};
 use spindle_policy::burn::{BurnBook, Cell, Counts, LevelRecord};
--- a/src/meter.rs
+++ b/src/meter.rs
@@ -22,7 +22,7 @@
 /// Measures one generation over its attempts.
 #[derive(Debug)]
 pub(crate) struct Meter {
-    permit: Permit,
+    permit: Option<Permit>,
     upstreams: Upstreams,
     first_max: Duration,
     interval_max: Duration,
@@ -34,7 +34,7 @@
     /// A meter for a demand; computing its prompt alone takes `prefill`, which does not count as
     /// slow.
     pub(crate) fn new(
-        permit: Permit,
+        permit: Option<Permit>,
         upstreams: Upstreams,
         demand: &Demand,
         prefill: Duration,
@@ -49,9 +49,9 @@
         }
     }
 
-    /// The permit under which the generation runs.
-    pub(crate) const fn permit(&self) -> &Permit {
-        &self.permit
+    /// The permit under which the generation runs; none if it was admitted at another daemon.
+    pub(crate) const fn permit(&self) -> Option<&Permit> {
+        self.permit.as_ref()
     }
 
     /// Starts to measure an attempt that goes on after `length` tokens.
@@ -73,7 +73,9 @@
             Some((at, reported)) => judge(now.since(at) / (length - reported), self.interval_max),
         };
         attempt.reported = Some((now, length));
-        self.permit.latency(latency);
+        if let Some(permit) = &self.permit {
+            permit.latency(latency);
+        }
         self.upstreams.progress(attempt.key, length - attempt.base);
         self.charge(length);
     }
@@ -81,13 +83,17 @@
     /// Records that the answer is whole.
     pub(crate) fn on_finished(&mut self, length: u32) {
         self.charge(length);
-        self.permit.success();
+        if let Some(permit) = &self.permit {
+            permit.success();
+        }
     }
 
     fn charge(&mut self, length: u32) {
         let new = length.saturating_sub(self.charged);
         if new > 0 {
-            self.permit.tokens(new);
+            if let Some(permit) = &self.permit {
+                permit.tokens(new);
+            }
             self.charged = length;
         }
     }
--- a/src/once.rs
+++ b/src/once.rs
@@ -104,7 +104,8 @@
     work: Work,
 ) -> Result<Response<Body>, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    tokio::spawn(run_to_end(shared, permit, work, sender));
+    let running = run_to_end(Arc::clone(&shared), permit, work, sender);
+    shared.spawn(running);
     receiver.await.unwrap_or(Err(Refusal::NotFound))
 }
 
--- /dev/null
+++ b/src/replicas.rs
@@ -0,0 +1,156 @@
+//! Holds replicas for other daemons, and takes their requests over when they die or stop.
+
+use crate::context::Context;
+use crate::daemon::Shared;
+use crate::generation;
+use crate::journal::{Accepted, Appended, End, Owner};
+use crate::pickup;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::types::ErrorObjectOwned;
+use serde_json::value::to_raw_value;
+use spindle_daemon::{Held, ReadReply, ReadRequest, ReplicaClient, ReplicaServer, Update, Updates};
+use spindle_types::{Incarnation, Instance, RequestId, Team};
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+/// The code of the error with which a daemon that has ended answers.
+const ENDED_CODE: i32 = -32_001;
+
+/// The time between two looks for leases that have lapsed.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time within which a daemon that is thought dead must answer to be thought alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Answers the calls of other daemons about replicas.
+#[derive(Debug)]
+pub struct ReplicaService<C>(pub Arc<Shared<C>>);
+
+#[async_trait]
+impl<C: Context> ReplicaServer for ReplicaService<C> {
+    async fn update(&self, updates: Updates) -> RpcResult<Vec<RequestId>> {
+        self.check_alive()?;
+        let Updates { owner, updates } = updates;
+        self.0.journal.renew(owner).await;
+        let mut missing = Vec::new();
+        for update in updates {
+            let id = update.id;
+            if self.take(owner, update).await == Appended::Missing {
+                missing.push(id);
+            }
+        }
+        Ok(missing)
+    }
+
+    async fn adopt(&self, ids: Vec<RequestId>) -> RpcResult<Vec<RequestId>> {
+        self.check_alive()?;
+        let taken = self.0.journal.take_over(ids).await;
+        resume_all(&self.0, &taken).await;
+        Ok(taken)
+    }
+
+    async fn describe(&self, id: RequestId, team: Team) -> RpcResult<Option<Held>> {
+        self.check_alive()?;
+        let Some((accepted, _)) = self.0.journal.attach(id, team).await else {
+            return Ok(None);
+        };
+        let (team, pool) = (accepted.team.clone(), accepted.pool.clone());
+        let request = to_raw_value(&accepted.completion).ok();
+        Ok(request.map(|request| Held { team, pool, request }))
+    }
+
+    async fn read(&self, request: ReadRequest) -> RpcResult<ReadReply> {
+        self.check_alive()?;
+        Ok(pickup::read_for_peer(&self.0.journal, request).await)
+    }
+
+    async fn leaving(&self, instance: Instance) -> RpcResult<()> {
+        self.0.upstreams.mark_leaving(instance).await;
+        Ok(())
+    }
+}
+
+impl<C: Context> ReplicaService<C> {
+    /// A daemon that has ended but whose connections still stand answers nothing.
+    fn check_alive(&self) -> RpcResult<()> {
+        if self.0.life.is_cancelled() {
+            return Err(ErrorObjectOwned::owned(ENDED_CODE, "the daemon has ended", None::<()>));
+        }
+        Ok(())
+    }
+
+    async fn take(&self, owner: Incarnation, update: Update) -> Appended {
+        let journal = &self.0.journal;
+        let Update { id, held, attempt, offset, tokens, ending, dropped } = update;
+        if dropped {
+            journal.remove_held(id, owner).await;
+            return Appended::Taken;
+        }
+        if let Some(held) = held {
+            let Ok(completion) = serde_json::from_str(held.request.get()) else {
+                log::warn!("event=replica_invalid request={id}");
+                return Appended::Taken;
+            };
+            let accepted = Accepted { team: held.team, pool: held.pool, completion };
+            journal.open(id, Arc::new(accepted), Owner::Elsewhere(owner)).await;
+        }
+        let appended = journal.append_held(id, owner, attempt, offset, tokens).await;
+        if let (Appended::Taken, Some(ending)) = (appended, ending) {
+            journal.end_held(id, owner, End::Whole(ending)).await;
+        }
+        appended
+    }
+}
+
+/// Starts to watch for leases that lapse; the task ends with the daemon.
+pub fn watch<C: Context>(shared: &Arc<Shared<C>>) -> tokio::task::JoinHandle<()> {
+    let shared = Arc::downgrade(shared);
+    tokio::spawn(watch_leases(shared))
+}
+
+async fn watch_leases<C: Context>(shared: Weak<Shared<C>>) {
+    let mut ticks = tokio::time::interval(LAPSE_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        for owner in shared.journal.lapsed().await {
+            on_lapsed(&shared, owner).await;
+        }
+    }
+}
+
+/// A daemon whose lease has lapsed but that answers has found another holder; any other is dead.
+async fn on_lapsed<C: Context>(shared: &Arc<Shared<C>>, owner: Incarnation) {
+    if answers(shared, owner).await {
+        shared.journal.forget(owner).await;
+        return;
+    }
+    let taken = shared.journal.take_over_from(owner).await;
+    log::info!("event=take_over owner={owner} requests={}", taken.len());
+    resume_all(shared, &taken).await;
+}
+
+async fn answers<C: Context>(shared: &Shared<C>, owner: Incarnation) -> bool {
+    let member = {
+        let members = shared.members.borrow();
+        members.iter().find(|member| member.incarnation == Some(owner)).cloned()
+    };
+    let Some(client) =
+        member.and_then(|member| shared.dialer.connect(member.peer, PROBE_TIMEOUT).ok())
+    else {
+        return false;
+    };
+    let probe = Updates { owner: shared.incarnation, updates: Vec::new() };
+    client.update(probe).await.is_ok()
+}
+
+async fn resume_all<C: Context>(shared: &Arc<Shared<C>>, ids: &[RequestId]) {
+    for id in ids {
+        if let Some(snapshot) = shared.journal.snapshot(*id).await {
+            generation::resume(Arc::clone(shared), snapshot).await;
+        }
+    }
+}
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -1,6 +1,6 @@
 //! Turns the progress of a generation into the caller's response.
 
-use crate::generation::Progress;
+use crate::pickup::Progress;
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use spindle_caller::wire::{Choice, Delta, Message, Reply, Usage};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,6 +16,7 @@
 mod peer;
 mod planner;
 mod platform;
+mod replica;
 mod routing;
 mod state;
 mod survival;
@@ -35,6 +36,7 @@
 pub use peer::PeerSettings;
 pub use planner::PlannerSettings;
 pub use platform::PlatformSettings;
+pub use replica::{ReplicaSettings, Unreplicated};
 pub use routing::RoutingSettings;
 pub use state::StateSettings;
 pub use survival::{NoticeUse, SurvivalSettings};
@@ -68,6 +70,9 @@
     /// How the state that all daemons share is kept.
     #[serde(default)]
     pub state: StateSettings,
+    /// How requests are replicated and picked up.
+    #[serde(default)]
+    pub replica: ReplicaSettings,
     /// How streams survive the loss of their upstream.
     #[serde(default)]
     pub survival: SurvivalSettings,
@@ -103,6 +108,7 @@
             peer: PeerSettings::default(),
             routing: RoutingSettings::default(),
             state: StateSettings::default(),
+            replica: ReplicaSettings::default(),
             survival: SurvivalSettings::default(),
             drain: DrainSettings::default(),
             planner: PlannerSettings::default(),
@@ -120,6 +126,7 @@
         self.peer.check(&mut problems);
         self.routing.check(&mut problems);
         self.state.check(&mut problems);
+        self.replica.check(&mut problems);
         self.survival.check(&mut problems);
         self.admission.check(&mut problems);
         self.drain.check(&mut problems);
