--- a/crates/policy/src/ledger.rs
+++ b/crates/policy/src/ledger.rs
@@ -67,6 +67,8 @@
     digest: u64,
     deadline: MonotonicInstant,
     stage: Stage,
+    /// Whether its claim has been read.
+    read: bool,
 }
 
 /// The claims of one daemon on the calls of one claim stream.
@@ -133,7 +135,7 @@
             return;
         }
         let deadline = now + self.limits.settle;
-        let pending = Pending { call, digest, deadline, stage: Stage::Queued };
+        let pending = Pending { call, digest, deadline, stage: Stage::Queued, read: false };
         self.pending.insert(claimant, pending);
         self.decide();
     }
@@ -199,14 +201,38 @@
 
     /// A read brought a page.
     pub fn on_page(&mut self, page: Page) -> Continuity {
+        self.mark_read(&page);
         let continuity = self.table.on_page(page);
         if continuity == Continuity::Gap {
             self.give_up(|pending| pending.stage == Stage::Submitted);
         }
+        self.claim_again();
         self.decide();
         continuity
     }
 
+    fn mark_read(&mut self, page: &Page) {
+        for (_, _, record) in &page.records {
+            if let Some(ClaimRecord::Claim { claimant, .. }) = record
+                && let Some(pending) = self.pending.get_mut(claimant)
+            {
+                pending.read = true;
+            }
+        }
+    }
+
+    /// Queues anew what lost to a claim that has been released since: its own claim stands before
+    /// the release and never wins.
+    fn claim_again(&mut self) {
+        let table = &self.table;
+        for pending in self.pending.values_mut() {
+            if pending.read && table.get(&pending.call).is_none() {
+                pending.read = false;
+                pending.stage = Stage::Queued;
+            }
+        }
+    }
+
     /// Time has passed.
     pub fn on_time(&mut self, now: MonotonicInstant) {
         self.give_up(|pending| pending.deadline <= now);
--- a/crates/policy/src/ledger/tests.rs
+++ b/crates/policy/src/ledger/tests.rs
@@ -292,3 +292,16 @@
     assert_eq!(GROUP_MAX, ledger.next_append(UtcInstant::default()).len());
     assert!(ledger.next_append(UtcInstant::default()).is_empty(), "one append at a time");
 }
+
+#[test]
+fn claim_that_lost_to_one_released_since_is_made_again() {
+    let (mut ledger, mut log) = (Ledger::new(LIMITS), Log::default());
+    ledger.on_page(log.page(Offset(1), 1));
+    let other = Claimant { incarnation: Incarnation(2), nonce: 9 };
+    log.append(1, vec![ClaimRecord::Claim { call: call(0), claimant: other, digest: 5 }]);
+    ask(&mut ledger, 1, 5);
+    assert!(settled(&mut ledger, &mut log).is_empty());
+    log.append(1, vec![ClaimRecord::Release { call: call(0), claimant: other }]);
+    ledger.on_page(log.page(ledger.next(), usize::MAX));
+    assert_eq!(vec![Verdict::Won], settled(&mut ledger, &mut log));
+}
