fix: largest numbers from peers and the log stop no task

Cause: an offset or a version of the largest value overflowed at its successor and ended the task that read it (a panic in debug builds). Change: successors saturate. Damaged heartbeats, updates and lease records are among the decoders' tests.

--- a/crates/policy/src/fold/tests.rs
+++ b/crates/policy/src/fold/tests.rs
@@ -256,3 +256,14 @@
     };
     assert_eq!(vec![Revision(2)], changes.iter().map(|c| c.revision).collect::<Vec<_>>());
 }
+
+#[test]
+fn largest_offset_stops_no_reader() {
+    let mut fold = Fold::new();
+    let last = Offset(u64::MAX);
+    fold.on_update(Update::State { covers: last, state: Arc::default() });
+    fold.on_record(last, change(0, "a"));
+    fold.skip(last);
+    fold.on_oldest(last);
+    assert!(fold.next() <= last);
+}
--- a/crates/policy/src/lease/tests.rs
+++ b/crates/policy/src/lease/tests.rs
@@ -222,3 +222,10 @@
         }
     }
 }
+
+#[test]
+fn record_behind_the_largest_offset_does_not_count() {
+    let mut fold = LeaseFold::new(at(0));
+    let wild = record(1, u64::MAX, LeaseAction::Take);
+    assert_eq!(Granted::Ignored, fold.on_record(at(0), Offset(1), wild));
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -229,7 +229,7 @@
         if revision == self.pulse.revision && same_load {
             return;
         }
-        let version = self.pulse.version + 1;
+        let version = self.pulse.version.saturating_add(1);
         self.pulse = Pulse { version, revision, load, ..self.pulse };
         self.roster.merge(&Item::Pulse(self.pulse), None);
     }
@@ -404,7 +404,11 @@
     fn after_merge(&mut self, now: MonotonicInstant) {
         let own = self.own_record();
         if own.health != Health::Live {
-            let own = Record { version: own.version + 1, health: Health::Live, ..own.clone() };
+            let own = Record {
+                version: own.version.saturating_add(1),
+                health: Health::Live,
+                ..own.clone()
+            };
             self.roster.merge(&Item::Record(own), None);
         }
         self.end_former_lives();
@@ -479,7 +483,7 @@
         if same {
             return;
         }
-        let version = old.map_or(1, |old| old.version + 1);
+        let version = old.map_or(1, |old| old.version.saturating_add(1));
         let summary = Summary { data_centre: centre, version, author: self.own, revision, members };
         self.roster.merge(&Item::Summary(summary), None);
     }
--- a/crates/policy/src/membership/tests.rs
+++ b/crates/policy/src/membership/tests.rs
@@ -231,3 +231,15 @@
     assert_eq!(8, second.len());
     assert!(!second.contains(&first[0]));
 }
+
+#[test]
+fn suspicion_of_the_largest_version_stops_no_daemon() {
+    let mut net = Net::new(2);
+    net.run(3);
+    let node = net.nodes[0].as_mut().unwrap();
+    let own = node.own_record().clone();
+    let wild = Record { version: u32::MAX, health: Health::Suspect, ..own };
+    node.roster.merge(&Item::Record(wild), Some(Incarnation(9)));
+    net.run(3);
+    assert!(net.nodes[0].is_some());
+}
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -210,9 +210,9 @@
         }
 
         impl $name {
-            /// The number that follows.
+            /// The number that follows; the largest one is followed by itself.
             pub const fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
     };
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -143,6 +143,30 @@
     check::<spindle_weights::ReadReply>("read reply", &weights_reply());
 }
 
+#[test]
+fn daemons_messages() {
+    use spindle_policy::lease::LeaseRecord;
+    use spindle_policy::membership::Beat;
+    use spindle_policy::update::Update;
+    check::<Beat>(
+        "heartbeat",
+        r#"{"from":"00000000000000ff","data_centre":"a","revision":3,"age":12,"packet":{"delta":{
+            "root":7,"upto":5,"seen":4,"items":[{"record":["00000000000000ff","i-1","a",
+            "10.0.0.1:80","10.0.0.1:81",1,"live",false]},{"pulse":["00000000000000ff",2,3,4]},
+            {"mark":{"instance":"i-2","at":9}}]}}}"#,
+    );
+    check::<Update>(
+        "update",
+        r#"{"update":"changes","covers":9,"changes":[{"base":3,"revision":8,
+            "change":{"kind":"remove_team","team":"casa-limon"}}]}"#,
+    );
+    check::<LeaseRecord>(
+        "lease",
+        r#"{"holder":"00000000000000ff","after":4,"term":"10s",
+            "action":{"renew":{"fencing":2}},"nonce":11}"#,
+    );
+}
+
 fn weights_reply() -> String {
     serde_json::to_string(&spindle_weights::ReadReply::Wait { after_ms: 5 }).unwrap()
 }
