--- a/crates/policy/examples/compare/fleet.rs
+++ b/crates/policy/examples/compare/fleet.rs
@@ -236,8 +236,10 @@
     }
 
     fn kill(&mut self, now: MonotonicInstant, index: usize) {
-        self.steps.remove(&index);
-        for request in self.engines[index].kill() {
+        // Requests that would have ended with the step under way are cut off with the others.
+        let ending = self.steps.remove(&index).map(|stepped| stepped.ended);
+        let cut_off = self.engines[index].kill();
+        for request in cut_off.into_iter().chain(ending.unwrap_or_default()) {
             if let Some((daemon, _, key)) = self.outcomes[request].place.take() {
                 self.routers[daemon].on_end(now, key, AttemptEnd::Failed);
                 self.members[daemon].load -= 1;
