--- a/crates/policy/src/reconcile/tests.rs
+++ b/crates/policy/src/reconcile/tests.rs
@@ -109,28 +109,38 @@
     }
 }
 
+/// A session of faults under an envelope, and of calm after it.
+fn session(faults: &[u8], (config, offers): (&Configuration, &[PricedOffer])) {
+    let limit = config.plan.as_ref().unwrap().envelope.hourly_spend;
+    let (mut cloud, mut holder) = (Cloud::default(), Reconciler::default());
+    let mut now = MonotonicInstant::default();
+    let mut draws = faults.iter().copied();
+    for _ in 0..20 {
+        tick(&mut holder, &mut cloud, now, (config, offers), || draws.next().unwrap_or(3));
+        if let Some(victim) = draws.next().filter(|draw| draw % 3 == 0) {
+            let count = cloud.running.len().max(1);
+            cloud.running.drain(..usize::from(victim) % count);
+        }
+        now = now + STEP;
+    }
+    for _ in 0..CALM_TICKS {
+        tick(&mut holder, &mut cloud, now, (config, offers), || 3);
+        now = now + STEP;
+    }
+    assert!(cloud.highest_spend <= limit, "{} of {limit}", cloud.highest_spend);
+    assert_eq!(wanted(config), cloud.counts());
+}
+
 #[test]
 fn spend_stays_in_the_envelope_and_actual_reaches_confirmed_after_faults() {
     let (config, offers) = example();
-    let limit = config.plan.as_ref().unwrap().envelope.hourly_spend;
+    let mut tight = config.clone();
+    let plan = tight.plan.as_mut().unwrap();
+    let kinds = wanted(&config).into_iter().flat_map(|(kind, count)| vec![kind; count as usize]);
+    plan.envelope.hourly_spend = hourly_spend(&kinds.collect::<Vec<_>>(), &offers).unwrap();
     check(150, |faults: &Vec<u8>| {
-        let (mut cloud, mut holder) = (Cloud::default(), Reconciler::default());
-        let mut now = MonotonicInstant::default();
-        let mut draws = faults.iter().copied();
-        for _ in 0..20 {
-            tick(&mut holder, &mut cloud, now, (&config, &offers), || draws.next().unwrap_or(3));
-            if let Some(victim) = draws.next().filter(|draw| draw % 3 == 0) {
-                let count = cloud.running.len().max(1);
-                cloud.running.drain(..usize::from(victim) % count);
-            }
-            now = now + STEP;
-        }
-        for _ in 0..CALM_TICKS {
-            tick(&mut holder, &mut cloud, now, (&config, &offers), || 3);
-            now = now + STEP;
-        }
-        assert!(cloud.highest_spend <= limit, "{} of {limit}", cloud.highest_spend);
-        assert_eq!(wanted(&config), cloud.counts());
+        session(faults, (&config, &offers));
+        session(faults, (&tight, &offers));
     });
 }
 
