test(reconciler): the session waits for what the holder has seen, not for a while alone

The wave came half a second after everything ran; a holder that had not looked in that time would have seen no wave. Every engine's version shows that it has.

--- a/src/reconciler/tests.rs
+++ b/src/reconciler/tests.rs
@@ -47,6 +47,26 @@
     }
 }
 
+/// Waits until every planned engine has its version, so that the holder has seen them all.
+async fn wait_for_versions(deployment: &Deployment, plan: &PlanView) {
+    let expected = Some("v1".parse().unwrap());
+    let (engine, planned) = (HttpEngine::new(), plan.plan.placements.iter());
+    let planned = planned.filter(|p| p.placement.pool.as_str() == "sommelier-llm").count();
+    loop {
+        let mut ready = 0;
+        for (instance, upstream) in deployment.upstreams("sommelier-llm") {
+            if instance.as_str().starts_with("i-") {
+                let load = engine.load(upstream.address()).await.unwrap();
+                ready += usize::from(load.version == expected);
+            }
+        }
+        if ready == planned {
+            break;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 #[tokio::test]
 async fn lost_answers_end_in_the_confirmed_plan() {
     let (deployment, ana, plan) = confirmed().await;
@@ -66,7 +86,8 @@
     ana.confirm(&plan.digest).await.unwrap();
     let status = status_when(&ana, |status| status.running == status.wanted).await;
     session.push(show::status(&status));
-    // The next look sees everything running before the wave.
+    wait_for_versions(&deployment, &plan).await;
+    // The look that follows the last order sees everything running before the wave.
     tokio::time::sleep(POLL * 10).await;
     let reclaimable = |running: &Running| running.start.market == Market::Reclaimable;
     let mut prices = Example::Vendimia.offers().unwrap();
@@ -97,20 +118,5 @@
     let (deployment, ana, plan) = confirmed().await;
     ana.confirm(&plan.digest).await.unwrap();
     status_when(&ana, |status| status.running == status.wanted).await;
-    let expected = Some("v1".parse().unwrap());
-    let (engine, planned) = (HttpEngine::new(), plan.plan.placements.iter());
-    let planned = planned.filter(|p| p.placement.pool.as_str() == "sommelier-llm").count();
-    loop {
-        let mut ready = 0;
-        for (instance, upstream) in deployment.upstreams("sommelier-llm") {
-            if instance.as_str().starts_with("i-") {
-                let load = engine.load(upstream.address()).await.unwrap();
-                ready += usize::from(load.version == expected);
-            }
-        }
-        if ready == planned {
-            break;
-        }
-        tokio::time::sleep(POLL).await;
-    }
+    wait_for_versions(&deployment, &plan).await;
 }
