--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,7 +1,8 @@
 //! Daemons as processes of their own, under signals.
 
-use bronzespindle::client::CallerClient;
-use bronzespindle::deployment::{Deployment, Example};
+use bronzespindle::client::{CallerClient, ClientError, ServiceCall};
+use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use http::{Method, StatusCode};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use spindle_instances::{Kind, State};
@@ -116,3 +117,67 @@
     let reply = CallerClient::new(TEAM_KEY).addresses(survivor.caller).await.unwrap();
     assert_eq!(survivor.caller, reply.addresses[0].address);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_of_a_killed_daemon_is_picked_up_whole_at_another() {
+    let deployment = standins().await;
+    let survivor = Process::start(&deployment, 0).await;
+    let mut killed = Process::start(&deployment, 1).await;
+    survivor.wait_for_addresses(2).await;
+    killed.wait_for_addresses(2).await;
+    let caller = CallerClient::new(TEAM_KEY);
+    let mut stream = caller.chat(killed.caller, MODEL, "census narrative", 150).await.unwrap();
+    let mut actual = stream.next().await.unwrap().unwrap();
+    killed.signal(Signal::SIGKILL);
+    killed.exit().await;
+    // What had been sent before the kill may still arrive.
+    while let Ok(Some(text)) = stream.next().await {
+        actual.push_str(&text);
+    }
+    let mut rest = caller.pick_up(survivor.caller, &stream).await.unwrap();
+    actual.push_str(&rest.rest().await.unwrap());
+    let model = Model::try_from(MODEL).unwrap();
+    assert_eq!(whole_answer(&model, "user: census narrative\n", 150), actual);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_under_a_key_runs_once_over_a_killed_and_a_paused_daemon() {
+    let deployment = standins().await;
+    let mut killed = Process::start(&deployment, 0).await;
+    let paused = Process::start(&deployment, 1).await;
+    let survivor = Process::start(&deployment, 2).await;
+    for process in [&killed, &paused, &survivor] {
+        process.wait_for_addresses(3).await;
+    }
+    let caller = CallerClient::new(TEAM_KEY);
+    let call = ServiceCall {
+        service: "returns-app",
+        method: &Method::POST,
+        path: "/enrolments",
+        key: Some("return-2026-kano-17"),
+        body: "{\"pupils\":412}",
+    };
+    let (first, second) = tokio::join!(caller.call(killed.caller, call), async {
+        killed.signal(Signal::SIGKILL);
+        paused.signal(Signal::SIGSTOP);
+        let answer = caller.call(survivor.caller, call).await;
+        paused.signal(Signal::SIGCONT);
+        answer
+    });
+    killed.exit().await;
+    let third = caller.call(paused.caller, call).await;
+    let runs = runs(&deployment, "returns-app");
+    assert!(runs <= 1, "{runs} runs; {first:?} {second:?} {third:?}");
+    let says_not_run = |answer: &Result<(StatusCode, String), ClientError>| matches!(answer, Ok((_, body)) if body.contains("\"outcome\":\"not_run\""));
+    if runs == 1 {
+        assert!(!says_not_run(&second) && !says_not_run(&third), "{second:?} {third:?}");
+    }
+}
+
+fn runs(deployment: &Deployment, pool: &str) -> usize {
+    let calls = deployment.upstreams(pool).into_iter().map(|(_, upstream)| match upstream {
+        UpstreamStandin::Service(service) => service.calls().len(),
+        UpstreamStandin::Engine(_) => 0,
+    });
+    calls.sum()
+}
