fix(front): a request whose task ended untold is of unknown outcome

Cause: when the task that drives a generation or a keyed call ended without an outcome, the caller got 404 with outcome not_run, for which there was no proof. Change: it gets unknown, which needs none; a test ends the task in mid-answer.

--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -93,7 +93,7 @@
 impl Sent {
     /// Gives the request up after its answer was lost.
     pub fn lose(self) -> Unknown {
-        Unknown { reason: None, retry_after: None }
+        Unknown::untold()
     }
 
     /// Turns back into a refusal, given the upstream's own word that nothing was started.
@@ -168,6 +168,11 @@
 }
 
 impl Unknown {
+    /// The outcome of a request whose task ended without telling one. This needs no proof.
+    pub const fn untold() -> Self {
+        Self { reason: None, retry_after: None }
+    }
+
     /// Why it can't be told whether the request ran, if there is more to say than a lost answer.
     pub const fn reason(&self) -> Option<RefusalReason> {
         self.reason
--- a/src/front.rs
+++ b/src/front.rs
@@ -22,7 +22,8 @@
 use spindle_policy::replica::{request_id, tag};
 use spindle_types::config::{KeyHash, Priority};
 use spindle_types::{
-    Clock, MonotonicInstant, Pool, Problems, RefusalReason, RequestId, Service, Team, Unsent,
+    Clock, MonotonicInstant, Pool, Problems, RefusalReason, RequestId, Service, Team, Unknown,
+    Unsent,
 };
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -166,7 +167,7 @@
             Some(Progress::Refused(refusal)) => Err(refusal),
             Some(first) if stream => Ok(reply::streamed(head, first, progress)),
             Some(first) => reply::whole(head, first, progress).await,
-            None => Err(Refusal::NotFound),
+            None => Err(Refusal::Unknown(Unknown::untold())),
         }
     }
 
--- a/src/once.rs
+++ b/src/once.rs
@@ -20,7 +20,7 @@
 use spindle_policy::claim::{CallKey, RecordedAnswer};
 use spindle_policy::routing::AttemptEnd;
 use spindle_types::config::Repeat;
-use spindle_types::{Pool, Problems, RefusalReason};
+use spindle_types::{Pool, Problems, RefusalReason, Unknown};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -106,7 +106,7 @@
     let (sender, receiver) = oneshot::channel();
     let running = run_to_end(Arc::clone(&shared), permit, work, sender);
     shared.spawn(running);
-    receiver.await.unwrap_or(Err(Refusal::NotFound))
+    receiver.await.unwrap_or(Err(Refusal::Unknown(Unknown::untold())))
 }
 
 async fn run_to_end<C: Context>(
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -7,7 +7,7 @@
 use spindle_caller::{Completion, Form, Refusal};
 use spindle_http::reply::with_type;
 use spindle_http::{Body, BodySender, encode_event, json};
-use spindle_types::{Model, RequestId};
+use spindle_types::{Model, RequestId, Unknown};
 use tokio::sync::mpsc;
 
 /// Events of an answer that a slow caller may lag behind.
@@ -87,7 +87,7 @@
         }
         next = rest.recv().await;
     }
-    Err(Refusal::NotFound)
+    Err(Refusal::Unknown(Unknown::untold()))
 }
 
 /// Streams an answer as server-sent events whose ids are token offsets.
@@ -137,3 +137,6 @@
     let data = serde_json::to_string(&reply).ok()?;
     Some(encode_event(None, Some(&offset.to_string()), &data))
 }
+
+#[cfg(test)]
+mod tests;
