--- a/crates/policy/examples/exchange.rs
+++ b/examples/exchange.rs
@@ -1,5 +1,5 @@
 //! Measures the ways in which daemons exchange state, on one seeded workload in virtual time:
-//! `cargo run --release -p spindle-policy --example exchange -- [SEED] [INTERVAL_MS] [MEMBERS]`.
+//! `cargo run --release --example exchange -- [SEED] [INTERVAL_MS] [MEMBERS]`.
 //!
 //! The workload: a configuration change every 11.5 s that every daemon acknowledges, a load that
 //! changes its magnitude every 10 s, the death of a daemon, a leaving mark, a partition of a
--- a/crates/policy/examples/plan_cost.rs
+++ b/examples/plan_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what plans cost against the baselines, and how long they take to solve at size.
 //!
-//! Usage: `cargo run --release -p spindle-policy --example plan_cost [SEED]`
+//! Usage: `cargo run --release --example plan_cost [SEED]`
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,14 +27,8 @@
 
 fn main() {
     let seed = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEED);
-    let vendimia = (
-        include_str!("../../../examples/vendimia/intent.yaml"),
-        include_str!("../../../examples/vendimia/offers.yaml"),
-    );
-    let kanem = (
-        include_str!("../../../examples/kanem/intent.yaml"),
-        include_str!("../../../examples/kanem/offers.yaml"),
-    );
+    let vendimia = (include_str!("vendimia/intent.yaml"), include_str!("vendimia/offers.yaml"));
+    let kanem = (include_str!("kanem/intent.yaml"), include_str!("kanem/offers.yaml"));
     for (name, (intent, offers)) in [("vendimia", vendimia), ("kanem", kanem)] {
         let intent: Intent = serde_norway::from_str(intent).expect("the example is valid");
         let offers: Vec<PricedOffer> =
--- a/crates/policy/examples/reconcile_cost.rs
+++ b/examples/reconcile_cost.rs
@@ -1,6 +1,6 @@
 //! Prints what one tick of the reconciler costs at the size of the target.
 //!
-//! Usage: `cargo run --release -p spindle-policy --example reconcile_cost`
+//! Usage: `cargo run --release --example reconcile_cost`
 
 use spindle_policy::reconcile::{
     Action, EngineState, InstanceKind, Reconciler, RunningInstance, StartOutcome,
--- a/crates/policy/examples/scale.rs
+++ b/examples/scale.rs
@@ -1,7 +1,7 @@
 //! How the cost of a decision grows with the upstreams, and how steering balances and moves prefix
 //! families as daemons grow.
 //!
-//! `cargo run --release -p spindle-policy --example scale`
+//! `cargo run --release --example scale`
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -2,12 +2,14 @@
 
 use bronzespindle::client::{CallerClient, ClientError, ServiceCall};
 use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use bronzespindle::publisher::Outcome;
 use http::{Method, StatusCode};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use spindle_instances::{Kind, State};
+use spindle_policy::freshness::CONTACT_TIMEOUT;
 use spindle_standin::{EngineModel, whole_answer};
-use spindle_types::Model;
+use spindle_types::{Change, Model};
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -181,3 +183,28 @@
     });
     calls.sum()
 }
+
+#[tokio::test]
+async fn resumed_daemon_never_serves_a_team_removed_meanwhile() {
+    let deployment = Deployment::start(Example::Vendimia, 1, EngineModel::default()).await.unwrap();
+    let process = Process::start(&deployment, 1).await;
+    let caller = CallerClient::new("cava-escazu-key");
+    let serves = async || {
+        let chat = caller.chat(process.caller, "sommelier-llm", "Hello", 2).await;
+        chat.is_ok()
+    };
+    while !serves().await {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    process.signal(Signal::SIGSTOP);
+    let shared = deployment.daemons[0].shared();
+    let base = shared.config.borrow().revision;
+    let change = Change::RemoveTeam { team: "cava-escazu".parse().unwrap() };
+    let outcome = shared.publisher.publish(base, "ana".parse().unwrap(), change).await;
+    assert!(matches!(outcome, Outcome::Accepted { .. }), "{outcome:?}");
+    tokio::time::sleep(CONTACT_TIMEOUT + Duration::from_secs(1)).await;
+    process.signal(Signal::SIGCONT);
+    for _ in 0..50 {
+        assert!(!serves().await, "the daemon served with the old configuration");
+    }
+}
