feat(node): the whole path on the users' platform

Adds platform/ (settings file, store, cloud, headers, directory), crates/relay (one request path), and the decisions it needs in crates/policy: upstream listing, placing, limits shared by daemons, usage windows, presence, fleet.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod gossip;
 pub mod replica;
+pub mod status;
 pub mod tls;
 pub mod transport;
 
@@ -12,5 +13,6 @@
 pub use replica::{
     Ending, Held, ReadReply, ReadRequest, ReplicaClient, ReplicaServer, Update, Updates,
 };
+pub use status::{Document, StatusesClient, StatusesServer};
 pub use tls::{Tls, TlsError, TlsFiles};
 pub use transport::{BoundServer, Dialer, KeptConnection, PeerConnection, bind_server, connect};
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -105,12 +105,18 @@
     newest: Offset,
     grant: Option<Grant>,
     free: MonotonicInstant,
+    longest: Duration,
 }
 
 impl LeaseFold {
     /// A fold that has read nothing.
     pub fn new(now: MonotonicInstant) -> Self {
-        Self { newest: Offset(0), grant: None, free: stretched(now, TERM_MAX) }
+        Self::bounded(now, TERM_MAX)
+    }
+
+    /// A fold that has read nothing, of a stream in which no term is longer than `longest`.
+    pub fn bounded(now: MonotonicInstant, longest: Duration) -> Self {
+        Self { newest: Offset(0), grant: None, free: stretched(now, longest), longest }
     }
 
     /// The offset to read next.
@@ -132,7 +138,7 @@
         if oldest > self.next() {
             self.newest = Offset(oldest.0 - 1);
             self.grant = None;
-            self.free = stretched(now, TERM_MAX);
+            self.free = stretched(now, self.longest);
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/sharing.rs
@@ -0,0 +1,174 @@
+//! Limits that all daemons keep together: the quota of a team, and the retries of a service.
+//!
+//! Load: a team that sends many times its quota through all daemons at once, while others stay
+//! within theirs. Each daemon charges its own requests at once and those of the others when it
+//! hears of them, so what is let in too much is bounded by how late the news are, and is paid back.
+//! A daemon that does not hear some of the others admits only its share of what is refilled.
+
+use serde::{Deserialize, Serialize};
+use spindle_types::{Incarnation, MonotonicInstant};
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// How much faster than its rate a quota is refilled, so that late news refuse nobody who is within
+/// it. A third of the overage that the users' rules allow.
+const REFILL_MARGIN: f64 = 1.03;
+
+/// The part of a burst that is there when a daemon starts: others may have spent the rest.
+const START_SHARE: f64 = 0.5;
+
+/// The part of the retries allowed that is used. The rest covers news under way.
+const RETRY_SHARE: f64 = 0.7;
+
+/// The longest time after which a refused request is told to come back.
+const RETURN_MAX: Duration = Duration::from_secs(2);
+
+/// How much a team may use.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaSpec {
+    /// Units a second.
+    pub rate: f64,
+    /// Units at once.
+    pub burst: f64,
+}
+
+/// How many of the other daemons are heard.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hearing {
+    /// Daemons heard of lately, this one included.
+    pub heard: u32,
+    /// Daemons that may be running, this one included.
+    pub known: u32,
+}
+
+impl Hearing {
+    fn share(self) -> f64 {
+        f64::from(self.heard.max(1)) / f64::from(self.known.max(self.heard).max(1))
+    }
+}
+
+/// What a quota says of one more request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admitted {
+    /// It fits and has been charged.
+    Yes,
+    /// It does not fit before the delay has passed.
+    After(Duration),
+}
+
+/// The quota of one team, as one daemon sees it.
+#[derive(Clone, Debug)]
+pub struct SharedQuota {
+    spec: QuotaSpec,
+    level: f64,
+    filled: MonotonicInstant,
+    own: f64,
+    others: HashMap<Incarnation, f64>,
+}
+
+impl SharedQuota {
+    /// A quota of which nothing is known yet.
+    pub fn new(now: MonotonicInstant, spec: QuotaSpec) -> Self {
+        let level = spec.burst * START_SHARE;
+        Self { spec, level, filled: now, own: 0.0, others: HashMap::new() }
+    }
+
+    /// Takes over a changed specification; what is used stays used.
+    pub fn set(&mut self, spec: QuotaSpec) {
+        self.spec = spec;
+        self.level = self.level.min(spec.burst);
+    }
+
+    /// Asks for a request of `cost` units, and charges it if it fits.
+    pub fn admit(&mut self, now: MonotonicInstant, cost: f64, hearing: Hearing) -> Admitted {
+        let rate = self.spec.rate * REFILL_MARGIN * hearing.share();
+        let refill = rate * now.since(self.filled).as_secs_f64();
+        self.level = (self.level + refill).min(self.spec.burst);
+        self.filled = self.filled.max(now);
+        // A request larger than the burst passes when the burst is full, and is paid off later.
+        let needed = cost.min(self.spec.burst);
+        if self.level < needed {
+            let secs = (needed - self.level) / rate.max(f64::MIN_POSITIVE);
+            let wait = Duration::try_from_secs_f64(secs).unwrap_or(RETURN_MAX);
+            return Admitted::After(wait.min(RETURN_MAX));
+        }
+        self.charge(cost);
+        Admitted::Yes
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn refund(&mut self, cost: f64) {
+        self.charge(-cost);
+    }
+
+    /// All that this daemon has charged, for the others.
+    pub const fn own(&self) -> f64 {
+        self.own
+    }
+
+    /// Takes in all that another daemon has charged in its life.
+    pub fn on_other(&mut self, other: Incarnation, total: f64) {
+        // What it charged before this daemon heard of it first is taken to be refilled.
+        let before = self.others.insert(other, total).unwrap_or(total);
+        self.level -= total - before;
+    }
+
+    /// Forgets daemons that the predicate does not keep.
+    pub fn retain(&mut self, keep: impl Fn(Incarnation) -> bool) {
+        self.others.retain(|other, _| keep(*other));
+    }
+
+    fn charge(&mut self, cost: f64) {
+        self.level -= cost;
+        self.own += cost;
+    }
+}
+
+/// How many further sends a service may get, over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimit {
+    /// Further sends for each request.
+    pub ratio: f64,
+    /// Further sends in a window beyond those.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// One daemon's share of the further sends to a service.
+#[derive(Clone, Debug, Default)]
+pub struct RetryShare {
+    requests: VecDeque<MonotonicInstant>,
+    further: VecDeque<MonotonicInstant>,
+}
+
+impl RetryShare {
+    /// Records a request for the service.
+    pub fn on_request(&mut self, now: MonotonicInstant, limit: &RetryLimit) {
+        expire(&mut self.requests, now, limit.window);
+        self.requests.push_back(now);
+    }
+
+    /// Asks for one more send of a request that was sent before, and counts it if it fits. Of the
+    /// slack each of `daemons` has its part.
+    pub fn take(&mut self, now: MonotonicInstant, limit: &RetryLimit, daemons: u32) -> bool {
+        expire(&mut self.requests, now, limit.window);
+        expire(&mut self.further, now, limit.window);
+        let granted = limit.ratio * self.requests.len() as f64;
+        let slack = limit.slack / f64::from(daemons.max(1));
+        if self.further.len() as f64 + 1.0 > (granted + slack) * RETRY_SHARE {
+            return false;
+        }
+        self.further.push_back(now);
+        true
+    }
+}
+
+fn expire(times: &mut VecDeque<MonotonicInstant>, now: MonotonicInstant, window: Duration) {
+    while times.front().is_some_and(|first| now.since(*first) >= window) {
+        times.pop_front();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/policy/src/sharing/tests.rs
@@ -0,0 +1,85 @@
+use super::*;
+
+const SPEC: QuotaSpec = QuotaSpec { rate: 100.0, burst: 100.0 };
+
+fn at(millis: u64) -> MonotonicInstant {
+    MonotonicInstant::from_millis(millis)
+}
+
+/// Daemons that each get a part of an offered load, and hear of the others with a delay.
+fn admitted(daemons: u64, offered: f64, delay: u64, hearing: Hearing, seconds: u64) -> f64 {
+    let mut quotas: Vec<_> = (0..daemons).map(|_| SharedQuota::new(at(0), SPEC)).collect();
+    let step = 10;
+    for millis in (0..seconds * 1_000).step_by(10) {
+        if millis % delay == 0 {
+            let totals: Vec<f64> = quotas.iter().map(SharedQuota::own).collect();
+            for (own, quota) in quotas.iter_mut().enumerate() {
+                for (other, total) in totals.iter().enumerate().filter(|(other, _)| *other != own) {
+                    quota.on_other(Incarnation(other as u64), *total);
+                }
+            }
+        }
+        let cost = offered * f64::from(step) / 1_000.0 / daemons as f64;
+        for quota in &mut quotas {
+            quota.admit(at(millis), cost, hearing);
+        }
+    }
+    quotas.iter().map(SharedQuota::own).sum()
+}
+
+#[test]
+fn a_team_far_over_its_quota_is_held_to_it_by_all_daemons_together() {
+    let all = Hearing { heard: 6, known: 6 };
+    let total = admitted(6, 700.0, 250, all, 8);
+    // The rule: 8 s of the rate and the burst, a tenth more, and four fifths of a second of slack.
+    assert!(total <= 900.0 * 1.1 + 82.0, "{total}");
+    assert!(total >= 800.0, "{total}");
+}
+
+#[test]
+fn a_team_within_its_quota_is_never_refused() {
+    let all = Hearing { heard: 6, known: 6 };
+    let total = admitted(6, 95.0, 250, all, 8);
+    assert!(total >= 95.0 * 8.0 * 0.999, "{total}");
+}
+
+#[test]
+fn daemons_that_hear_nobody_keep_the_quota_together() {
+    let alone = Hearing { heard: 1, known: 6 };
+    let each: f64 = (0..6).map(|_| admitted(1, 120.0, 250, alone, 8)).sum();
+    assert!(each <= 900.0 * 1.1 + 82.0 + 5.0 * 50.0, "{each}");
+}
+
+#[test]
+fn a_request_larger_than_the_burst_is_admitted_once_in_a_while() {
+    let mut quota = SharedQuota::new(at(0), SPEC);
+    let all = Hearing { heard: 1, known: 1 };
+    assert!(matches!(quota.admit(at(0), 500.0, all), Admitted::After(_)));
+    assert_eq!(quota.admit(at(1_000), 500.0, all), Admitted::Yes);
+    assert!(matches!(quota.admit(at(2_000), 1.0, all), Admitted::After(_)));
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let mut quota = SharedQuota::new(at(0), SPEC);
+    let all = Hearing { heard: 1, known: 1 };
+    assert_eq!(quota.admit(at(0), 50.0, all), Admitted::Yes);
+    quota.refund(50.0);
+    assert_eq!(quota.admit(at(0), 50.0, all), Admitted::Yes);
+}
+
+#[test]
+fn further_sends_stay_within_the_shares_of_all_daemons() {
+    let limit = RetryLimit { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+    let mut shares = vec![RetryShare::default(); 6];
+    let mut further = 0;
+    for millis in 0..10_000_u64 {
+        let share = &mut shares[millis as usize % 6];
+        if millis % 10 == 0 {
+            share.on_request(at(millis), &limit);
+        }
+        further += u32::from(share.take(at(millis), &limit, 6));
+    }
+    assert!(further <= 200 + 52, "{further}");
+    assert!(further >= 100, "{further}");
+}
--- /dev/null
+++ b/crates/policy/src/windows/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+const LENGTH: Duration = Duration::from_secs(5);
+
+fn team(name: &str) -> Team {
+    name.try_into().unwrap()
+}
+
+#[test]
+fn windows_begin_at_multiples_of_their_length() {
+    assert_eq!(window_at(UtcInstant(9_999), LENGTH), 1);
+    assert_eq!(window_at(UtcInstant(10_000), LENGTH), 2);
+    assert_eq!(window_end(1, LENGTH), UtcInstant(10_000));
+}
+
+#[test]
+fn counts_of_all_daemons_add_up() {
+    let (mut one, mut two) = (Windows::default(), Windows::default());
+    one.on_began(UtcInstant(1), LENGTH, &team("a"));
+    one.on_began(UtcInstant(4_999), LENGTH, &team("a"));
+    one.on_began(UtcInstant(5_000), LENGTH, &team("a"));
+    two.on_began(UtcInstant(2), LENGTH, &team("b"));
+    let teams = [team("a"), team("b"), team("c")];
+    let sum = total(0, [&one, &two].into_iter(), teams.iter());
+    assert_eq!(sum, Counts::from([(team("a"), 2), (team("b"), 1), (team("c"), 0)]));
+}
+
+#[test]
+fn a_window_is_due_between_settling_and_being_late() {
+    let due = |millis| -> Vec<u64> {
+        let (settle, late) = (Duration::from_secs(2), Duration::from_secs(10));
+        due(UtcInstant(millis), LENGTH, settle, late).collect()
+    };
+    assert_eq!(due(51_000), [8]);
+    assert_eq!(due(52_000), [8, 9]);
+    assert_eq!(due(55_001), [9]);
+}
+
+#[test]
+fn old_windows_are_dropped() {
+    let mut windows = Windows::default();
+    for window in 0..20 {
+        windows.on_began(UtcInstant(window * 5_000), LENGTH, &team("a"));
+    }
+    assert_eq!(windows.get(14), None);
+    assert!(windows.get(15).is_some());
+}
--- /dev/null
+++ b/crates/relay/src/accounts.rs
@@ -0,0 +1,162 @@
+//! What teams have used, what services may get once more, and what began to run when.
+
+use crate::serving::{Serving, TeamSpec};
+use spindle_policy::sharing::{
+    Admitted, Hearing, RetryLimit, RetryShare, SharedQuota,
+};
+use spindle_policy::windows::Windows;
+use spindle_types::{Incarnation, MonotonicInstant, Service, Team, UtcInstant};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The bounds that the users set on retries and usage.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountRules {
+    /// How often a service may get requests once more.
+    pub retries: RetryLimit,
+    /// The length of a window of usage.
+    pub window: Duration,
+}
+
+#[derive(Debug)]
+struct State {
+    hearing: Hearing,
+    quotas: HashMap<Team, SharedQuota>,
+    retries: HashMap<Service, RetryShare>,
+    begun: BTreeMap<String, u64>,
+    windows: Windows,
+}
+
+/// The accounts of one daemon.
+#[derive(Clone, Debug)]
+pub struct Accounts {
+    rules: AccountRules,
+    state: Arc<Mutex<State>>,
+}
+
+impl Accounts {
+    /// Accounts in which nothing stands.
+    pub fn new(rules: AccountRules) -> Self {
+        let state = State {
+            hearing: Hearing { heard: 1, known: 1 },
+            quotas: HashMap::new(),
+            retries: HashMap::new(),
+            begun: BTreeMap::new(),
+            windows: Windows::default(),
+        };
+        Self { rules, state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Takes over a configuration's quotas.
+    pub fn on_configuration(&self, serving: &Serving) {
+        let mut state = self.state();
+        let specs = serving.teams();
+        state.quotas.retain(|team, _| specs.iter().any(|spec| spec.team == *team));
+        for spec in specs {
+            match (spec.quota, state.quotas.get_mut(&spec.team)) {
+                (Some(quota), Some(known)) => known.set(quota),
+                (None, _) => drop(state.quotas.remove(&spec.team)),
+                (Some(_), None) => {}
+            }
+        }
+    }
+
+    /// Takes in how many daemons are heard and what another one has charged.
+    pub fn on_hearing(&self, hearing: Hearing) {
+        self.state().hearing = hearing;
+    }
+
+    /// Takes in what another daemon has charged in its life.
+    pub fn on_charged(&self, other: Incarnation, charged: &BTreeMap<Team, f64>) {
+        let mut state = self.state();
+        for (team, total) in charged {
+            if let Some(quota) = state.quotas.get_mut(team) {
+                quota.on_other(other, *total);
+            }
+        }
+    }
+
+    /// Asks whether a team may run a request with a number of tokens, and charges it.
+    pub fn admit(
+        &self,
+        now: MonotonicInstant,
+        spec: &TeamSpec,
+        tokens: Option<(u32, u32)>,
+    ) -> Result<f64, Duration> {
+        let Some(quota) = spec.quota else {
+            return Ok(0.0);
+        };
+        let cost = match tokens {
+            _ if !spec.tokens => 1.0,
+            Some((prompt, answer)) => f64::from(prompt) + f64::from(answer),
+            None => spec.plain,
+        };
+        let mut state = self.state();
+        let hearing = state.hearing;
+        let known = state.quotas.entry(spec.team.clone());
+        match known.or_insert_with(|| SharedQuota::new(now, quota)).admit(now, cost, hearing) {
+            Admitted::Yes => Ok(cost),
+            Admitted::After(after) => Err(after),
+        }
+    }
+
+    /// Gives back what a request was charged that did not run.
+    pub fn refund(&self, team: &Team, cost: f64) {
+        if let Some(quota) = self.state().quotas.get_mut(team) {
+            quota.refund(cost);
+        }
+    }
+
+    /// Records a request for a service.
+    pub fn on_request(&self, now: MonotonicInstant, service: &Service) {
+        let mut state = self.state();
+        let limit = self.rules.retries;
+        state.retries.entry(service.clone()).or_default().on_request(now, &limit);
+        match state.begun.get_mut(service.as_str()) {
+            Some(count) => *count += 1,
+            None => {
+                state.begun.insert(service.to_string(), 1);
+            }
+        }
+    }
+
+    /// Asks whether a service may get a request once more, and counts it.
+    pub fn take_retry(&self, now: MonotonicInstant, service: &Service) -> bool {
+        let mut state = self.state();
+        let daemons = state.hearing.known;
+        let share = state.retries.entry(service.clone()).or_default();
+        share.take(now, &self.rules.retries, daemons)
+    }
+
+    /// Counts a request that began to run.
+    pub fn on_began(&self, utc: UtcInstant, team: &Team) {
+        self.state().windows.on_began(utc, self.rules.window, team);
+    }
+
+    /// What this daemon saw begin.
+    pub fn windows(&self) -> Windows {
+        self.state().windows.clone()
+    }
+
+    /// What this daemon has charged in its life.
+    pub fn charged(&self) -> BTreeMap<Team, f64> {
+        let state = self.state();
+        state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own())).collect()
+    }
+
+    /// The requests for each service since the start.
+    pub fn begun(&self) -> BTreeMap<String, u64> {
+        self.state().begun.clone()
+    }
+
+    /// Forgets daemons that the predicate does not keep.
+    pub fn retain(&self, keep: impl Fn(Incarnation) -> bool) {
+        self.state().quotas.values_mut().for_each(|quota| quota.retain(&keep));
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // No code that holds the lock panics halfway through a change.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serving/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        services: vec![("desk".try_into().unwrap(), 1)],
+        repeat: Repeat::Safe,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause: None,
+        attempts: 1,
+        priority: 0,
+        public: true,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("root", "a.example", "/"),
+        route("x", "a.example", "/x/"),
+        route("xy", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/"),
+    ];
+    let serving = Serving::new(1, Limits::default(), HashMap::new(), routes, Vec::new());
+    let found = |host, path| serving.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("a.example", "/x/y/z"), Some("xy"));
+    assert_eq!(found("A.Example:80", "/x/y"), Some("x"));
+    assert_eq!(found("a.example", "/xy"), Some("root"));
+    assert_eq!(found("b.example", "/y"), None);
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+#[test]
+fn a_key_names_its_team() {
+    let spec = TeamSpec {
+        team: "cava".try_into().unwrap(),
+        priority: None,
+        quota: None,
+        tokens: false,
+        plain: 1.0,
+    };
+    let teams = vec![(spec, vec!["k1".to_owned(), "k2".to_owned()])];
+    let serving = Serving::new(1, Limits::default(), HashMap::new(), Vec::new(), teams);
+    assert_eq!(serving.team_of("k2").unwrap().team.as_str(), "cava");
+    assert!(serving.team_of("k3").is_none());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,11 +16,12 @@
 use crate::deployment::Example;
 use crate::reference::reference;
 use crate::settings::{self, LoadError, LogLevel, Settings, schema};
-use crate::{demo, logs, metrics};
+use crate::{demo, logs, metrics, node};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use eyre::WrapErr;
+use eyre::{WrapErr, eyre};
 use spindle_http::DrainTrigger;
+use spindle_platform::settings::FILE_VARIABLE;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
@@ -60,6 +61,8 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Runs a daemon on the users' platform, with the settings file that the platform writes
+    Node,
     /// Prints every mistake of a settings file
     Check {
         /// The settings, in YAML
@@ -126,6 +129,7 @@
             logs::start(level.unwrap_or(settings.logs.level));
             block_on(serve(settings))
         }),
+        Command::Node => run_node(level.unwrap_or(LogLevel::Info)),
         Command::Check { settings } => with_settings(&settings, |_| {
             println!("no mistakes");
             Ok(())
@@ -183,6 +187,23 @@
     tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(task)
 }
 
+/// Runs a daemon on the users' platform; one thread, as its instance has a part of one core.
+fn run_node(level: LogLevel) -> eyre::Result<ExitCode> {
+    let path = std::env::var_os(FILE_VARIABLE);
+    let path = path.ok_or_else(|| eyre!("the variable {FILE_VARIABLE} is not set"))?;
+    let settings = match spindle_platform::settings::load(Path::new(&path)) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return Ok(ExitCode::from(EXIT_INVALID));
+        }
+    };
+    logs::start_output(level);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(node::run(settings))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Loads the settings and goes on with them, or prints every mistake.
 fn with_settings(
     path: &Path,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 mod meter;
 pub mod metrics;
 pub mod mix;
+pub mod node;
 pub mod once;
 pub mod pickup;
 pub mod plans;
--- /dev/null
+++ b/src/node/configuration.rs
@@ -0,0 +1,142 @@
+//! Follows the operators' configuration in the store and takes it from other daemons.
+
+use bytes::Bytes;
+use spindle_daemon::Document;
+use spindle_relay::outside::{Batch, Feed, Item, Store, StoreError};
+use spindle_relay::{Accounts, Limits, Serving};
+use spindle_types::{Clock, MonotonicInstant};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long the store holds a read until a change comes. Each return is a call that is paid for;
+/// a connection that has fallen silent is noticed after it.
+const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// The pause after a failed read. All daemons together stay far below the store's rates.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Where the configuration in force goes.
+type Outlets = (watch::Sender<Arc<Serving>>, watch::Sender<Limits>);
+
+#[derive(Debug, Default)]
+struct Known {
+    document: Option<Document>,
+    contact: Option<MonotonicInstant>,
+}
+
+/// Follows the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigurationFollower<S, K> {
+    store: S,
+    clock: K,
+    accounts: Accounts,
+    outlets: Arc<Outlets>,
+    known: Arc<Mutex<Known>>,
+}
+
+impl<S: Store, K: Clock> ConfigurationFollower<S, K> {
+    /// A follower that knows no configuration.
+    pub fn new(store: S, clock: K, accounts: Accounts, outlets: Outlets) -> Self {
+        let known = Arc::default();
+        Self { store, clock, accounts, outlets: Arc::new(outlets), known }
+    }
+
+    /// When the store last answered.
+    pub fn contact(&self) -> Option<MonotonicInstant> {
+        self.known().contact
+    }
+
+    /// The configuration in force as it was read.
+    pub fn document(&self) -> Option<Document> {
+        self.known().document.clone()
+    }
+
+    /// Takes a configuration that another daemon has read.
+    pub fn on_document(&self, document: &Document) {
+        match self.store.configuration(&document.content) {
+            Ok(serving) => {
+                self.put_in_force(Arc::new(serving), document.content.clone().into(), "daemon");
+            }
+            Err(cause) => log::warn!(
+                "event=configuration_unreadable version={} source=daemon error={cause:?}",
+                document.version
+            ),
+        }
+    }
+
+    /// Reads until the process ends.
+    pub async fn run(self) {
+        let mut next = None;
+        let mut lost = false;
+        loop {
+            let result = match next {
+                None => self.store.newest(Feed::Configuration).await,
+                Some(from) => self.store.read(Feed::Configuration, from, READ_WAIT).await,
+            };
+            match result {
+                Ok(batch) => {
+                    if lost {
+                        log::info!("event=store_regained feed=configuration");
+                    }
+                    lost = false;
+                    next = Some(batch.next);
+                    self.known().contact = Some(self.clock.now());
+                    self.take_in(batch);
+                }
+                Err(StoreError::Expired(_)) => {
+                    log::info!("event=history_expired feed=configuration from={next:?}");
+                    next = None;
+                }
+                Err(error) => {
+                    if !lost {
+                        log::warn!("event=store_lost feed=configuration error={error:?}");
+                    }
+                    lost = true;
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn take_in(&self, batch: Batch) {
+        for item in batch.items {
+            match item {
+                Item::Configuration(serving, document) => {
+                    self.put_in_force(serving, document, "store");
+                }
+                Item::Unreadable { key, cause } => {
+                    log::warn!(
+                        "event=configuration_unreadable key={key} source=store error={cause:?}"
+                    );
+                }
+                Item::Registered(_) | Item::Removed(_) => {}
+            }
+        }
+    }
+
+    /// Puts a configuration in force unless the one in force is as new.
+    fn put_in_force(&self, serving: Arc<Serving>, content: Bytes, source: &'static str) {
+        let (outlet, limits) = &*self.outlets;
+        let before = outlet.borrow().version;
+        if serving.version <= before {
+            return;
+        }
+        log::info!(
+            "event=configuration_in_force version={} before={before} source={source} routes={} \
+             teams={}",
+            serving.version,
+            serving.routes().len(),
+            serving.teams().len(),
+        );
+        self.accounts.on_configuration(&serving);
+        self.known().document = Some(Document::new(serving.version, &content));
+        limits.send_replace(serving.limits);
+        outlet.send_replace(serving);
+    }
+
+    fn known(&self) -> std::sync::MutexGuard<'_, Known> {
+        // No code that holds the lock panics halfway through a change.
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/node/registrations.rs
@@ -0,0 +1,105 @@
+//! Follows the registrations of upstreams in the store.
+
+use spindle_relay::Board;
+use spindle_relay::outside::{Batch, Feed, Item, Store, StoreError};
+use spindle_types::{Clock, Instance, MonotonicInstant};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The time between two reads of all daemons together, which tell each other who leaves. An
+/// eighth of the time in which a leaving upstream must get nothing new.
+const READ_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest time between two reads of one daemon.
+const READ_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
+
+/// The pause after a failed read.
+const RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// Follows the registrations.
+#[derive(Clone, Debug)]
+pub struct RegistrationFollower<S, K> {
+    store: S,
+    clock: K,
+    board: Board,
+    daemons: Arc<AtomicU32>,
+    contact: Arc<Mutex<Option<MonotonicInstant>>>,
+}
+
+impl<S: Store, K: Clock> RegistrationFollower<S, K> {
+    /// A follower that knows no upstream; `daemons` share the reads.
+    pub fn new(store: S, clock: K, board: Board, daemons: Arc<AtomicU32>) -> Self {
+        Self { store, clock, board, daemons, contact: Arc::default() }
+    }
+
+    /// When the store last answered.
+    pub fn contact(&self) -> Option<MonotonicInstant> {
+        *self.contact.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads until the process ends.
+    pub async fn run(self) {
+        let mut next = None;
+        let mut lost = false;
+        loop {
+            let complete = next.is_none();
+            let result = match next {
+                None => self.store.newest(Feed::Upstreams).await,
+                Some(from) => self.store.read(Feed::Upstreams, from, Duration::ZERO).await,
+            };
+            let now = self.clock.now();
+            match result {
+                Ok(batch) => {
+                    if lost {
+                        log::info!("event=store_regained feed=upstreams");
+                        self.board.on_outage(now);
+                    }
+                    lost = false;
+                    next = Some(batch.next);
+                    *self.contact.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+                    self.take_in(now, batch, complete);
+                    self.board.prune(now);
+                    tokio::time::sleep(self.interval()).await;
+                }
+                Err(StoreError::Expired(_)) => {
+                    log::info!("event=history_expired feed=upstreams from={next:?}");
+                    next = None;
+                }
+                Err(error) => {
+                    if !lost {
+                        log::warn!("event=store_lost feed=upstreams error={error:?}");
+                    }
+                    lost = true;
+                    self.board.on_outage(now);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        let daemons = self.daemons.load(Ordering::Relaxed).max(1);
+        (READ_INTERVAL * daemons).min(READ_INTERVAL_MAX)
+    }
+
+    fn take_in(&self, now: MonotonicInstant, batch: Batch, complete: bool) {
+        let mut present: Vec<Instance> = Vec::new();
+        for item in batch.items {
+            match item {
+                Item::Registered(registration) => {
+                    present.push(registration.life.instance.clone());
+                    self.board.on_registration(now, registration, "store");
+                }
+                Item::Removed(instance) => self.board.on_removal(now, &instance, "store"),
+                Item::Unreadable { key, cause } => {
+                    log::warn!("event=registration_unreadable key={key} error={cause:?}");
+                }
+                Item::Configuration(..) => {}
+            }
+        }
+        if complete {
+            self.board.on_complete(now, &present);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/statuses.rs
@@ -0,0 +1,394 @@
+//! Exchanges statuses with the other daemons, and passes on what follows from them.
+
+use super::boot_clock::BootClock;
+use super::configuration::ConfigurationFollower;
+use super::registrations::RegistrationFollower;
+use jsonrpsee::core::{ClientError, RpcResult, async_trait};
+use spindle_daemon::{Dialer, Document, PeerConnection, StatusesClient, StatusesServer};
+use spindle_http::Drain;
+use spindle_platform::settings::NodeSettings;
+use spindle_platform::store::PlatformStore;
+use spindle_policy::listing::Registration;
+use spindle_policy::presence::{BEAT_INTERVAL, Message, Phase, Presence, Status};
+use spindle_policy::sharing::Hearing;
+use spindle_policy::windows::{Counts, Windows, total};
+use spindle_relay::{Accounts, Board, Serving};
+use spindle_types::{Clock, Fencing, Incarnation, Instance, MonotonicInstant, Team};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The time within which another daemon must answer. Two beats, so that calls don't pile up.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The age up to which the configuration in force counts as the newest. The users' time for
+/// configuration to be in force, and how often a daemon hears from the store.
+const CURRENT_MAX_AGE: Duration = Duration::from_millis(2_500);
+
+/// The silence of the store after which a daemon asks another one for the upstreams.
+const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// The beats between two such questions.
+const ASK_BEATS: u64 = 3;
+
+/// The most leaving upstreams that are told with a status.
+const LEAVING_MAX: usize = 64;
+
+type Follower = ConfigurationFollower<PlatformStore, BootClock>;
+
+/// What the exchange works with.
+#[derive(Debug)]
+pub struct Parts {
+    /// This life.
+    pub incarnation: Incarnation,
+    /// The settings.
+    pub settings: NodeSettings,
+    /// The present time.
+    pub clock: BootClock,
+    /// The upstreams.
+    pub board: Board,
+    /// What teams have used.
+    pub accounts: Accounts,
+    /// The configuration.
+    pub follower: Follower,
+    /// The registrations.
+    pub registrations: RegistrationFollower<PlatformStore, BootClock>,
+    /// The configuration in force.
+    pub serving: watch::Receiver<Arc<Serving>>,
+    /// Where the number of daemons goes.
+    pub daemons: Arc<AtomicU32>,
+    /// Where it goes whether the configuration in force can be the newest one.
+    pub current: Arc<AtomicBool>,
+    /// Whether this daemon stops.
+    pub leaving: Drain,
+}
+
+#[derive(Debug)]
+struct State {
+    presence: Presence,
+    own: Status,
+    acting: Option<Fencing>,
+    connections: HashMap<SocketAddr, PeerConnection>,
+    fetching: bool,
+}
+
+/// The exchange of statuses.
+#[derive(Clone, Debug)]
+pub struct Statuses {
+    parts: Arc<Parts>,
+    state: Arc<Mutex<State>>,
+}
+
+impl Statuses {
+    /// An exchange that has heard of no other daemon.
+    pub fn new(parts: Parts) -> Self {
+        let settings = &parts.settings;
+        let own = Status {
+            incarnation: parts.incarnation,
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            caller: settings.caller,
+            peer: settings.peer,
+            beat: 0,
+            phase: Phase::Starting,
+            config: 0,
+            age: None,
+            acting: None,
+            running: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            charged: BTreeMap::new(),
+            windows: Windows::default(),
+            leaving: Vec::new(),
+        };
+        let state = State {
+            presence: Presence::default(),
+            own,
+            acting: None,
+            connections: HashMap::new(),
+            fetching: false,
+        };
+        Self { parts: Arc::new(parts), state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Exchanges until the process ends.
+    pub async fn run(self) {
+        let mut ticks = tokio::time::interval(BEAT_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let targets = self.beat();
+            for target in targets {
+                tokio::spawn(self.clone().call(target));
+            }
+        }
+    }
+
+    /// Tells the others at once what changed here.
+    pub async fn announce(&self) {
+        self.beat();
+        let peers: Vec<SocketAddr> = {
+            let state = self.state();
+            state.presence.live(self.parts.clock.now()).map(|heard| heard.status.peer).collect()
+        };
+        let calls: Vec<_> =
+            peers.into_iter().map(|peer| tokio::spawn(self.clone().call(peer))).collect();
+        for call in calls {
+            // An error means that the task has panicked, which the runtime logs.
+            let _ = call.await;
+        }
+    }
+
+    /// Whether this daemon takes requests.
+    pub fn is_ready(&self) -> bool {
+        !self.parts.leaving.started() && self.parts.serving.borrow().version > 0
+    }
+
+    /// Where callers may connect.
+    pub fn ready(&self, now: MonotonicInstant) -> Vec<SocketAddr> {
+        let state = self.state();
+        let others = state.presence.live(now).filter(|heard| heard.status.phase == Phase::Ready);
+        let mut ready: Vec<SocketAddr> = others.map(|heard| heard.status.caller).collect();
+        if self.is_ready() {
+            ready.push(self.parts.settings.caller);
+        }
+        ready.sort();
+        ready.dedup();
+        ready
+    }
+
+    /// Notes whether this daemon acts.
+    pub fn set_acting(&self, acting: Option<Fencing>) {
+        self.state().acting = acting;
+    }
+
+    /// Whether another daemon says that it acts.
+    pub fn other_acts(&self, now: MonotonicInstant) -> bool {
+        let state = self.state();
+        let mut others = state.presence.live(now).map(|heard| &heard.status);
+        others.any(|status| status.acting.is_some() && status.phase != Phase::Leaving)
+    }
+
+    /// The requests of a window over all daemons.
+    pub fn window(&self, window: u64, teams: &[Team]) -> Counts {
+        let own = self.parts.accounts.windows();
+        let state = self.state();
+        let others = state.presence.iter().map(|heard| &heard.status.windows);
+        total(window, others.chain([&own]), teams.iter())
+    }
+
+    /// Makes the next status, takes in what is known, and gives the daemons to be called.
+    fn beat(&self) -> Vec<SocketAddr> {
+        let now = self.parts.clock.now();
+        let parts = &*self.parts;
+        let phase = match (parts.leaving.started(), self.is_ready()) {
+            (true, _) => Phase::Leaving,
+            (false, true) => Phase::Ready,
+            (false, false) => Phase::Starting,
+        };
+        let (running, charged) = (parts.board.running(), parts.accounts.charged());
+        let (windows, begun) = (parts.accounts.windows(), parts.accounts.begun());
+        let leaving = parts.board.leaving(LEAVING_MAX);
+        let contact = parts.follower.contact().max(parts.registrations.contact());
+        let mut state = self.state();
+        let acting = state.acting;
+        let own = &mut state.own;
+        own.beat += 1;
+        (own.phase, own.acting) = (phase, acting);
+        own.config = parts.serving.borrow().version;
+        own.age = contact.map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX));
+        (own.running, own.charged, own.windows) = (running, charged, windows);
+        (own.begun, own.leaving) = (begun, leaving);
+        self.derive(now, &mut state);
+        let state = &mut *state;
+        state.presence.prune(now);
+        let seeds = &parts.settings.seeds;
+        state.presence.targets(now, parts.settings.peer, seeds, &mut rand::rng())
+    }
+
+    /// Passes on what follows from the statuses.
+    fn derive(&self, now: MonotonicInstant, state: &mut State) {
+        let parts = &*self.parts;
+        let heard = 1 + count(state.presence.live(now).filter(|heard| {
+            heard.status.phase != Phase::Leaving
+        }));
+        let known = 1 + count(state.presence.possible(now));
+        parts.accounts.on_hearing(Hearing { heard, known: known.max(heard) });
+        let before = parts.daemons.swap(heard, Ordering::Relaxed);
+        if before != heard {
+            log::info!("event=daemons_changed heard={heard} before={before} known={known}");
+        }
+        let mut elsewhere: BTreeMap<&Instance, u32> = BTreeMap::new();
+        for heard in state.presence.live(now) {
+            for (instance, running) in &heard.status.running {
+                *elsewhere.entry(instance).or_default() += running;
+            }
+        }
+        parts.board.on_elsewhere(&elsewhere);
+        let age = |told: Option<u64>, since: Duration| {
+            told.map(|told| Duration::from_millis(told).saturating_add(since))
+        };
+        let own = (state.own.config, age(state.own.age, Duration::ZERO));
+        let others = state.presence.live(now).map(|heard| {
+            (heard.status.config, age(heard.status.age, now.since(heard.at)))
+        });
+        let all: Vec<_> = others.chain([own]).collect();
+        let newest = all.iter().map(|(config, _)| *config).max().unwrap_or(own.0);
+        let fresh = all.into_iter().filter_map(|(_, age)| age).min();
+        let current = own.0 == newest && fresh.is_some_and(|age| age <= CURRENT_MAX_AGE);
+        if parts.current.swap(current, Ordering::Relaxed) != current {
+            log::info!(
+                "event=configuration_current current={current} version={} newest={newest} \
+                 age_ms={:?}",
+                own.0,
+                fresh.map(|age| age.as_millis()),
+            );
+        }
+        let lives: Vec<Incarnation> =
+            state.presence.iter().map(|heard| heard.status.incarnation).collect();
+        parts.accounts.retain(|other| lives.contains(&other));
+    }
+
+    async fn call(self, peer: SocketAddr) {
+        let message = {
+            let state = self.state();
+            state.presence.message_to(&state.own, peer)
+        };
+        match self.exchange(peer, message).await {
+            Ok(reply) => {
+                let known = reply.known.clone();
+                self.take_in(&reply);
+                self.state().presence.on_known(peer, known);
+                self.help_oneself(peer).await;
+            }
+            Err(error) => {
+                log::debug!("event=status_call_failed peer={peer} error={error:?}");
+                let mut state = self.state();
+                state.presence.on_missed(peer);
+                // A connection that fell silent must not be used again.
+                state.connections.remove(&peer);
+            }
+        }
+    }
+
+    async fn exchange(&self, peer: SocketAddr, message: Message) -> Result<Message, ClientError> {
+        self.connection(peer)?.exchange(message).await
+    }
+
+    fn connection(&self, peer: SocketAddr) -> Result<PeerConnection, ClientError> {
+        let mut state = self.state();
+        if let Some(connection) = state.connections.get(&peer) {
+            return Ok(connection.clone());
+        }
+        let connection = Dialer::default().connect(peer, CALL_TIMEOUT)?;
+        state.connections.insert(peer, connection.clone());
+        Ok(connection)
+    }
+
+    /// Takes in a message and gives the answer to it.
+    fn on_message(&self, message: &Message) -> Message {
+        self.take_in(message);
+        let state = self.state();
+        state.presence.message(&state.own, &message.known)
+    }
+
+    fn take_in(&self, message: &Message) {
+        let now = self.parts.clock.now();
+        let news = self.state().presence.on_message(now, self.parts.incarnation, message);
+        for status in message.statuses.iter().filter(|found| news.contains(&found.incarnation)) {
+            for life in &status.leaving {
+                self.parts.board.on_leaving(now, life, "daemon");
+            }
+            self.parts.accounts.on_charged(status.incarnation, &status.charged);
+        }
+    }
+
+    /// Asks a daemon for what the store does not tell this one.
+    async fn help_oneself(&self, peer: SocketAddr) {
+        let now = self.parts.clock.now();
+        let (behind, silent) = {
+            let mut state = self.state();
+            let own = state.own.config;
+            let newer = state.presence.iter().any(|heard| {
+                heard.status.peer == peer && heard.status.config > own
+            });
+            let behind = newer && !state.fetching;
+            state.fetching |= behind;
+            let contact = self.parts.registrations.contact();
+            let silent = contact.is_none_or(|at| now.since(at) > STORE_SILENCE);
+            (behind, silent && state.own.beat % ASK_BEATS == 0)
+        };
+        if behind {
+            self.fetch_document(peer).await;
+            self.state().fetching = false;
+        }
+        if silent {
+            self.fetch_registrations(peer).await;
+        }
+    }
+
+    async fn fetch_document(&self, peer: SocketAddr) {
+        let Ok(connection) = self.connection(peer) else { return };
+        match connection.document().await {
+            Ok(Some(document)) => self.parts.follower.on_document(&document),
+            Ok(None) => {}
+            Err(error) => log::debug!("event=document_call_failed peer={peer} error={error:?}"),
+        }
+    }
+
+    async fn fetch_registrations(&self, peer: SocketAddr) {
+        let Ok(connection) = self.connection(peer) else { return };
+        match connection.registrations().await {
+            Ok(registrations) => {
+                let now = self.parts.clock.now();
+                for registration in registrations {
+                    self.parts.board.on_registration(now, registration, "daemon");
+                }
+            }
+            Err(error) => {
+                log::debug!("event=registrations_call_failed peer={peer} error={error:?}");
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // No code that holds the lock panics halfway through a change.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u32 {
+    u32::try_from(items.count()).unwrap_or(u32::MAX)
+}
+
+/// Answers other daemons.
+#[derive(Debug)]
+pub struct StatusService {
+    statuses: Statuses,
+    follower: Follower,
+    board: Board,
+}
+
+impl StatusService {
+    /// A service over what a daemon knows.
+    pub const fn new(statuses: Statuses, follower: Follower, board: Board) -> Self {
+        Self { statuses, follower, board }
+    }
+}
+
+#[async_trait]
+impl StatusesServer for StatusService {
+    async fn exchange(&self, message: Message) -> RpcResult<Message> {
+        Ok(self.statuses.on_message(&message))
+    }
+
+    async fn document(&self) -> RpcResult<Option<Document>> {
+        Ok(self.follower.document())
+    }
+
+    async fn registrations(&self) -> RpcResult<Vec<Registration>> {
+        Ok(self.board.active(self.statuses.parts.clock.now()))
+    }
+}
