--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -184,7 +184,7 @@
             let missing = spec.min - stock.total();
             *(if spec.reclaimable { &mut stock.reclaimable } else { &mut stock.fixed }) += missing;
         }
-        self.replace_refused(now, spec, stock, &cheapest, need, &mut wanted);
+        self.replace_refused(now, spec, stock, &mut wanted);
         wanted
     }
 
@@ -195,17 +195,17 @@
         now: MonotonicInstant,
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, Stock>,
-        cheapest: &[DataCentre],
-        need: u32,
         wanted: &mut BTreeMap<DataCentre, Stock>,
     ) {
         let to_be_had = |centre: &DataCentre, wanted: &Stock| {
             let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
             let refused = self.is_refused(now, &(centre.clone(), true));
-            wanted.fixed + if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
+            wanted.fixed
+                + if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
         };
         let sum: u32 = wanted.iter().map(|(centre, wanted)| to_be_had(centre, wanted)).sum();
-        spread(wanted, cheapest, need.saturating_sub(sum), false, spec.max);
+        let missing = self.need().max(1).saturating_sub(sum);
+        spread(wanted, &by_price(spec), missing, false, spec.max);
     }
 }
 
@@ -271,10 +271,9 @@
     let mut kept = wanted.clone();
     for (centre, found) in stock {
         let Some(target) = kept.get_mut(centre) else { continue };
-        for (found, target) in [
-            (found.fixed, &mut target.fixed),
-            (found.reclaimable, &mut target.reclaimable),
-        ] {
+        for (found, target) in
+            [(found.fixed, &mut target.fixed), (found.reclaimable, &mut target.reclaimable)]
+        {
             let cut = found.saturating_sub(*target);
             let allowed = cut.min(spare);
             spare -= allowed;
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -189,7 +189,9 @@
         let expired: Vec<UpstreamKey> = self
             .upstreams
             .iter()
-            .filter(|(_, listed)| matches!(listed.standing, Standing::Lapsed { until } if until <= now))
+            .filter(
+                |(_, listed)| matches!(listed.standing, Standing::Lapsed { until } if until <= now),
+            )
             .map(|(key, _)| key)
             .collect();
         for key in expired {
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -87,7 +87,8 @@
     let mean = usable.iter().map(|found| found.load()).sum::<f64>() / usable.len() as f64;
     let bound = mean * LOAD_RATIO + LOAD_EXCESS;
     let rank = |found: &Candidate| xxh3_64_with_seed(&found.identity.to_le_bytes(), subject);
-    let preferred = usable.iter().filter(|found| found.load() <= bound).max_by_key(|found| rank(found));
+    let preferred =
+        usable.iter().filter(|found| found.load() <= bound).max_by_key(|found| rank(found));
     Choice::Upstream(preferred.unwrap_or(least).key)
 }
 
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -177,7 +177,7 @@
         lost.retain(|peer| *peer != own && !live.contains(peer));
         live.retain(|peer| *peer != own);
         let mut targets = draw(&mut live, FAN_OUT, random);
-        if targets.is_empty() || self.round % LOST_ROUNDS == 0 {
+        if targets.is_empty() || self.round.is_multiple_of(LOST_ROUNDS) {
             targets.extend(draw(&mut lost, 1, random));
         }
         targets
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -1,9 +1,7 @@
 //! What teams have used, what services may get once more, and what began to run when.
 
 use crate::serving::{Serving, TeamSpec};
-use spindle_policy::sharing::{
-    Admitted, Hearing, RetryLimit, RetryShare, SharedQuota,
-};
+use spindle_policy::sharing::{Admitted, Hearing, RetryLimit, RetryShare, SharedQuota};
 use spindle_policy::windows::Windows;
 use spindle_types::{Incarnation, MonotonicInstant, Service, Team, UtcInstant};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -159,7 +159,12 @@
     }
 
     /// Whether a service has an upstream that may get work and has not been tried.
-    pub fn has_other(&self, now: MonotonicInstant, service: &Service, tried: &[UpstreamKey]) -> bool {
+    pub fn has_other(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        tried: &[UpstreamKey],
+    ) -> bool {
         let state = self.state();
         state.candidates(now, service, &self.own, tried).iter().any(|found| !found.tried)
     }
@@ -262,9 +267,10 @@
         own: &DataCentre,
         tried: &[UpstreamKey],
     ) -> Vec<Candidate> {
-        let usable = self.listing.iter().filter(|(_, listed)| {
-            listed.registration.service == *service && listed.usable(now)
-        });
+        let usable = self
+            .listing
+            .iter()
+            .filter(|(_, listed)| listed.registration.service == *service && listed.usable(now));
         let candidate = usable.filter_map(|(key, listed)| {
             let track = self.tracks.get(key)?;
             Some(Candidate {
@@ -311,7 +317,9 @@
         match changed {
             Changed::Unchanged => {}
             Changed::Opened => log::warn!("event=breaker_opened upstream={}", self.life.instance),
-            Changed::Recovered => log::info!("event=breaker_closed upstream={}", self.life.instance),
+            Changed::Recovered => {
+                log::info!("event=breaker_closed upstream={}", self.life.instance);
+            }
         }
     }
 
--- a/crates/relay/src/events/tests.rs
+++ b/crates/relay/src/events/tests.rs
@@ -28,7 +28,10 @@
     assert!(cutter.is_partial());
     assert_eq!(cutter.last(), Some("7"));
     cutter.drop_partial();
-    assert_eq!(cutter.push(Bytes::from_static(b"id: 8\ndata: b\n\n")).unwrap(), "id: 8\ndata: b\n\n");
+    assert_eq!(
+        cutter.push(Bytes::from_static(b"id: 8\ndata: b\n\n")).unwrap(),
+        "id: 8\ndata: b\n\n"
+    );
 }
 
 #[test]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod paced;
 pub mod pool;
 pub mod relay;
+mod send;
 pub mod serving;
 mod stream;
 mod trail;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,16 +2,15 @@
 
 use crate::accounts::Accounts;
 use crate::board::{Board, Ended, Placed};
-use crate::connection::SendError;
-use crate::dialect::{Dialect, Heading, Onward, Ran};
+use crate::dialect::{Dialect, Ran};
 use crate::inbound::{Inbound, Refusal, Work};
-use crate::pool::{Leased, PoolError};
-use crate::serving::{Repeat, Route, Serving, TeamSpec};
+use crate::pool::Leased;
+use crate::send::{Job, Sent};
+use crate::serving::{Route, Serving, TeamSpec};
 use crate::stream;
 use crate::trail::{Outcome, Trail};
 use bytes::Bytes;
-use http::{Request, Response, header, response};
-use http_body_util::Full;
+use http::{Response, header, response};
 use hyper::body::Incoming;
 use rand::RngExt;
 use spindle_http::{Body, ReadError, read_body};
@@ -19,7 +18,6 @@
 use spindle_policy::placing::Choice;
 use spindle_service::headers::remove_hop_by_hop;
 use spindle_types::{Clock, MonotonicInstant, Service, Team};
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
@@ -30,7 +28,7 @@
 const ANSWER_MAX_BYTES: usize = 4_194_304;
 
 /// The time without which a request is not sent any more: a round trip between data centres.
-const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
+pub(crate) const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
 /// Upstreams that could not be connected to before a request is given up.
 const UNREACHED_MAX: usize = 4;
@@ -42,12 +40,6 @@
 /// How far the returns of refused requests are spread, so that they don't come together.
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 
-/// How often the target of a safe request passes before it is also sent elsewhere.
-const SAFE_PATIENCE: u32 = 3;
-
-/// The shortest time before a request without an answer is sent elsewhere.
-const PATIENCE_MIN: Duration = Duration::from_millis(400);
-
 /// The lowest rank of a request at an engine.
 const RANK_MAX: u32 = 9;
 
@@ -97,7 +89,7 @@
 /// The sends of one request so far.
 #[derive(Debug, Default)]
 pub(crate) struct Sends {
-    tried: Vec<UpstreamKey>,
+    pub(crate) tried: Vec<UpstreamKey>,
     unreached: usize,
     /// Sends that reached an upstream.
     pub(crate) arrived: u32,
@@ -117,18 +109,6 @@
     pub(crate) placed: Placed,
 }
 
-/// How one send ended.
-enum Sent {
-    Answer(Box<Answer>),
-    Unreached,
-    Refused,
-    Elsewhere,
-    Lost,
-    /// It was silent for too long, and a retry has been taken for it.
-    Abandoned,
-    TimedOut,
-}
-
 impl<D: Dialect, K: Clock> Relay<D, K> {
     /// A relay.
     pub fn new(parts: RelayParts<D, K>) -> Self {
@@ -198,7 +178,8 @@
             return Err(Refusal::Leaving { after: RETURN_MIN });
         }
         let path = inbound.target.path();
-        let route = serving.route(&inbound.host, path).ok_or_else(|| self.deny(Refusal::NoRoute))?;
+        let route =
+            serving.route(&inbound.host, path).ok_or_else(|| self.deny(Refusal::NoRoute))?;
         let route = Arc::clone(route);
         trail.route.clone_from(&route.name);
         trail.kind = route.repeat.into();
@@ -302,8 +283,7 @@
             let placed = self.place(ticket, work, sends)?;
             sends.tried.push(placed.key);
             trail.upstream = placed.life.instance.to_string();
-            let sent = self.send_to(placed, ticket, work, sends, after).await;
-            match sent {
+            match self.send_to(placed, Job { ticket, work, after }, sends).await {
                 Sent::Answer(answer) => {
                     sends.may_have_run = true;
                     trail.sends = sends.arrived;
@@ -356,184 +336,16 @@
         let placed = self.0.board.place(now, &ticket.service, subject, &sends.tried);
         placed.map_err(|choice| {
             let after = return_after();
-            given_up(sends, match choice {
-                Choice::Overloaded => Refusal::Overloaded { after },
-                _ => Refusal::NoUpstream { after },
-            })
+            given_up(
+                sends,
+                match choice {
+                    Choice::Overloaded => Refusal::Overloaded { after },
+                    _ => Refusal::NoUpstream { after },
+                },
+            )
         })
     }
 
-    /// Sends a request to one upstream.
-    async fn send_to(
-        &self,
-        placed: Placed,
-        ticket: &Ticket,
-        work: &Work,
-        sends: &mut Sends,
-        after: Option<&str>,
-    ) -> Sent {
-        for _ in 0..2 {
-            let leased = match self.lease(&placed, ticket).await {
-                Ok(leased) => leased,
-                Err(PoolError::Full) => return Sent::Unreached,
-                Err(PoolError::Unreachable) => {
-                    placed.on_end(self.0.clock.now(), Ended::Unreachable);
-                    return Sent::Unreached;
-                }
-            };
-            // The process may have stood still since the choice.
-            let now = self.0.clock.now();
-            if !self.0.board.usable(now, placed.key) || ticket.end.since(now) <= TIME_LEFT_MIN {
-                return Sent::Unreached;
-            }
-            match self.exchange(leased, &placed, ticket, work, sends, after).await {
-                // A kept connection that its upstream has closed; a new one tells more.
-                Exchange::Unsent => {}
-                Exchange::Head(head, body, leased) => {
-                    return self.read_head(placed, work, sends, (head, body), leased);
-                }
-                Exchange::Lost => {
-                    placed.on_end(self.0.clock.now(), Ended::Failed);
-                    return Sent::Lost;
-                }
-                Exchange::Abandoned => {
-                    placed.on_end(self.0.clock.now(), Ended::Failed);
-                    return Sent::Abandoned;
-                }
-                Exchange::TimedOut => return Sent::TimedOut,
-            }
-        }
-        placed.on_end(self.0.clock.now(), Ended::Unreachable);
-        Sent::Unreached
-    }
-
-    async fn lease(&self, placed: &Placed, ticket: &Ticket) -> Result<Leased, PoolError> {
-        let spec = ticket.serving.services.get(&ticket.service);
-        let all = spec.map_or(u32::MAX, |spec| spec.connections);
-        let daemons = self.0.daemons.load(Ordering::Relaxed).max(1);
-        let share = (all / daemons).max(1);
-        let now = self.0.clock.now();
-        self.0.board.pool().lease(now, placed.key, placed.address, share).await
-    }
-
-    async fn exchange(
-        &self,
-        mut leased: Leased,
-        placed: &Placed,
-        ticket: &Ticket,
-        work: &Work,
-        sends: &mut Sends,
-        after: Option<&str>,
-    ) -> Exchange {
-        let now = self.0.clock.now();
-        let left = ticket.end.since(now);
-        let request = self.onward(placed, ticket, work, after, left);
-        let Some(connection) = leased.connection() else {
-            return Exchange::Unsent;
-        };
-        // Counted before the send: dropping this future does not tell how far it went.
-        sends.arrived += 1;
-        sends.counted += 1;
-        let before = sends.may_have_run;
-        sends.may_have_run = true;
-        let patience = patience(&ticket.route);
-        let answer = {
-            let mut sending = pin!(connection.send(request));
-            match tokio::time::timeout(patience.min(left), &mut sending).await {
-                Ok(answer) => answer,
-                Err(_) if patience < left && self.may_go_elsewhere(ticket, sends) => {
-                    return Exchange::Abandoned;
-                }
-                Err(_) => {
-                    let left = ticket.end.since(self.0.clock.now());
-                    match tokio::time::timeout(left, sending).await {
-                        Ok(answer) => answer,
-                        Err(_) => return Exchange::TimedOut,
-                    }
-                }
-            }
-        };
-        match answer {
-            Ok(response) => {
-                let (head, body) = response.into_parts();
-                sends.may_have_run = before;
-                Exchange::Head(head, body, leased)
-            }
-            Err(SendError::Unsent) => {
-                sends.arrived -= 1;
-                sends.counted -= 1;
-                sends.may_have_run = before;
-                Exchange::Unsent
-            }
-            Err(SendError::Lost(error)) => {
-                log::debug!("event=answer_lost id={} error={error:?}", work.inbound.id);
-                Exchange::Lost
-            }
-        }
-    }
-
-    /// Whether a silent upstream is to be left for another one; takes the retry for it.
-    pub(crate) fn may_go_elsewhere(&self, ticket: &Ticket, sends: &Sends) -> bool {
-        let now = self.0.clock.now();
-        ticket.route.repeat.again()
-            && self.0.board.has_other(now, &ticket.service, &sends.tried)
-            && self.may_repeat(ticket, sends)
-    }
-
-    fn onward(
-        &self,
-        placed: &Placed,
-        ticket: &Ticket,
-        work: &Work,
-        after: Option<&str>,
-        left: Duration,
-    ) -> Request<Full<Bytes>> {
-        let onward = Onward {
-            life: &placed.life,
-            team: ticket.team.as_ref(),
-            left,
-            after: after.or(work.inbound.after.as_deref()),
-            rank: ticket.rank,
-            repeat: ticket.route.repeat,
-        };
-        let mut request = Request::new(Full::new(work.body.clone()));
-        *request.method_mut() = work.inbound.method.clone();
-        *request.uri_mut() = work.inbound.target.clone();
-        *request.headers_mut() = self.0.dialect.onward(&work.inbound, &onward);
-        request
-    }
-
-    fn read_head(
-        &self,
-        placed: Placed,
-        work: &Work,
-        sends: &mut Sends,
-        (head, body): (response::Parts, Incoming),
-        leased: Leased,
-    ) -> Sent {
-        let now = self.0.clock.now();
-        match self.0.dialect.heading(&work.inbound, &head) {
-            Heading::Ran(ran) => {
-                placed.on_load(now, ran.load);
-                Sent::Answer(Box::new(Answer { head, body, ran, leased, placed }))
-            }
-            Heading::Refused { load } => {
-                placed.on_load(now, load);
-                placed.on_end(now, Ended::Refused);
-                Sent::Refused
-            }
-            Heading::Elsewhere => {
-                placed.on_elsewhere(now);
-                sends.counted -= 1;
-                Sent::Elsewhere
-            }
-            Heading::Foreign => {
-                placed.on_end(now, Ended::Failed);
-                Sent::Lost
-            }
-        }
-    }
-
     /// Reads a plain answer to its end; none if it broke off.
     async fn read_whole(
         &self,
@@ -576,15 +388,6 @@
     }
 }
 
-/// How an exchange on one connection ended.
-enum Exchange {
-    Unsent,
-    Head(response::Parts, Incoming, Leased),
-    Lost,
-    Abandoned,
-    TimedOut,
-}
-
 /// What came of the sends of a request.
 enum Run {
     Whole(Response<Body>),
@@ -597,15 +400,6 @@
     Stream(Box<Answer>, Box<Ticket>, Box<Work>, Box<Sends>),
 }
 
-/// How long an upstream may be silent before a request that may run again goes elsewhere.
-fn patience(route: &Route) -> Duration {
-    match route.repeat {
-        Repeat::Safe => (route.target * SAFE_PATIENCE).max(PATIENCE_MIN),
-        Repeat::Resumable => route.target.max(PATIENCE_MIN),
-        Repeat::Once | Repeat::StreamOnce => Duration::MAX,
-    }
-}
-
 /// The refusal to give where a request may have run before.
 fn given_up(sends: &Sends, refusal: Refusal) -> Refusal {
     match (sends.may_have_run, refusal) {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -182,8 +182,7 @@
         self.cutter.drop_partial();
         let after = self.cutter.last().map(str::to_owned);
         let (relay, ticket, work) = (self.relay.clone(), self.ticket.clone(), &self.work);
-        let sending =
-            relay.send(&ticket, work, &mut self.sends, &mut self.trail, after.as_deref());
+        let sending = relay.send(&ticket, work, &mut self.sends, &mut self.trail, after.as_deref());
         let result = tokio::select! {
             result = sending => result,
             () = self.sender.closed() => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -39,6 +39,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// The port on which metrics are served. The same as in `deploy/system.toml`.
 const METRICS_PORT: u16 = 9_464;
@@ -54,6 +55,29 @@
 /// The part of the time that a stop may take after which the process ends by itself.
 const STOP_SHARE: f64 = 0.95;
 
+/// The units of a daemon, wired and not yet running.
+struct Units {
+    clock: BootClock,
+    store: PlatformStore,
+    board: Board,
+    serving: watch::Receiver<Arc<Serving>>,
+    limits: watch::Receiver<Limits>,
+    follower: ConfigurationFollower<PlatformStore, BootClock>,
+    registrations: RegistrationFollower<PlatformStore, BootClock>,
+    statuses: Statuses,
+    relay: Relay<PlatformDialect, BootClock>,
+}
+
+/// The steps of a stop.
+struct Stop {
+    /// Callers are told to go elsewhere.
+    leaving: DrainTrigger,
+    /// Nothing new is taken.
+    closing: DrainTrigger,
+    /// The same, for connections that are open.
+    closed: Arc<AtomicBool>,
+}
+
 /// Runs a daemon until SIGTERM, which drains it.
 ///
 /// # Errors
@@ -62,7 +86,6 @@
 pub async fn run(settings: NodeSettings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
     let mut reload = signal(SignalKind::hangup()).wrap_err("SIGHUP")?;
-    let clock = BootClock;
     let incarnation = Incarnation(rand::random());
     log::info!(
         "event=starting incarnation={incarnation} instance={} data_centre={} caller={} peer={}",
@@ -71,29 +94,47 @@
         settings.caller,
         settings.peer,
     );
-    let (leaving, closing) = (DrainTrigger::new(), DrainTrigger::new());
+    let stop =
+        Stop { leaving: DrainTrigger::new(), closing: DrainTrigger::new(), closed: Arc::default() };
+    let units = wire(&settings, incarnation, &stop);
+    let peers = bind_server(settings.peer, None).await;
+    let peers = peers.wrap_err_with(|| format!("listen.control {}", settings.peer))?;
+    let service =
+        StatusService::new(units.statuses.clone(), units.follower.clone(), units.board.clone());
+    let rpc = peers.start(service.into_rpc())?;
+    start_reception(&settings, NodeReception::new(units.statuses.clone(), units.clock)).await?;
+    start_metrics(&settings, &stop).await;
+    let serving = start_callers(&settings, &units, &stop).await?;
+    tokio::spawn(units.follower.clone().run());
+    tokio::spawn(units.registrations.clone().run());
+    tokio::spawn(units.statuses.clone().run());
+    let actor = start_actor(&settings, incarnation, &units, &stop);
+    log::info!("event=started incarnation={incarnation}");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => log::info!("event=reloaded changed=none"),
+        }
+    }
+    log::info!("event=stopping incarnation={incarnation}");
+    let finished = finish(&settings, &units, stop, serving, actor).await;
+    // The server may have stopped by itself.
+    let _ = rpc.stop();
+    log::info!("event=stopped incarnation={incarnation} finished={finished}");
+    Ok(())
+}
+
+fn wire(settings: &NodeSettings, incarnation: Incarnation, stop: &Stop) -> Units {
+    let clock = BootClock;
     let store = PlatformStore::new(settings.store);
     let board = Board::new(settings.data_centre.clone(), Pool::default());
-    let accounts = Accounts::new(AccountRules {
-        retries: RetryLimit {
-            ratio: settings.bounds.retry_budget_ratio,
-            slack: settings.bounds.budget_slack,
-            window: settings.bounds.budget_window,
-        },
-        window: settings.bounds.usage_window,
-    });
+    let accounts = Accounts::new(account_rules(settings));
     let (serving_sender, serving) = watch::channel(Arc::new(Serving::default()));
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemons = Arc::new(AtomicU32::new(1));
-    let current = Arc::new(AtomicBool::new(false));
-    let closed = Arc::new(AtomicBool::new(false));
-
-    let follower = ConfigurationFollower::new(
-        store.clone(),
-        clock,
-        accounts.clone(),
-        (serving_sender, limits_sender),
-    );
+    let current: Arc<AtomicBool> = Arc::default();
+    let outlets = (serving_sender, limits_sender);
+    let follower = ConfigurationFollower::new(store.clone(), clock, accounts.clone(), outlets);
     let registrations =
         RegistrationFollower::new(store.clone(), clock, board.clone(), Arc::clone(&daemons));
     let statuses = Statuses::new(statuses::Parts {
@@ -107,7 +148,7 @@
         serving: serving.clone(),
         daemons: Arc::clone(&daemons),
         current: Arc::clone(&current),
-        leaving: leaving.signal(),
+        leaving: stop.leaving.signal(),
     });
     let relay = Relay::new(RelayParts {
         clock,
@@ -117,68 +158,84 @@
         serving: serving.clone(),
         current,
         daemons,
-        closed: Arc::clone(&closed),
+        closed: Arc::clone(&stop.closed),
     });
+    Units { clock, store, board, serving, limits, follower, registrations, statuses, relay }
+}
 
-    let peers = bind_server(settings.peer, None).await;
-    let peers = peers.wrap_err_with(|| format!("listen.control {}", settings.peer))?;
-    let service = StatusService::new(statuses.clone(), follower.clone(), board.clone());
-    let rpc = peers.start(service.into_rpc())?;
-    start_reception(&settings, NodeReception::new(statuses.clone(), clock)).await?;
-    let metrics = SocketAddr::new(settings.caller.ip(), METRICS_PORT);
-    if let Err(error) = metrics::start(metrics, closing.signal()).await {
-        log::warn!("event=metrics_failed address={metrics} error={error:?}");
+fn account_rules(settings: &NodeSettings) -> AccountRules {
+    let retries = RetryLimit {
+        ratio: settings.bounds.retry_budget_ratio,
+        slack: settings.bounds.budget_slack,
+        window: settings.bounds.budget_window,
+    };
+    AccountRules { retries, window: settings.bounds.usage_window }
+}
+
+async fn start_metrics(settings: &NodeSettings, stop: &Stop) {
+    let address = SocketAddr::new(settings.caller.ip(), METRICS_PORT);
+    // A daemon without metrics still serves.
+    if let Err(error) = metrics::start(address, stop.closing.signal()).await {
+        log::warn!("event=metrics_failed address={address} error={error:?}");
     }
-    let (listener, caller) = bind(settings.caller)
+}
+
+async fn start_callers(
+    settings: &NodeSettings,
+    units: &Units,
+    stop: &Stop,
+) -> eyre::Result<JoinHandle<()>> {
+    let (listener, _) = bind(settings.caller)
         .await
         .wrap_err_with(|| format!("listen.front {}", settings.caller))?;
     let most = (f64::from(settings.descriptors) * CALLER_DESCRIPTORS) as usize;
-    let ingress = Ingress::new(relay, clock, leaving.signal());
-    let serving_callers =
-        tokio::spawn(door::serve(listener, ingress, limits, most, closing.signal()));
-    tokio::spawn(follower.clone().run());
-    tokio::spawn(registrations.run());
-    tokio::spawn(statuses.clone().run());
-    let actor = settings.cloud.map(|address| {
-        let cloud = PlatformCloud::new(address, settings.instance.clone());
-        let parts = actor::Parts {
-            incarnation,
-            bounds: settings.bounds,
-            clock,
-            store: store.clone(),
-            cloud,
-            board: board.clone(),
-            serving: serving.clone(),
-            statuses: statuses.clone(),
-        };
-        tokio::spawn(Actor::new(parts, leaving.signal()).run())
-    });
-    log::info!("event=started incarnation={incarnation} caller={caller}");
+    let ingress = Ingress::new(units.relay.clone(), units.clock, stop.leaving.signal());
+    let closing = stop.closing.signal();
+    Ok(tokio::spawn(door::serve(listener, ingress, units.limits.clone(), most, closing)))
+}
 
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!("event=reloaded changed=none"),
-        }
-    }
-    let began = clock.now();
-    log::info!("event=stopping incarnation={incarnation}");
-    leaving.start();
-    statuses.announce().await;
+fn start_actor(
+    settings: &NodeSettings,
+    incarnation: Incarnation,
+    units: &Units,
+    stop: &Stop,
+) -> Option<JoinHandle<()>> {
+    let cloud = PlatformCloud::new(settings.cloud?, settings.instance.clone());
+    let parts = actor::Parts {
+        incarnation,
+        bounds: settings.bounds,
+        clock: units.clock,
+        store: units.store.clone(),
+        cloud,
+        board: units.board.clone(),
+        serving: units.serving.clone(),
+        statuses: units.statuses.clone(),
+    };
+    Some(tokio::spawn(Actor::new(parts, stop.leaving.signal()).run()))
+}
+
+/// Stops as planned; whether every request was finished.
+async fn finish(
+    settings: &NodeSettings,
+    units: &Units,
+    stop: Stop,
+    serving: JoinHandle<()>,
+    actor: Option<JoinHandle<()>>,
+) -> bool {
+    let began = units.clock.now();
+    stop.leaving.start();
+    units.statuses.announce().await;
     if let Some(actor) = actor {
         // An error means that the task has panicked, which the runtime logs.
         let _ = actor.await;
     }
     let grace = settings.bounds.grace;
-    tokio::time::sleep(grace.mul_f64(LEARN_SHARE)).await;
-    closed.store(true, Ordering::Relaxed);
-    closing.start();
-    let left = grace.mul_f64(STOP_SHARE).saturating_sub(clock.now().since(began));
-    let finished = tokio::time::timeout(left, serving_callers).await.is_ok();
-    // The server may have stopped by itself.
-    let _ = rpc.stop();
-    log::info!("event=stopped incarnation={incarnation} finished={finished}");
-    Ok(())
+    let learnt = grace.mul_f64(LEARN_SHARE).saturating_sub(units.clock.now().since(began));
+    tokio::time::sleep(learnt).await;
+    stop.closed.store(true, Ordering::Relaxed);
+    stop.closing.start();
+    let left = grace.mul_f64(STOP_SHARE).saturating_sub(units.clock.now().since(began));
+    tokio::time::timeout(left, serving).await.is_ok()
 }
 
 async fn start_reception(settings: &NodeSettings, reception: NodeReception) -> eyre::Result<()> {
--- a/src/node/actor.rs
+++ b/src/node/actor.rs
@@ -12,15 +12,13 @@
     Grant, LeaseAction, LeaseFold, LeaseRecord, LeaseStep, Permission, Permitted,
 };
 use spindle_policy::windows::due;
+use spindle_relay::Board;
 use spindle_relay::outside::{
     Appended, Cloud, CloudError, Records, ScaleOrder, Store, StoreError, Topic,
 };
 use spindle_relay::serving::{ScaleSpec, Serving};
-use spindle_relay::Board;
 use spindle_types::config::FencingCheck;
-use spindle_types::{
-    Clock, Fencing, Incarnation, MonotonicInstant, Offset, Service, Span, Team,
-};
+use spindle_types::{Clock, Fencing, Incarnation, MonotonicInstant, Offset, Service, Span, Team};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -238,8 +236,7 @@
 
     async fn read_lease(&mut self) -> Result<(), StoreError> {
         let from = self.fold.next().0 - 1;
-        let Records { oldest, end, records } =
-            self.parts.store.records(Topic::Lease, from).await?;
+        let Records { oldest, end, records } = self.parts.store.records(Topic::Lease, from).await?;
         let now = self.parts.clock.now();
         self.fold.on_bounds(now, Offset(oldest + 1), Offset(end + 1));
         for (offset, content) in records {
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -211,9 +211,9 @@
     /// Passes on what follows from the statuses.
     fn derive(&self, now: MonotonicInstant, state: &mut State) {
         let parts = &*self.parts;
-        let heard = 1 + count(state.presence.live(now).filter(|heard| {
-            heard.status.phase != Phase::Leaving
-        }));
+        let heard = 1 + count(
+            state.presence.live(now).filter(|heard| heard.status.phase != Phase::Leaving),
+        );
         let known = 1 + count(state.presence.possible(now));
         parts.accounts.on_hearing(Hearing { heard, known: known.max(heard) });
         let before = parts.daemons.swap(heard, Ordering::Relaxed);
@@ -231,9 +231,10 @@
             told.map(|told| Duration::from_millis(told).saturating_add(since))
         };
         let own = (state.own.config, age(state.own.age, Duration::ZERO));
-        let others = state.presence.live(now).map(|heard| {
-            (heard.status.config, age(heard.status.age, now.since(heard.at)))
-        });
+        let others = state
+            .presence
+            .live(now)
+            .map(|heard| (heard.status.config, age(heard.status.age, now.since(heard.at))));
         let all: Vec<_> = others.chain([own]).collect();
         let newest = all.iter().map(|(config, _)| *config).max().unwrap_or(own.0);
         let fresh = all.into_iter().filter_map(|(_, age)| age).min();
@@ -311,14 +312,15 @@
         let (behind, silent) = {
             let mut state = self.state();
             let own = state.own.config;
-            let newer = state.presence.iter().any(|heard| {
-                heard.status.peer == peer && heard.status.config > own
-            });
+            let newer = state
+                .presence
+                .iter()
+                .any(|heard| heard.status.peer == peer && heard.status.config > own);
             let behind = newer && !state.fetching;
             state.fetching |= behind;
             let contact = self.parts.registrations.contact();
             let silent = contact.is_none_or(|at| now.since(at) > STORE_SILENCE);
-            (behind, silent && state.own.beat % ASK_BEATS == 0)
+            (behind, silent && state.own.beat.is_multiple_of(ASK_BEATS))
         };
         if behind {
             self.fetch_document(peer).await;
