fix(configuration): a read that has fallen silent is given up when the store is back

Ruled out: peers (all of them waited alike). Change: no waiting reads while the store is lost, and the reader of registrations tells of what it sees.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -2,27 +2,34 @@
 //!
 //! Load: requests that rise and fall within tens of seconds, while whole data centres lose their
 //! reclaimable instances with seconds of notice and new ones are refused everywhere for a while.
-//! Reclaimable instances cost about a fifth, so they carry the load and the reserve; the others are
-//! kept for the moments without any, in the data centres where they are cheapest.
+//! Reclaimable instances cost about a fifth, so they carry the load and the reserve, spread evenly;
+//! the others are kept where they are cheapest, and more of them come while the reclaimable ones
+//! are refused. The load is what arrives, not what is in flight: that grows by itself when too few
+//! engines are there.
 
-use spindle_types::{DataCentre, MonotonicInstant};
+use spindle_types::{DataCentre, Incarnation, MonotonicInstant};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Requests at an engine up to which its streams keep their pace while prompts are read beside
-/// them: their events come every few dozen milliseconds then, far within the users' 400 ms.
-const COMFORT: f64 = 14.0;
+/// Prompt tokens a second that an engine gets. Both sites' engines read 64,200 a second; at half of
+/// that, prompts wait little and the streams beside them keep their pace.
+const TOKENS_PER_ENGINE: f64 = 32_000.0;
+
+/// The time over which arrivals are averaged: a few dozen requests of very different sizes.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+
+/// The time of arrivals without which a rate is not known.
+const RATE_WINDOW_MIN: Duration = Duration::from_secs(2);
 
 /// The time for which a peak of the load counts. A wave of the users' load lasts 40 s; going down
-/// and up again within one costs more in late answers than it saves.
-const PEAK_MEMORY: Duration = Duration::from_secs(12);
+/// and up again within a part of one costs more in late answers than it saves.
+const PEAK_MEMORY: Duration = Duration::from_secs(8);
 
 /// The part of the engines needed that must not be reclaimable.
-const FIXED_SHARE: f64 = 0.4;
+const FIXED_SHARE: f64 = 0.25;
 
-/// Reclaimable engines beyond need, as a part of it: what the loss of one of four data centres
-/// takes.
-const RESERVE: f64 = 0.34;
+/// The part of the engines found that is kept before the first request tells the load.
+const START_SHARE: f64 = 0.4;
 
 /// The time after a refusal before instances of a kind are asked for in a data centre again.
 const REFUSED_FOR: Duration = Duration::from_secs(3);
@@ -78,6 +85,43 @@
 
 type Slot = (DataCentre, bool);
 
+/// The prompt tokens that arrive at a service, over all daemons.
+#[derive(Debug, Default)]
+pub struct Arrivals {
+    seen: BTreeMap<Incarnation, u64>,
+    total: u64,
+    samples: VecDeque<(MonotonicInstant, u64)>,
+}
+
+impl Arrivals {
+    /// Takes in all that has arrived at each daemon in its life.
+    pub fn on_totals(
+        &mut self,
+        now: MonotonicInstant,
+        totals: impl Iterator<Item = (Incarnation, u64)>,
+    ) {
+        for (daemon, arrived) in totals {
+            // What came before a daemon was heard of first has no time.
+            let before = self.seen.insert(daemon, arrived).unwrap_or(arrived);
+            self.total += arrived.saturating_sub(before);
+        }
+        self.samples.push_back((now, self.total));
+        while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= RATE_WINDOW) {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Tokens a second; none while nothing has arrived or too little time has been seen.
+    pub fn rate(&self) -> Option<f64> {
+        let ((first, before), (last, total)) = (self.samples.front()?, self.samples.back()?);
+        let span = last.since(*first);
+        if self.total == 0 || span < RATE_WINDOW_MIN {
+            return None;
+        }
+        Some((total - before) as f64 / span.as_secs_f64())
+    }
+}
+
 /// The instances of one service as the acting daemon manages them.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -87,15 +131,15 @@
 }
 
 impl Fleet {
-    /// Records how many requests are at the service.
-    pub fn on_requests(&mut self, now: MonotonicInstant, requests: f64) {
+    /// Records the rate at which prompt tokens arrive.
+    pub fn on_rate(&mut self, now: MonotonicInstant, rate: f64) {
         while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_MEMORY) {
             self.peaks.pop_front();
         }
-        while self.peaks.back().is_some_and(|(_, lower)| *lower <= requests) {
+        while self.peaks.back().is_some_and(|(_, lower)| *lower <= rate) {
             self.peaks.pop_back();
         }
-        self.peaks.push_back((now, requests));
+        self.peaks.push_back((now, rate));
     }
 
     /// Records that an order has been accepted.
@@ -109,10 +153,13 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The engines that the load needs.
-    pub fn need(&self) -> u32 {
-        let peak = self.peaks.front().map_or(0.0, |(_, requests)| *requests);
-        (peak / COMFORT).ceil() as u32
+    /// The engines that the load needs; a part of those `present` before it is known.
+    pub fn need(&self, present: u32) -> u32 {
+        let need = match self.peaks.front() {
+            Some((_, rate)) => (rate / TOKENS_PER_ENGINE).ceil() as u32,
+            None => share_of(present, START_SHARE),
+        };
+        need.max(1)
     }
 
     /// The orders to give now.
@@ -122,8 +169,9 @@
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, Stock>,
     ) -> Vec<Order> {
-        let wanted = self.wanted(now, spec, stock);
-        let kept = keep_needed(&wanted, stock, self.need());
+        let need = self.need(stock.values().map(Stock::total).sum());
+        let wanted = self.wanted(now, spec, stock, need);
+        let kept = keep_needed(&wanted, stock, need);
         let mut orders = Vec::new();
         for (data_centre, wanted) in &kept {
             let present = stock.get(data_centre).copied().unwrap_or_default();
@@ -168,44 +216,44 @@
         now: MonotonicInstant,
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, Stock>,
+        need: u32,
     ) -> BTreeMap<DataCentre, Stock> {
-        let need = self.need().max(1);
         let cheapest = by_price(spec);
         let mut wanted: BTreeMap<DataCentre, Stock> =
             cheapest.iter().map(|centre| (centre.clone(), Stock::default())).collect();
         let fixed = if spec.reclaimable { share_of(need, FIXED_SHARE) } else { need };
-        spread(&mut wanted, &cheapest, fixed.max(1), false, spec.max);
+        spread(&mut wanted, &cheapest, fixed, spec.max);
         if spec.reclaimable {
-            let reserve = share_of(need, RESERVE);
-            let count = (need + reserve).saturating_sub(fixed);
-            spread_reclaimable(&mut wanted, &cheapest, count, spec);
+            // The others must suffice when one data centre loses all of its own.
+            let others = u32::try_from(cheapest.len().saturating_sub(1)).unwrap_or(u32::MAX);
+            let each = need.saturating_sub(fixed).div_ceil(others.max(1));
+            for stock in wanted.values_mut() {
+                stock.reclaimable = each.min(spec.max - stock.fixed);
+            }
         }
         for stock in wanted.values_mut().filter(|stock| stock.total() < spec.min) {
             let missing = spec.min - stock.total();
             *(if spec.reclaimable { &mut stock.reclaimable } else { &mut stock.fixed }) += missing;
         }
-        self.replace_refused(now, spec, stock, &mut wanted);
+        let missing = need.saturating_sub(self.to_be_had(now, stock, &wanted));
+        spread(&mut wanted, &cheapest, missing, spec.max);
         wanted
     }
 
-    /// Asks for instances that can't be reclaimed in place of reclaimable ones that are refused, as
-    /// far as the load needs them.
-    fn replace_refused(
+    /// The wanted instances that are there or may come: reclaimable ones that are refused won't.
+    fn to_be_had(
         &self,
         now: MonotonicInstant,
-        spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, Stock>,
-        wanted: &mut BTreeMap<DataCentre, Stock>,
-    ) {
-        let to_be_had = |centre: &DataCentre, wanted: &Stock| {
+        wanted: &BTreeMap<DataCentre, Stock>,
+    ) -> u32 {
+        let one = |(centre, wanted): (&DataCentre, &Stock)| {
             let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
             let refused = self.is_refused(now, &(centre.clone(), true));
-            wanted.fixed
-                + if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
+            let reclaimable = if refused { present } else { wanted.reclaimable };
+            wanted.fixed + reclaimable.min(wanted.reclaimable)
         };
-        let sum: u32 = wanted.iter().map(|(centre, wanted)| to_be_had(centre, wanted)).sum();
-        let missing = self.need().max(1).saturating_sub(sum);
-        spread(wanted, &by_price(spec), missing, false, spec.max);
+        wanted.iter().map(one).sum()
     }
 }
 
@@ -220,46 +268,28 @@
     centres.into_iter().map(|(centre, _)| centre.clone()).collect()
 }
 
-/// Adds instances of a kind, one in each data centre in turn.
+/// Adds instances that can't be reclaimed, one in each data centre in turn.
 fn spread(
     wanted: &mut BTreeMap<DataCentre, Stock>,
     order: &[DataCentre],
     mut count: u32,
-    reclaimable: bool,
     max: u32,
 ) {
     while count > 0 {
-        let mut added = false;
+        let before = count;
         for centre in order {
-            let Some(stock) = wanted.get_mut(centre).filter(|stock| stock.total() < max) else {
-                continue;
-            };
-            if count == 0 {
-                return;
+            let room = wanted.get_mut(centre).filter(|stock| stock.total() < max);
+            if let Some(stock) = room.filter(|_| count > 0) {
+                stock.fixed += 1;
+                count -= 1;
             }
-            *(if reclaimable { &mut stock.reclaimable } else { &mut stock.fixed }) += 1;
-            count -= 1;
-            added = true;
         }
-        if !added {
+        if count == before {
             return;
         }
     }
 }
 
-/// Adds reclaimable instances where fewest of them stand, so that one data centre takes few along.
-fn spread_reclaimable(
-    wanted: &mut BTreeMap<DataCentre, Stock>,
-    order: &[DataCentre],
-    count: u32,
-    spec: &FleetSpec,
-) {
-    // Data centres without others come first, in the order of their prices.
-    let mut order = order.to_vec();
-    order.sort_by_key(|centre| wanted[centre].fixed);
-    spread(wanted, &order, count, true, spec.max);
-}
-
 /// Keeps instances that the load needs until those that replace them are there.
 fn keep_needed(
     wanted: &BTreeMap<DataCentre, Stock>,
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -1,30 +1,72 @@
 //! The choice of an upstream for one request.
 //!
 //! Load: streams whose prompts share long parts, on engines that keep the parts which they have
-//! read. Reading a part again costs the engine far more than a request that waits a little, so
-//! requests about one subject go to one engine as long as that one is not much busier than the
-//! mean. All daemons rank the engines of a subject alike (rendezvous hashing), without talking.
+//! read and read prompts one after the other, between the tokens of the streams that run. So what
+//! a request waits for is the prompts ahead of it, not the streams; and reading a part again costs
+//! the engine far more than a request that waits a little. Requests about one subject go to one
+//! engine as long as the queue there is not much longer than elsewhere. All daemons rank the
+//! engines of a subject alike (rendezvous hashing), without talking.
+//!
+//! Plain calls go where the fewest are, by how fast each upstream has answered lately.
 
 use crate::breaker::Gate;
 use crate::listing::UpstreamKey;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// How far, as a share of an upstream's slots, its load may lie over the mean before a request
-/// goes to the next in its subject's ranking. Half of the room that bounded-load hashing usually
-/// leaves at two upstreams a subject.
-const LOAD_EXCESS: f64 = 0.08;
+/// Prompt tokens that an engine reads in a millisecond. From the users' pages, for both sites.
+const READ_TOKENS_PER_MS: f64 = 64.2;
+
+/// What a prompt costs beyond that, in milliseconds for each million pairs of its tokens. From the
+/// site files.
+const READ_MS_PER_MEGAPAIR: f64 = 0.647;
+
+/// How much more a shared part that is read again counts than its time: it delays others, and it is
+/// paid for.
+const READ_AGAIN_WEIGHT: f64 = 3.0;
+
+/// What a request beyond an upstream's slots waits for each one ahead of it, in milliseconds. A
+/// stream takes one to two seconds, and dozens run at once.
+const SLOT_WAIT_MS: f64 = 30.0;
+
+/// What each stream that runs adds to the time of the others, in milliseconds.
+const STREAM_COST_MS: f64 = 0.5;
 
-/// How far, as a ratio of the mean, an upstream's load may lie over it.
-const LOAD_RATIO: f64 = 1.25;
+/// The time of a plain call where nothing is known yet, in milliseconds.
+const CALL_MS: f64 = 30.0;
 
-/// How much an upstream in the daemon's own data centre is preferred, as a share of its slots:
-/// about one request in flight at 32 slots.
-const NEAR_BONUS: f64 = 0.03;
+/// How much an upstream in another data centre is further away, in milliseconds both ways.
+const FAR_MS: f64 = 2.0;
 
 /// Requests at an upstream over its slots above which it is taken to be overloaded. From the
 /// engines' queue, which is about twice their slots: half of it.
 const OVERLOAD_RATIO: f64 = 2.0;
 
+/// What is known of a request's prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prompt {
+    /// All its tokens.
+    pub tokens: u32,
+    /// Those that it shares with others.
+    pub shared: u32,
+    /// The last part that it shares with others.
+    pub subject: Option<u64>,
+}
+
+impl Prompt {
+    /// The time that an engine needs to read it, in milliseconds, if it keeps the shared parts or
+    /// not.
+    pub fn read_ms(&self, kept: bool) -> f64 {
+        let new = f64::from(self.tokens - if kept { self.shared.min(self.tokens) } else { 0 });
+        let pairs = new * f64::from(self.tokens) / 2.0;
+        new / READ_TOKENS_PER_MS + pairs / 1e6 * READ_MS_PER_MEGAPAIR
+    }
+
+    fn read_again_ms(&self) -> f64 {
+        f64::from(self.shared) / READ_TOKENS_PER_MS * (READ_AGAIN_WEIGHT - 1.0)
+    }
+}
+
 /// An upstream that may be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -34,12 +76,18 @@
     pub identity: u64,
     /// Requests believed to be there, running or waiting.
     pub requests: u32,
+    /// The reading of prompts believed to wait there, in milliseconds.
+    pub queued: f64,
+    /// How much slower than estimated its answers have begun lately; 1 is as estimated.
+    pub pace: f64,
     /// Requests that it works on at once.
     pub slots: u32,
     /// What its breaker lets through.
     pub gate: Gate,
     /// Whether it is in the daemon's own data centre.
     pub near: bool,
+    /// Whether this daemon has sent the subject there lately.
+    pub knows: bool,
     /// Whether the request has been there before.
     pub tried: bool,
 }
@@ -49,47 +97,66 @@
         f64::from(self.requests) / f64::from(self.slots.max(1))
     }
 
-    fn cost(&self) -> f64 {
-        self.load() - if self.near { NEAR_BONUS } else { 0.0 }
+    /// The time until a request would have its first byte, in milliseconds.
+    pub fn wait_ms(&self, prompt: Option<&Prompt>, kept: bool) -> f64 {
+        let over = f64::from(self.requests.saturating_sub(self.slots)) * SLOT_WAIT_MS;
+        let far = if self.near { 0.0 } else { FAR_MS };
+        let work = match prompt {
+            Some(prompt) => {
+                let streams = f64::from(self.requests) * STREAM_COST_MS;
+                self.queued + prompt.read_ms(kept) + streams
+            }
+            None => CALL_MS * (1.0 + self.load()),
+        };
+        work * self.pace + over + far
+    }
+
+    fn cost(&self, prompt: Option<&Prompt>, kept: bool) -> f64 {
+        let again = prompt.filter(|_| !kept).map_or(0.0, Prompt::read_again_ms);
+        self.wait_ms(prompt, kept) + again
     }
 }
 
 /// What was chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Choice {
-    /// The request goes there.
-    Upstream(UpstreamKey),
-    /// Every upstream has more than it can serve in time.
-    Overloaded,
+    /// The request goes there, and its prompt takes the milliseconds to be read.
+    Upstream(UpstreamKey, f64),
+    /// It could not be served in time anywhere; there is room after the delay.
+    Overloaded(Duration),
     /// There is no upstream, or each has been tried.
     None,
 }
 
-/// Chooses an upstream; `subject` is the part of the prompt that the request shares with others.
-pub fn choose(candidates: &[Candidate], subject: Option<u64>) -> Choice {
+/// Chooses an upstream for a request that can wait for `patience`; plain calls have no prompt.
+pub fn choose(candidates: &[Candidate], prompt: Option<&Prompt>, patience: Duration) -> Choice {
     let fresh: Vec<&Candidate> = candidates.iter().filter(|found| !found.tried).collect();
     if let Some(probe) = fresh.iter().find(|found| found.gate == Gate::Probe) {
-        return Choice::Upstream(probe.key);
+        return Choice::Upstream(probe.key, prompt.map_or(0.0, |prompt| prompt.read_ms(false)));
     }
     let closed: Vec<&Candidate> =
         fresh.iter().copied().filter(|found| found.gate == Gate::Closed).collect();
     // Breakers that are all open say more of the load than of the upstreams.
     let usable = if closed.is_empty() { fresh } else { closed };
-    let Some(least) = usable.iter().min_by(|a, b| a.cost().total_cmp(&b.cost())) else {
+    let subject = prompt.and_then(|prompt| prompt.subject);
+    let home = subject.and_then(|subject| home(&usable, subject));
+    let keeps = |found: &Candidate| found.knows || home == Some(found.key);
+    let cost = |found: &Candidate| found.cost(prompt, keeps(found));
+    let best = usable.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    let Some(best) = best else {
         return Choice::None;
     };
-    if least.load() >= OVERLOAD_RATIO {
-        return Choice::Overloaded;
+    let wait = Duration::from_secs_f64(best.wait_ms(prompt, keeps(best)) / 1e3);
+    if best.load() >= OVERLOAD_RATIO || wait > patience {
+        return Choice::Overloaded(wait.saturating_sub(patience));
     }
-    let Some(subject) = subject else {
-        return Choice::Upstream(least.key);
-    };
-    let mean = usable.iter().map(|found| found.load()).sum::<f64>() / usable.len() as f64;
-    let bound = mean * LOAD_RATIO + LOAD_EXCESS;
-    let rank = |found: &Candidate| xxh3_64_with_seed(&found.identity.to_le_bytes(), subject);
-    let preferred =
-        usable.iter().filter(|found| found.load() <= bound).max_by_key(|found| rank(found));
-    Choice::Upstream(preferred.unwrap_or(least).key)
+    Choice::Upstream(best.key, prompt.map_or(0.0, |prompt| prompt.read_ms(keeps(best))))
+}
+
+/// The upstream where a subject's requests meet.
+fn home(usable: &[&Candidate], subject: u64) -> Option<UpstreamKey> {
+    let rank = |found: &&&Candidate| xxh3_64_with_seed(&found.identity.to_le_bytes(), subject);
+    usable.iter().max_by_key(rank).map(|found| found.key)
 }
 
 #[cfg(test)]
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -9,7 +9,7 @@
 use crate::windows::Windows;
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
-use spindle_types::{DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Team};
+use spindle_types::{DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -70,10 +70,11 @@
     pub age: Option<u64>,
     /// The fencing number under which it acts, if it does.
     pub acting: Option<Fencing>,
-    /// Requests that it has in flight at each upstream.
-    pub running: BTreeMap<Instance, u32>,
-    /// Requests for each service that it has begun since its start.
-    pub begun: BTreeMap<String, u64>,
+    /// What it has in flight at each upstream: requests, and the milliseconds that the prompts
+    /// which have not been read take.
+    pub running: BTreeMap<Instance, (u32, u32)>,
+    /// Prompt tokens that have arrived there for each service since its start.
+    pub arrived: BTreeMap<Service, u64>,
     /// What teams have been charged in its life.
     pub charged: BTreeMap<Team, f64>,
     /// Requests that began to run.
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -19,7 +19,7 @@
         age: None,
         acting: None,
         running: BTreeMap::new(),
-        begun: BTreeMap::new(),
+        arrived: BTreeMap::new(),
         charged: BTreeMap::new(),
         windows: Windows::default(),
         leaving: Vec::new(),
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -3,16 +3,19 @@
 //! Load: a team that sends many times its quota through all daemons at once, while others stay
 //! within theirs. Each daemon charges its own requests at once and those of the others when it
 //! hears of them, so what is let in too much is bounded by how late the news are, and is paid back.
-//! A daemon that does not hear some of the others admits only its share of what is refilled.
+//! A daemon that does not hear some of the others admits only its share of what is refilled. What
+//! a team asks within the tolerance is owed to it, so that is used up to a margin.
 
 use serde::{Deserialize, Serialize};
 use spindle_types::{Incarnation, MonotonicInstant};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// How much faster than its rate a quota is refilled, so that late news refuse nobody who is within
-/// it. A third of the overage that the users' rules allow.
-const REFILL_MARGIN: f64 = 1.03;
+/// The part of what a window may hold that is kept for news under way.
+const WINDOW_MARGIN: f64 = 0.05;
+
+/// The part of the slack that a team may use at once, beyond its burst.
+const SLACK_SHARE: f64 = 0.3;
 
 /// The part of a burst that is there when a daemon starts: others may have spent the rest.
 const START_SHARE: f64 = 0.5;
@@ -32,6 +35,32 @@
     pub burst: f64,
 }
 
+/// How far the uses of a team may go beyond its quota, in a window of seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaTolerance {
+    /// As a share of the quota.
+    pub overage: f64,
+    /// In units.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+impl QuotaTolerance {
+    /// The most that a team may use at once.
+    fn capacity(&self, spec: &QuotaSpec) -> f64 {
+        spec.burst + self.slack * SLACK_SHARE
+    }
+
+    /// The rate that, with the capacity at once, just fills a window.
+    fn rate(&self, spec: &QuotaSpec) -> f64 {
+        let secs = self.window.as_secs_f64();
+        let whole = (spec.rate * secs + spec.burst) * (1.0 + self.overage) + self.slack;
+        let steady = (whole * (1.0 - WINDOW_MARGIN) - self.capacity(spec)) / secs;
+        steady.max(spec.rate)
+    }
+}
+
 /// How many of the other daemons are heard.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Hearing {
@@ -60,6 +89,7 @@
 #[derive(Clone, Debug)]
 pub struct SharedQuota {
     spec: QuotaSpec,
+    tolerance: QuotaTolerance,
     level: f64,
     filled: MonotonicInstant,
     own: f64,
@@ -68,25 +98,26 @@
 
 impl SharedQuota {
     /// A quota of which nothing is known yet.
-    pub fn new(now: MonotonicInstant, spec: QuotaSpec) -> Self {
+    pub fn new(now: MonotonicInstant, spec: QuotaSpec, tolerance: QuotaTolerance) -> Self {
         let level = spec.burst * START_SHARE;
-        Self { spec, level, filled: now, own: 0.0, others: HashMap::new() }
+        Self { spec, tolerance, level, filled: now, own: 0.0, others: HashMap::new() }
     }
 
     /// Takes over a changed specification; what is used stays used.
     pub fn set(&mut self, spec: QuotaSpec) {
         self.spec = spec;
-        self.level = self.level.min(spec.burst);
+        self.level = self.level.min(self.tolerance.capacity(&spec));
     }
 
     /// Asks for a request of `cost` units, and charges it if it fits.
     pub fn admit(&mut self, now: MonotonicInstant, cost: f64, hearing: Hearing) -> Admitted {
-        let rate = self.spec.rate * REFILL_MARGIN * hearing.share();
+        let capacity = self.tolerance.capacity(&self.spec);
+        let rate = self.tolerance.rate(&self.spec) * hearing.share();
         let refill = rate * now.since(self.filled).as_secs_f64();
-        self.level = (self.level + refill).min(self.spec.burst);
+        self.level = (self.level + refill).min(capacity);
         self.filled = self.filled.max(now);
-        // A request larger than the burst passes when the burst is full, and is paid off later.
-        let needed = cost.min(self.spec.burst);
+        // A request larger than what fits passes when nothing else is in use, and is paid off later.
+        let needed = cost.min(capacity);
         if self.level < needed {
             let secs = (needed - self.level) / rate.max(f64::MIN_POSITIVE);
             let wait = Duration::try_from_secs_f64(secs).unwrap_or(RETURN_MAX);
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -1,7 +1,9 @@
 //! What teams have used, what services may get once more, and what began to run when.
 
 use crate::serving::{Serving, TeamSpec};
-use spindle_policy::sharing::{Admitted, Hearing, RetryLimit, RetryShare, SharedQuota};
+use spindle_policy::sharing::{
+    Admitted, Hearing, QuotaTolerance, RetryLimit, RetryShare, SharedQuota,
+};
 use spindle_policy::windows::Windows;
 use spindle_types::{Incarnation, MonotonicInstant, Service, Team, UtcInstant};
 use std::collections::{BTreeMap, HashMap};
@@ -13,6 +15,8 @@
 pub struct AccountRules {
     /// How often a service may get requests once more.
     pub retries: RetryLimit,
+    /// How far teams may go beyond their quotas.
+    pub tolerance: QuotaTolerance,
     /// The length of a window of usage.
     pub window: Duration,
 }
@@ -22,7 +26,7 @@
     hearing: Hearing,
     quotas: HashMap<Team, SharedQuota>,
     retries: HashMap<Service, RetryShare>,
-    begun: BTreeMap<String, u64>,
+    arrived: BTreeMap<Service, u64>,
     windows: Windows,
 }
 
@@ -40,7 +44,7 @@
             hearing: Hearing { heard: 1, known: 1 },
             quotas: HashMap::new(),
             retries: HashMap::new(),
-            begun: BTreeMap::new(),
+            arrived: BTreeMap::new(),
             windows: Windows::default(),
         };
         Self { rules, state: Arc::new(Mutex::new(state)) }
@@ -91,9 +95,12 @@
             None => spec.plain,
         };
         let mut state = self.state();
-        let hearing = state.hearing;
+        let (hearing, tolerance) = (state.hearing, self.rules.tolerance);
         let known = state.quotas.entry(spec.team.clone());
-        match known.or_insert_with(|| SharedQuota::new(now, quota)).admit(now, cost, hearing) {
+        match known
+            .or_insert_with(|| SharedQuota::new(now, quota, tolerance))
+            .admit(now, cost, hearing)
+        {
             Admitted::Yes => Ok(cost),
             Admitted::After(after) => Err(after),
         }
@@ -106,16 +113,14 @@
         }
     }
 
-    /// Records a request for a service.
-    pub fn on_request(&self, now: MonotonicInstant, service: &Service) {
+    /// Records a request for a service, with its prompt tokens.
+    pub fn on_request(&self, now: MonotonicInstant, service: &Service, prompt: u32) {
         let mut state = self.state();
         let limit = self.rules.retries;
         state.retries.entry(service.clone()).or_default().on_request(now, &limit);
-        match state.begun.get_mut(service.as_str()) {
-            Some(count) => *count += 1,
-            None => {
-                state.begun.insert(service.to_string(), 1);
-            }
+        match state.arrived.get_mut(service) {
+            Some(tokens) => *tokens += u64::from(prompt),
+            None => drop(state.arrived.insert(service.clone(), u64::from(prompt))),
         }
     }
 
@@ -143,9 +148,9 @@
         state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own())).collect()
     }
 
-    /// The requests for each service since the start.
-    pub fn begun(&self) -> BTreeMap<String, u64> {
-        self.state().begun.clone()
+    /// The prompt tokens that have arrived for each service since the start.
+    pub fn arrived(&self) -> BTreeMap<Service, u64> {
+        self.state().arrived.clone()
     }
 
     /// Forgets daemons that the predicate does not keep.
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -6,9 +6,9 @@
 use spindle_policy::breaker::{Breaker, Changed, Severity};
 use spindle_policy::fleet::Stock;
 use spindle_policy::listing::{Change, Life, Listing, Registration, Standing, UpstreamKey};
-use spindle_policy::placing::{Candidate, Choice, choose};
+use spindle_policy::placing::{Candidate, Choice, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -18,14 +18,36 @@
 /// come and go within a few of these.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(250);
 
+/// The time for which an engine is taken to keep a subject that this daemon has sent there: that
+/// within which reading it again is paid for.
+const SUBJECT_LIFE: Duration = Duration::from_secs(10);
+
+/// The subjects that are remembered of one upstream.
+const SUBJECTS_MAX: usize = 256;
+
+/// How much of an upstream's pace each answer decides.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// How far the pace of an upstream is taken to differ from what is estimated.
+const PACE_MAX: f64 = 8.0;
+
+/// The part of an estimate that is no work of the upstream, in milliseconds.
+const PACE_FLOOR_MS: f64 = 30.0;
+
+/// The time in which what is known of a pace fades to 1/e. Slow upstreams are tried again then.
+const PACE_LIFE: Duration = Duration::from_secs(4);
+
 /// What a daemon knows of one upstream beside its registration.
 #[derive(Debug, Default)]
 struct Track {
     identity: u64,
     breaker: Breaker,
     running: u32,
-    elsewhere: u32,
+    queued: f64,
+    elsewhere: (u32, u32),
     reported: Option<(MonotonicInstant, u32)>,
+    subjects: HashMap<u64, MonotonicInstant>,
+    pace: Option<(MonotonicInstant, f64)>,
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +76,10 @@
     pub address: SocketAddr,
     /// When it was chosen.
     pub at: MonotonicInstant,
+    /// The reading that the request adds to the queue there, until its answer begins.
+    queued: f64,
+    /// The time until its answer was estimated to begin, in milliseconds.
+    expected: f64,
 }
 
 /// How an attempt at an upstream ended.
@@ -115,7 +141,7 @@
     }
 
     /// Takes in how many requests the other daemons have at each instance.
-    pub fn on_elsewhere(&self, running: &BTreeMap<&Instance, u32>) {
+    pub fn on_elsewhere(&self, running: &BTreeMap<&Instance, (u32, u32)>) {
         let mut state = self.state();
         let State { listing, tracks } = &mut *state;
         for (key, listed) in listing.iter() {
@@ -134,28 +160,41 @@
         tracks.retain(|key, _| listing.get(key).is_some());
     }
 
-    /// Chooses an upstream of a service for a request about a subject.
+    /// Chooses an upstream of a service for a request that can wait for `patience`.
+    ///
+    /// # Errors
+    ///
+    /// No upstream can take it.
     pub fn place(
         &self,
         now: MonotonicInstant,
         service: &Service,
-        subject: Option<u64>,
+        prompt: Option<&Prompt>,
+        patience: Duration,
         tried: &[UpstreamKey],
     ) -> Result<Placed, Choice> {
         let mut state = self.state();
-        let candidates = state.candidates(now, service, &self.own, tried);
-        let choice = choose(&candidates, subject);
-        let Choice::Upstream(key) = choice else {
+        let subject = prompt.and_then(|prompt| prompt.subject);
+        let candidates = state.candidates(now, service, &self.own, (subject, tried));
+        let choice = choose(&candidates, prompt, patience);
+        let Choice::Upstream(key, queued) = choice else {
             return Err(choice);
         };
         let Some(listed) = state.listing.get(key) else {
             return Err(Choice::None);
         };
         let (life, address) = (listed.registration.life.clone(), listed.registration.address);
+        let chosen = candidates.iter().find(|found| found.key == key);
+        let expected = chosen.map_or(0.0, |found| {
+            let found = Candidate { pace: 1.0, ..*found };
+            found.wait_ms(prompt, found.knows) + PACE_FLOOR_MS
+        });
         let track = &mut state.tracks[key];
         track.breaker.on_start(now);
         track.running += 1;
-        Ok(Placed { board: self.clone(), key, life, address, at: now })
+        track.queued += queued;
+        track.on_subject(now, subject);
+        Ok(Placed { board: self.clone(), key, life, address, at: now, queued, expected })
     }
 
     /// Whether a service has an upstream that may get work and has not been tried.
@@ -166,7 +205,7 @@
         tried: &[UpstreamKey],
     ) -> bool {
         let state = self.state();
-        state.candidates(now, service, &self.own, tried).iter().any(|found| !found.tried)
+        state.candidates(now, service, &self.own, (None, tried)).iter().any(|found| !found.tried)
     }
 
     /// Whether an upstream may still get work; checked again right before a request is sent.
@@ -174,13 +213,15 @@
         self.state().listing.get(key).is_some_and(|listed| listed.usable(now))
     }
 
-    /// The requests of this daemon at each instance.
-    pub fn running(&self) -> BTreeMap<Instance, u32> {
+    /// What this daemon has at each instance: requests, and the milliseconds that the prompts which
+    /// have not been read take.
+    pub fn running(&self) -> BTreeMap<Instance, (u32, u32)> {
         let state = self.state();
         let busy = state.tracks.iter().filter(|(_, track)| track.running > 0);
         let named = busy.filter_map(|(key, track)| {
             let listed = state.listing.get(key)?;
-            Some((listed.registration.life.instance.clone(), track.running))
+            let work = (track.running, track.queued as u32);
+            Some((listed.registration.life.instance.clone(), work))
         });
         named.collect()
     }
@@ -216,13 +257,6 @@
         stock
     }
 
-    /// The requests believed to be at the upstreams of a service, of all daemons.
-    pub fn requests(&self, now: MonotonicInstant, service: &Service) -> u32 {
-        let state = self.state();
-        let candidates = state.candidates(now, service, &self.own, &[]);
-        candidates.iter().map(|found| found.requests).sum()
-    }
-
     fn note(&self, change: Change, source: &'static str) {
         let (key, event) = match change {
             Change::None => return,
@@ -265,7 +299,7 @@
         now: MonotonicInstant,
         service: &Service,
         own: &DataCentre,
-        tried: &[UpstreamKey],
+        (subject, tried): (Option<u64>, &[UpstreamKey]),
     ) -> Vec<Candidate> {
         let usable = self
             .listing
@@ -277,6 +311,9 @@
                 key,
                 identity: track.identity,
                 requests: track.requests(now),
+                queued: track.queued + f64::from(track.elsewhere.1),
+                pace: track.pace(now),
+                knows: subject.is_some_and(|subject| track.knows(now, subject)),
                 slots: listed.registration.slots,
                 gate: track.breaker.gate(now),
                 near: listed.registration.data_centre == *own,
@@ -290,9 +327,30 @@
 impl Track {
     fn requests(&self, now: MonotonicInstant) -> u32 {
         let told = self.reported.filter(|(at, _)| now.since(*at) <= REPORT_MAX_AGE);
-        let counted = self.running + self.elsewhere;
+        let counted = self.running + self.elsewhere.0;
         told.map_or(counted, |(_, requests)| counted.max(requests))
     }
+
+    /// How much slower than estimated its answers have begun lately.
+    fn pace(&self, now: MonotonicInstant) -> f64 {
+        let Some((at, pace)) = self.pace else { return 1.0 };
+        let faded = (-now.since(at).as_secs_f64() / PACE_LIFE.as_secs_f64()).exp();
+        1.0 + (pace - 1.0) * faded
+    }
+
+    fn knows(&self, now: MonotonicInstant, subject: u64) -> bool {
+        self.subjects.get(&subject).is_some_and(|at| now.since(*at) <= SUBJECT_LIFE)
+    }
+
+    fn on_subject(&mut self, now: MonotonicInstant, subject: Option<u64>) {
+        let Some(subject) = subject else { return };
+        if self.subjects.len() >= SUBJECTS_MAX {
+            self.subjects.retain(|_, at| now.since(*at) <= SUBJECT_LIFE);
+        }
+        if self.subjects.len() < SUBJECTS_MAX {
+            self.subjects.insert(subject, now);
+        }
+    }
 }
 
 impl Placed {
@@ -304,6 +362,21 @@
         }
     }
 
+    /// Takes in that the answer has begun.
+    pub fn on_first(&mut self, now: MonotonicInstant) {
+        let queued = std::mem::take(&mut self.queued);
+        let expected = std::mem::take(&mut self.expected);
+        let mut state = self.board.state();
+        let Some(track) = state.tracks.get_mut(self.key) else { return };
+        track.queued = (track.queued - queued).max(0.0);
+        if expected > 0.0 {
+            let took = now.since(self.at).as_secs_f64() * 1e3 + PACE_FLOOR_MS;
+            let ratio = (took / expected).clamp(1.0 / PACE_MAX, PACE_MAX);
+            let pace = track.pace(now) * (1.0 - PACE_WEIGHT) + ratio * PACE_WEIGHT;
+            track.pace = Some((now, pace));
+        }
+    }
+
     /// Takes in how the attempt ended.
     pub fn on_end(&self, now: MonotonicInstant, ended: Ended) {
         let mut state = self.board.state();
@@ -333,6 +406,7 @@
     fn drop(&mut self) {
         if let Some(track) = self.board.state().tracks.get_mut(self.key) {
             track.running = track.running.saturating_sub(1);
+            track.queued = (track.queued - self.queued).max(0.0);
         }
     }
 }
--- a/crates/relay/src/inbound.rs
+++ b/crates/relay/src/inbound.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use spindle_policy::placing::Prompt;
 use spindle_types::MonotonicInstant;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -43,10 +44,16 @@
 }
 
 impl Inbound {
-    /// The part of the prompt that names its subject: the last one that is shared with others.
-    pub fn subject(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].id)
+    /// What is known of the prompt, if there is one.
+    pub fn prompt(&self) -> Option<Prompt> {
+        let (tokens, _) = self.tokens?;
+        // The last part belongs to the request itself.
+        let shared = &self.parts[..self.parts.len().saturating_sub(1)];
+        Some(Prompt {
+            tokens,
+            shared: shared.iter().map(|part| part.tokens).sum(),
+            subject: shared.last().map(|part| part.id),
+        })
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -30,6 +30,10 @@
 /// The time without which a request is not sent any more: a round trip between data centres.
 pub(crate) const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
+/// How often the target may pass before an answer is expected to begin; later ones are refused, as
+/// callers give up after four times the target at the latest.
+const LATE_MAX: u32 = 3;
+
 /// Upstreams that could not be connected to before a request is given up.
 const UNREACHED_MAX: usize = 4;
 
@@ -195,7 +199,8 @@
             None => Ok(0.0),
         };
         let cost = cost.map_err(|wait| Refusal::OverQuota { after: wait.max(RETURN_MIN) })?;
-        self.0.accounts.on_request(now, &service);
+        let prompt = inbound.tokens.map_or(0, |(prompt, _)| prompt);
+        self.0.accounts.on_request(now, &service, prompt);
         let patience = inbound.patience.unwrap_or(route.timeout).min(route.timeout);
         let engine = serving.services.get(&service).is_some_and(|spec| spec.engine.is_some());
         let priority = spec.and_then(|spec| spec.priority).unwrap_or(route.priority);
@@ -332,17 +337,16 @@
         if sends.unreached >= UNREACHED_MAX {
             return Err(given_up(sends, Refusal::NoUpstream { after: return_after() }));
         }
-        let subject = work.inbound.subject();
-        let placed = self.0.board.place(now, &ticket.service, subject, &sends.tried);
+        let prompt = work.inbound.prompt();
+        let patience = (ticket.route.target * LATE_MAX).min(ticket.end.since(now));
+        let board = &self.0.board;
+        let placed = board.place(now, &ticket.service, prompt.as_ref(), patience, &sends.tried);
         placed.map_err(|choice| {
-            let after = return_after();
-            given_up(
-                sends,
-                match choice {
-                    Choice::Overloaded => Refusal::Overloaded { after },
-                    _ => Refusal::NoUpstream { after },
-                },
-            )
+            let refusal = match choice {
+                Choice::Overloaded(after) => Refusal::Overloaded { after: after + return_after() },
+                _ => Refusal::NoUpstream { after: return_after() },
+            };
+            given_up(sends, refusal)
         })
     }
 
@@ -353,8 +357,9 @@
         answer: Answer,
         trail: &mut Trail<K>,
     ) -> Option<Response<Body>> {
-        let Answer { mut head, body, ran, leased, placed } = answer;
+        let Answer { mut head, body, ran, leased, mut placed } = answer;
         let now = self.0.clock.now();
+        placed.on_first(now);
         self.on_first(ticket, trail);
         let left = ticket.end.since(now);
         let read = read_body(body, ANSWER_MAX_BYTES, left).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -149,6 +149,7 @@
             };
             let Ok(data) = data else { continue };
             self.note_data(heard, now);
+            answer.placed.on_first(now);
             heard = now;
             let Ok(events) = self.cutter.push(data) else {
                 return Stopped::Broken;
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,7 +27,7 @@
 use spindle_platform::ingress::Ingress;
 use spindle_platform::settings::NodeSettings;
 use spindle_platform::store::PlatformStore;
-use spindle_policy::sharing::RetryLimit;
+use spindle_policy::sharing::{QuotaTolerance, RetryLimit};
 use spindle_relay::accounts::AccountRules;
 use spindle_relay::pool::Pool;
 use spindle_relay::relay::RelayParts;
@@ -134,9 +134,15 @@
     let daemons = Arc::new(AtomicU32::new(1));
     let current: Arc<AtomicBool> = Arc::default();
     let outlets = (serving_sender, limits_sender);
-    let follower = ConfigurationFollower::new(store.clone(), clock, accounts.clone(), outlets);
     let registrations =
         RegistrationFollower::new(store.clone(), clock, board.clone(), Arc::clone(&daemons));
+    let follower = ConfigurationFollower::new(
+        store.clone(),
+        clock,
+        accounts.clone(),
+        outlets,
+        registrations.outages(),
+    );
     let statuses = Statuses::new(statuses::Parts {
         incarnation,
         settings: settings.clone(),
@@ -169,7 +175,12 @@
         slack: settings.bounds.budget_slack,
         window: settings.bounds.budget_window,
     };
-    AccountRules { retries, window: settings.bounds.usage_window }
+    let tolerance = QuotaTolerance {
+        overage: settings.bounds.quota_overage,
+        slack: settings.bounds.quota_slack,
+        window: settings.bounds.quota_window,
+    };
+    AccountRules { retries, tolerance, window: settings.bounds.usage_window }
 }
 
 async fn start_metrics(settings: &NodeSettings, stop: &Stop) {
--- a/src/node/actor.rs
+++ b/src/node/actor.rs
@@ -7,7 +7,7 @@
 use spindle_platform::cloud::PlatformCloud;
 use spindle_platform::settings::Bounds;
 use spindle_platform::store::PlatformStore;
-use spindle_policy::fleet::{Fleet, FleetSpec, Order};
+use spindle_policy::fleet::{Arrivals, Fleet, FleetSpec, Order};
 use spindle_policy::lease::{
     Grant, LeaseAction, LeaseFold, LeaseRecord, LeaseStep, Permission, Permitted,
 };
@@ -39,6 +39,10 @@
 /// How long before a report is too late it is not worth a call any more.
 const LATE_MARGIN: Duration = Duration::from_millis(300);
 
+/// How long after it has taken the lease a daemon orders without knowing the load. Upstreams have
+/// registered by then.
+const SETTLE_AFTER: Duration = Duration::from_millis(2_000);
+
 /// The pause after a call to the cloud that was not answered.
 const CLOUD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -80,9 +84,10 @@
     permission: Option<Permission>,
     renewed: MonotonicInstant,
     reports: Reports,
-    fleets: HashMap<Service, Fleet>,
+    fleets: HashMap<Service, (Arrivals, Fleet)>,
     pause: MonotonicInstant,
     fenced: MonotonicInstant,
+    taken: MonotonicInstant,
 }
 
 impl Actor {
@@ -99,6 +104,7 @@
             fleets: HashMap::new(),
             pause: now,
             fenced: MonotonicInstant::default(),
+            taken: now,
         }
     }
 
@@ -228,6 +234,8 @@
                 if taken {
                     log::info!("event=lease_taken fencing={}", fencing.0);
                     self.reports = Reports::default();
+                    self.fleets.clear();
+                    self.taken = sent;
                 }
             }
             _ => self.drop_lease("taken_by_another"),
@@ -338,20 +346,25 @@
             let now = self.parts.clock.now();
             let spec = fleet_spec(scale);
             let stock = self.parts.board.stock(service);
-            let requests = f64::from(self.parts.board.requests(now, service));
-            let fleet = self.fleets.entry(service.clone()).or_default();
-            fleet.on_requests(now, requests);
-            if now < self.pause || stock.is_empty() {
+            let arrived = self.parts.statuses.arrived(service);
+            let (arrivals, fleet) = self.fleets.entry(service.clone()).or_default();
+            arrivals.on_totals(now, arrived.into_iter());
+            let rate = arrivals.rate();
+            if let Some(rate) = rate {
+                fleet.on_rate(now, rate);
+            }
+            let settled = rate.is_some() || now.since(self.taken) >= SETTLE_AFTER;
+            if now < self.pause || stock.is_empty() || !settled {
                 continue;
             }
-            let need = fleet.need();
-            for order in fleet.orders(now, &spec, &stock) {
-                self.give(service, order, (need, requests)).await;
+            let orders = fleet.orders(now, &spec, &stock);
+            for order in orders {
+                self.give(service, order, rate).await;
             }
         }
     }
 
-    async fn give(&mut self, service: &Service, order: Order, load: (u32, f64)) {
+    async fn give(&mut self, service: &Service, order: Order, rate: Option<f64>) {
         let Some(fencing) = self.fencing() else { return };
         let call = ScaleOrder {
             service: service.clone(),
@@ -361,18 +374,17 @@
         };
         let result = self.parts.cloud.scale(fencing, &call).await;
         log::info!(
-            "event=scale service={service} data_centre={} reclaimable={} count={} need={} \
-             requests={} fencing={} result={result:?}",
+            "event=scale service={service} data_centre={} reclaimable={} count={} \
+             tokens_per_s={:.0} fencing={} result={result:?}",
             order.data_centre,
             order.reclaimable,
             order.count,
-            load.0,
-            load.1,
+            rate.unwrap_or_default(),
             fencing.0,
         );
         self.on_called(&result);
         let now = self.parts.clock.now();
-        let fleet = self.fleets.entry(service.clone()).or_default();
+        let (_, fleet) = self.fleets.entry(service.clone()).or_default();
         match result {
             // A lost order may be carried out; it is repeated like one that brought nothing.
             Ok(()) | Err(CloudError::Lost(_)) => fleet.on_ordered(now, &order),
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -32,14 +32,22 @@
     clock: K,
     accounts: Accounts,
     outlets: Arc<Outlets>,
+    outages: watch::Receiver<u64>,
     known: Arc<Mutex<Known>>,
 }
 
 impl<S: Store, K: Clock> ConfigurationFollower<S, K> {
-    /// A follower that knows no configuration.
-    pub fn new(store: S, clock: K, accounts: Accounts, outlets: Outlets) -> Self {
+    /// A follower that knows no configuration; `outages` counts the failures that other readers of
+    /// the store see.
+    pub fn new(
+        store: S,
+        clock: K,
+        accounts: Accounts,
+        outlets: Outlets,
+        outages: watch::Receiver<u64>,
+    ) -> Self {
         let known = Arc::default();
-        Self { store, clock, accounts, outlets: Arc::new(outlets), known }
+        Self { store, clock, accounts, outlets: Arc::new(outlets), outages, known }
     }
 
     /// When the store last answered.
@@ -69,10 +77,20 @@
     pub async fn run(self) {
         let mut next = None;
         let mut lost = false;
+        let mut outages = self.outages.clone();
         loop {
-            let result = match next {
-                None => self.store.newest(Feed::Configuration).await,
-                Some(from) => self.store.read(Feed::Configuration, from, READ_WAIT).await,
+            // A read that waits would not notice in time that the store is back.
+            let wait = if lost { Duration::ZERO } else { READ_WAIT };
+            let reading = async {
+                match next {
+                    None => self.store.newest(Feed::Configuration).await,
+                    Some(from) => self.store.read(Feed::Configuration, from, wait).await,
+                }
+            };
+            let result = tokio::select! {
+                result = reading => result,
+                // An error means that nobody follows the registrations, so no news come.
+                Ok(()) = outages.changed() => Err(StoreError::Lost("others see an outage".to_owned())),
             };
             match result {
                 Ok(batch) => {
@@ -140,3 +158,6 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// The time between two reads of all daemons together, which tell each other who leaves. An
 /// eighth of the time in which a leaving upstream must get nothing new.
@@ -24,13 +25,20 @@
     clock: K,
     board: Board,
     daemons: Arc<AtomicU32>,
+    outages: watch::Sender<u64>,
     contact: Arc<Mutex<Option<MonotonicInstant>>>,
 }
 
 impl<S: Store, K: Clock> RegistrationFollower<S, K> {
     /// A follower that knows no upstream; `daemons` share the reads.
     pub fn new(store: S, clock: K, board: Board, daemons: Arc<AtomicU32>) -> Self {
-        Self { store, clock, board, daemons, contact: Arc::default() }
+        let outages = watch::Sender::new(0);
+        Self { store, clock, board, daemons, outages, contact: Arc::default() }
+    }
+
+    /// Counts the times at which the store was lost or came back.
+    pub fn outages(&self) -> watch::Receiver<u64> {
+        self.outages.subscribe()
     }
 
     /// When the store last answered.
@@ -53,6 +61,7 @@
                 Ok(batch) => {
                     if lost {
                         log::info!("event=store_regained feed=upstreams");
+                        self.outages.send_modify(|count| *count += 1);
                         self.board.on_outage(now);
                     }
                     lost = false;
@@ -69,6 +78,7 @@
                 Err(error) => {
                     if !lost {
                         log::warn!("event=store_lost feed=upstreams error={error:?}");
+                        self.outages.send_modify(|count| *count += 1);
                     }
                     lost = true;
                     self.board.on_outage(now);
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -13,7 +13,7 @@
 use spindle_policy::sharing::Hearing;
 use spindle_policy::windows::{Counts, Windows, total};
 use spindle_relay::{Accounts, Board, Serving};
-use spindle_types::{Clock, Fencing, Incarnation, Instance, MonotonicInstant, Team};
+use spindle_types::{Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -98,7 +98,7 @@
             age: None,
             acting: None,
             running: BTreeMap::new(),
-            begun: BTreeMap::new(),
+            arrived: BTreeMap::new(),
             charged: BTreeMap::new(),
             windows: Windows::default(),
             leaving: Vec::new(),
@@ -179,6 +179,16 @@
         total(window, others.chain([&own]), teams.iter())
     }
 
+    /// The prompt tokens that have arrived for a service at each daemon in its life.
+    pub fn arrived(&self, service: &Service) -> Vec<(Incarnation, u64)> {
+        let own = self.parts.accounts.arrived().get(service).copied().unwrap_or_default();
+        let state = self.state();
+        let others = state.presence.iter().map(|heard| &heard.status);
+        let arrived =
+            others.filter_map(|status| Some((status.incarnation, *status.arrived.get(service)?)));
+        arrived.chain([(self.parts.incarnation, own)]).collect()
+    }
+
     /// Makes the next status, takes in what is known, and gives the daemons to be called.
     fn beat(&self) -> Vec<SocketAddr> {
         let now = self.parts.clock.now();
@@ -189,7 +199,7 @@
             (false, false) => Phase::Starting,
         };
         let (running, charged) = (parts.board.running(), parts.accounts.charged());
-        let (windows, begun) = (parts.accounts.windows(), parts.accounts.begun());
+        let (windows, arrived) = (parts.accounts.windows(), parts.accounts.arrived());
         let leaving = parts.board.leaving(LEAVING_MAX);
         let contact = parts.follower.contact().max(parts.registrations.contact());
         let mut state = self.state();
@@ -200,7 +210,7 @@
         own.config = parts.serving.borrow().version;
         own.age = contact.map(|at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX));
         (own.running, own.charged, own.windows) = (running, charged, windows);
-        (own.begun, own.leaving) = (begun, leaving);
+        (own.arrived, own.leaving) = (arrived, leaving);
         self.derive(now, &mut state);
         let state = &mut *state;
         state.presence.prune(now);
@@ -220,10 +230,11 @@
         if before != heard {
             log::info!("event=daemons_changed heard={heard} before={before} known={known}");
         }
-        let mut elsewhere: BTreeMap<&Instance, u32> = BTreeMap::new();
+        let mut elsewhere: BTreeMap<&Instance, (u32, u32)> = BTreeMap::new();
         for heard in state.presence.live(now) {
-            for (instance, running) in &heard.status.running {
-                *elsewhere.entry(instance).or_default() += running;
+            for (instance, (requests, queued)) in &heard.status.running {
+                let sum = elsewhere.entry(instance).or_default();
+                *sum = (sum.0 + requests, sum.1 + queued);
             }
         }
         parts.board.on_elsewhere(&elsewhere);
