fix(fleet): what was given up is not taken for the need

Cause: before the first request the need was a part of the engines present, again and again, so the start left 4 of 12; and the seconds before the first request counted as load. Also: streams wait twice their target before they start elsewhere (a long prompt was read twice), huge prompts go where few streams run.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -18,8 +18,9 @@
 /// The time over which arrivals are averaged: a few dozen requests of very different sizes.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
-/// The time of arrivals without which a rate is not known.
-const RATE_WINDOW_MIN: Duration = Duration::from_secs(2);
+/// The time of arrivals without which a rate is not known. As the window: the first seconds are
+/// not taken for the whole.
+const RATE_WINDOW_MIN: Duration = Duration::from_millis(3_500);
 
 /// The time for which a peak of the load counts. A wave of the users' load lasts 40 s; going down
 /// and up again within a part of one costs more in late answers than it saves.
@@ -28,8 +29,10 @@
 /// The part of the engines needed that must not be reclaimable.
 const FIXED_SHARE: f64 = 0.25;
 
-/// The part of the engines found that is kept before the first request tells the load.
-const START_SHARE: f64 = 0.4;
+/// The part of the engines found that is taken to be needed before the first request tells the
+/// load. A new one needs as long to start as the load needs to be known, so too few at the start
+/// cost the first ten seconds.
+const START_SHARE: f64 = 0.7;
 
 /// The time after a refusal before instances of a kind are asked for in a data centre again.
 const REFUSED_FOR: Duration = Duration::from_secs(3);
@@ -90,6 +93,7 @@
 pub struct Arrivals {
     seen: BTreeMap<Incarnation, u64>,
     total: u64,
+    first: Option<MonotonicInstant>,
     samples: VecDeque<(MonotonicInstant, u64)>,
 }
 
@@ -105,19 +109,27 @@
             let before = self.seen.insert(daemon, arrived).unwrap_or(arrived);
             self.total += arrived.saturating_sub(before);
         }
+        if self.first.is_none() && self.any() {
+            self.first = Some(now);
+        }
         self.samples.push_back((now, self.total));
         while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= RATE_WINDOW) {
             self.samples.pop_front();
         }
     }
 
-    /// Tokens a second; none while nothing has arrived or too little time has been seen.
+    /// Whether anything has arrived at any daemon that is known.
+    pub fn any(&self) -> bool {
+        self.seen.values().any(|arrived| *arrived > 0)
+    }
+
+    /// Tokens a second; none while too little time has been seen since the first one came.
     pub fn rate(&self) -> Option<f64> {
         let ((first, before), (last, total)) = (self.samples.front()?, self.samples.back()?);
-        let span = last.since(*first);
-        if self.total == 0 || span < RATE_WINDOW_MIN {
+        if last.since(self.first?) < RATE_WINDOW_MIN {
             return None;
         }
+        let span = last.since(*first);
         Some((total - before) as f64 / span.as_secs_f64())
     }
 }
@@ -125,6 +137,7 @@
 /// The instances of one service as the acting daemon manages them.
 #[derive(Debug, Default)]
 pub struct Fleet {
+    found: u32,
     peaks: VecDeque<(MonotonicInstant, f64)>,
     ordered: BTreeMap<Slot, (MonotonicInstant, u32)>,
     refused: BTreeMap<Slot, MonotonicInstant>,
@@ -153,23 +166,24 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The engines that the load needs; a part of those `present` before it is known.
-    pub fn need(&self, present: u32) -> u32 {
+    /// The engines that the load needs; a part of the most that were found before it is known.
+    pub fn need(&self) -> u32 {
         let need = match self.peaks.front() {
             Some((_, rate)) => (rate / TOKENS_PER_ENGINE).ceil() as u32,
-            None => share_of(present, START_SHARE),
+            None => share_of(self.found, START_SHARE),
         };
         need.max(1)
     }
 
     /// The orders to give now.
     pub fn orders(
-        &self,
+        &mut self,
         now: MonotonicInstant,
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, Stock>,
     ) -> Vec<Order> {
-        let need = self.need(stock.values().map(Stock::total).sum());
+        self.found = self.found.max(stock.values().map(Stock::total).sum());
+        let need = self.need();
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
         let mut orders = Vec::new();
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -39,7 +39,7 @@
 
 #[test]
 fn replacements_come_before_anything_is_given_up() {
-    let fleet = loaded(8);
+    let mut fleet = loaded(8);
     let orders = fleet.orders(at(0), &spec(), &stock([(2, 0), (2, 0), (2, 0), (2, 0)]));
     assert_eq!(sum(&orders, true), 8, "{orders:?}");
     assert!(orders.iter().all(|order| order.reclaimable), "{orders:?}");
@@ -47,7 +47,7 @@
 
 #[test]
 fn what_is_not_needed_goes_once_the_replacements_are_there() {
-    let fleet = loaded(4);
+    let mut fleet = loaded(4);
     let orders = fleet.orders(at(0), &spec(), &stock([(3, 1), (3, 1), (3, 1), (3, 1)]));
     assert_eq!(sum(&orders, false), 1, "{orders:?}");
     assert!(orders.contains(&Order { data_centre: centre("c"), reclaimable: false, count: 0 }));
@@ -66,18 +66,34 @@
 
 #[test]
 fn before_the_first_request_a_part_of_what_was_found_is_kept() {
-    let fleet = Fleet::default();
+    let mut fleet = Fleet::default();
     let orders = fleet.orders(at(0), &spec(), &stock([(3, 0), (3, 0), (3, 0), (3, 0)]));
-    assert!(sum(&orders, true) + sum(&orders, false) >= 5, "{orders:?}");
+    assert!(sum(&orders, true) + sum(&orders, false) >= 9, "{orders:?}");
+    // What was given up since is not taken for the need.
+    let orders = fleet.orders(at(500), &spec(), &stock([(1, 0), (3, 0), (0, 0), (3, 0)]));
+    assert_eq!(sum(&orders, true), 8, "{orders:?}");
+}
+
+#[test]
+fn the_time_before_the_first_request_does_not_count() {
+    let mut arrivals = Arrivals::default();
+    for step in 0..40_u64 {
+        let arrived = 1_000 * step.saturating_sub(20);
+        arrivals.on_totals(at(step * 250), [(Incarnation(1), arrived)].into_iter());
+        match arrivals.rate() {
+            None => assert!(step < 36, "{step}"),
+            Some(rate) => assert!(rate > 3_000.0, "{step}: {rate}"),
+        }
+    }
 }
 
 #[test]
 fn arrivals_are_counted_through_the_death_of_a_daemon() {
     let mut arrivals = Arrivals::default();
     let (one, two) = (Incarnation(1), Incarnation(2));
-    for step in 0..=16_u64 {
+    for step in 1..=17_u64 {
         // The second daemon dies after a second, and what it told stays known.
-        let of_two = 1_000 * step.min(4);
+        let of_two = 1_000 * step.min(5);
         let totals = [(one, 1_000 * step), (two, of_two)];
         arrivals.on_totals(at(step * 250), totals.into_iter());
     }
@@ -127,7 +143,7 @@
 fn a_peak_counts_for_a_while() {
     let mut fleet = loaded(8);
     fleet.on_rate(at(5_000), TOKENS_PER_ENGINE);
-    assert_eq!(fleet.need(0), 8);
+    assert_eq!(fleet.need(), 8);
     fleet.on_rate(at(13_000), TOKENS_PER_ENGINE);
-    assert_eq!(fleet.need(0), 1);
+    assert_eq!(fleet.need(), 1);
 }
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -32,6 +32,13 @@
 /// What each stream that runs adds to the time of the others, in milliseconds.
 const STREAM_COST_MS: f64 = 0.5;
 
+/// The prompt from which on each piece of it that is read delays the streams beside it beyond the
+/// pause that is on time, in tokens. By the figures above, with five tokens an event.
+const HARMFUL_TOKENS: u32 = 30_000;
+
+/// What a stream that is delayed so counts, in milliseconds.
+const HARM_MS: f64 = 40.0;
+
 /// The time of a plain call where nothing is known yet, in milliseconds.
 const CALL_MS: f64 = 30.0;
 
@@ -62,6 +69,11 @@
         new / READ_TOKENS_PER_MS + pairs / 1e6 * READ_MS_PER_MEGAPAIR
     }
 
+    /// What reading it does to each stream beside it, in milliseconds.
+    fn harm_ms(&self) -> f64 {
+        if self.tokens >= HARMFUL_TOKENS { HARM_MS } else { 0.0 }
+    }
+
     fn read_again_ms(&self) -> f64 {
         f64::from(self.shared) / READ_TOKENS_PER_MS * (READ_AGAIN_WEIGHT - 1.0)
     }
@@ -113,7 +125,8 @@
 
     fn cost(&self, prompt: Option<&Prompt>, kept: bool) -> f64 {
         let again = prompt.filter(|_| !kept).map_or(0.0, Prompt::read_again_ms);
-        self.wait_ms(prompt, kept) + again
+        let harm = prompt.map_or(0.0, Prompt::harm_ms) * f64::from(self.requests);
+        self.wait_ms(prompt, kept) + again + harm
     }
 }
 
--- a/crates/policy/src/placing/tests.rs
+++ b/crates/policy/src/placing/tests.rs
@@ -106,3 +106,14 @@
         other => panic!("{other:?}"),
     }
 }
+
+#[test]
+fn a_prompt_that_delays_its_neighbours_goes_where_few_are() {
+    let huge = Prompt { tokens: 50_000, shared: 0, subject: None };
+    let mut found = engines(&[0.0, 200.0]);
+    found[0].requests = 9;
+    found[1].requests = 1;
+    assert_eq!(chosen(choose(&found, Some(&huge), Duration::from_secs(9))), Some(found[1].key));
+    let small = Prompt { tokens: 500, ..huge };
+    assert_eq!(chosen(choose(&found, Some(&small), PATIENCE)), Some(found[0].key));
+}
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -20,6 +20,10 @@
 /// a fifth of the target.
 const SAFE_PATIENCE: u32 = 3;
 
+/// How often the target of a stream passes before it is started elsewhere: reading a long prompt
+/// once more costs more than an answer that begins late.
+const STREAM_PATIENCE: u32 = 2;
+
 /// The shortest time before a request without an answer is sent elsewhere. Twice the time in which
 /// a lost packet is sent again.
 const PATIENCE_MIN: Duration = Duration::from_millis(400);
@@ -221,10 +225,10 @@
 }
 
 /// How long an upstream may be silent before a request that may run again goes elsewhere.
-fn patience(route: &Route) -> Duration {
+pub(crate) fn patience(route: &Route) -> Duration {
     match route.repeat {
         Repeat::Safe => (route.target * SAFE_PATIENCE).max(PATIENCE_MIN),
-        Repeat::Resumable => route.target.max(PATIENCE_MIN),
+        Repeat::Resumable => (route.target * STREAM_PATIENCE).max(PATIENCE_MIN),
         Repeat::Once | Repeat::StreamOnce => Duration::MAX,
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -10,6 +10,7 @@
 use crate::inbound::Work;
 use crate::measures::MEASURES;
 use crate::relay::{Answer, Relay, Sends, Ticket};
+use crate::send::patience;
 use crate::trail::{Outcome, Trail};
 use http::{Response, header, response};
 use http_body_util::BodyExt;
@@ -21,11 +22,12 @@
 /// Events that may wait for a slow caller before its upstream is read on.
 const EVENTS_AHEAD: usize = 16;
 
-/// How often the pause that is on time may pass before a resumable stream goes elsewhere.
-const PAUSES_MAX: u32 = 3;
+/// How often the pause that is on time may pass before a resumable stream goes elsewhere. Callers
+/// give up after eight times the pause.
+const PAUSES_MAX: u32 = 4;
 
-/// The shortest silence before a resumable stream goes elsewhere.
-const SILENCE_MIN: Duration = Duration::from_millis(1_000);
+/// The shortest silence before a resumable stream goes elsewhere, which reads its prompt again.
+const SILENCE_MIN: Duration = Duration::from_millis(1_600);
 
 /// Why no more comes from an upstream.
 enum Stopped {
@@ -174,7 +176,7 @@
         }
         match route.pause {
             Some(pause) if self.cutter.count() > 0 => (pause * PAUSES_MAX).max(SILENCE_MIN),
-            _ => route.target.max(SILENCE_MIN),
+            _ => patience(route).max(SILENCE_MIN),
         }
     }
 
--- a/src/node/actor.rs
+++ b/src/node/actor.rs
@@ -349,11 +349,14 @@
             let arrived = self.parts.statuses.arrived(service);
             let (arrivals, fleet) = self.fleets.entry(service.clone()).or_default();
             arrivals.on_totals(now, arrived.into_iter());
-            let rate = arrivals.rate();
+            let rate = if arrivals.any() { arrivals.rate() } else { None };
             if let Some(rate) = rate {
                 fleet.on_rate(now, rate);
             }
-            let settled = rate.is_some() || now.since(self.taken) >= SETTLE_AFTER;
+            // A daemon that takes over waits until it knows the load; before the first request
+            // there is none to be known.
+            let idle = !arrivals.any() && now.since(self.taken) >= SETTLE_AFTER;
+            let settled = rate.is_some() || idle;
             if now < self.pause || stock.is_empty() || !settled {
                 continue;
             }
