fix(sharing): daemons that start together don't have a burst each

Ruled out: late news alone (held in the property test up to 250 ms). Change: a new daemon has a twentieth of the burst and a part of the refill for 0.6 s, and what others that are as young have charged counts.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -11,9 +11,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// Prompt tokens a second that an engine gets. Both sites' engines read 64,200 a second; at half of
-/// that, prompts wait little and the streams beside them keep their pace.
-const TOKENS_PER_ENGINE: f64 = 32_000.0;
+/// Prompt tokens a second that an engine gets. Both sites' engines read 64,200 a second; at two
+/// fifths of that, prompts wait little and the streams beside them keep their pace.
+const TOKENS_PER_ENGINE: f64 = 26_000.0;
 
 /// The time over which arrivals are averaged: a few dozen requests of very different sizes.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -41,6 +41,10 @@
 /// start-up time.
 const REPEAT_AFTER: Duration = Duration::from_secs(3);
 
+/// The time after a refusal for which further data centres are expected to lose their reclaimable
+/// instances. Reclaims come in waves, a few seconds apart.
+const WAVE_LENGTH: Duration = Duration::from_secs(8);
+
 /// What the operators allow and what instances cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetSpec {
@@ -138,6 +142,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     found: u32,
+    known: Option<MonotonicInstant>,
     peaks: VecDeque<(MonotonicInstant, f64)>,
     ordered: BTreeMap<Slot, (MonotonicInstant, u32)>,
     refused: BTreeMap<Slot, MonotonicInstant>,
@@ -146,6 +151,7 @@
 impl Fleet {
     /// Records the rate at which prompt tokens arrive.
     pub fn on_rate(&mut self, now: MonotonicInstant, rate: f64) {
+        self.known.get_or_insert(now);
         while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_MEMORY) {
             self.peaks.pop_front();
         }
@@ -166,13 +172,14 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The engines that the load needs; a part of the most that were found before it is known.
-    pub fn need(&self) -> u32 {
-        let need = match self.peaks.front() {
-            Some((_, rate)) => (rate / TOKENS_PER_ENGINE).ceil() as u32,
-            None => share_of(self.found, START_SHARE),
-        };
-        need.max(1)
+    /// The engines that the load needs. A part of the most that were found counts until a peak would
+    /// have been seen.
+    pub fn need(&self, now: MonotonicInstant) -> u32 {
+        let start = share_of(self.found, START_SHARE);
+        let need =
+            self.peaks.front().map_or(0, |(_, rate)| (rate / TOKENS_PER_ENGINE).ceil() as u32);
+        let early = self.known.is_none_or(|known| now.since(known) < PEAK_MEMORY);
+        need.max(if early { start } else { 1 }).max(1)
     }
 
     /// The orders to give now.
@@ -183,7 +190,7 @@
         stock: &BTreeMap<DataCentre, Stock>,
     ) -> Vec<Order> {
         self.found = self.found.max(stock.values().map(Stock::total).sum());
-        let need = self.need();
+        let need = self.need(now);
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
         let mut orders = Vec::new();
@@ -250,24 +257,33 @@
             *(if spec.reclaimable { &mut stock.reclaimable } else { &mut stock.fixed }) += missing;
         }
         let missing = need.saturating_sub(self.to_be_had(now, stock, &wanted));
+        let missing = missing.min(need.saturating_sub(fixed));
         spread(&mut wanted, &cheapest, missing, spec.max);
         wanted
     }
 
-    /// The wanted instances that are there or may come: reclaimable ones that are refused won't.
+    /// The wanted instances that are there or may come, without those that may go: reclaimable ones
+    /// that are refused won't come, and in a wave another data centre loses its own.
     fn to_be_had(
         &self,
         now: MonotonicInstant,
         stock: &BTreeMap<DataCentre, Stock>,
         wanted: &BTreeMap<DataCentre, Stock>,
     ) -> u32 {
-        let one = |(centre, wanted): (&DataCentre, &Stock)| {
+        let reclaimable = wanted.iter().map(|(centre, wanted)| {
             let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
             let refused = self.is_refused(now, &(centre.clone(), true));
-            let reclaimable = if refused { present } else { wanted.reclaimable };
-            wanted.fixed + reclaimable.min(wanted.reclaimable)
-        };
-        wanted.iter().map(one).sum()
+            if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
+        });
+        let reclaimable: Vec<u32> = reclaimable.collect();
+        let wave = self
+            .refused
+            .iter()
+            .any(|((_, reclaimable), at)| *reclaimable && now.since(*at) < WAVE_LENGTH);
+        let largest = reclaimable.iter().max().copied().unwrap_or_default();
+        let next = if wave { largest } else { 0 };
+        let fixed: u32 = wanted.values().map(|stock| stock.fixed).sum();
+        fixed + reclaimable.iter().sum::<u32>() - next
     }
 }
 
--- a/crates/policy/src/listing.rs
+++ b/crates/policy/src/listing.rs
@@ -19,6 +19,10 @@
 /// bring it back. Longer than news take to reach every daemon.
 const GONE_RETENTION: Duration = Duration::from_secs(60);
 
+/// The time for which other daemons are told that an upstream has gone. They hear of it within a
+/// few beats, and those that were cut off read it in the store.
+const NEWS_LIFE: Duration = Duration::from_secs(6);
+
 new_key_type! {
     /// An upstream of a [`Listing`].
     pub struct UpstreamKey;
@@ -175,13 +179,14 @@
         if let Some(key) = same {
             return self.leave(now, key);
         }
-        self.gone.insert(life.clone(), now);
+        // When it was first heard of counts, or daemons would tell each other for ever.
+        self.gone.entry(life.clone()).or_insert(now);
         Change::None
     }
 
-    /// Lives that are known to be leaving or gone, for other daemons.
-    pub fn leaving(&self) -> impl Iterator<Item = &Life> {
-        self.gone.keys()
+    /// Lives that have become known to be leaving or gone lately, for other daemons.
+    pub fn leaving(&self, now: MonotonicInstant) -> impl Iterator<Item = &Life> {
+        self.gone.iter().filter(move |(_, at)| now.since(**at) < NEWS_LIFE).map(|(life, _)| life)
     }
 
     /// Forgets upstreams that have been gone for long; `busy` says which are still at work.
--- a/crates/policy/src/listing/tests.rs
+++ b/crates/policy/src/listing/tests.rs
@@ -55,6 +55,17 @@
     assert!(usable(&listing, at(2)).is_empty());
 }
 
+#[test]
+fn news_of_leaving_are_told_for_a_while_and_not_for_ever() {
+    let mut listing = Listing::default();
+    let life = registration("i-1", 1, false).life;
+    for step in 0..20 {
+        listing.on_leaving(at(step * 1_000), &life);
+    }
+    assert_eq!(listing.leaving(at(5_000)).count(), 1);
+    assert_eq!(listing.leaving(at(7_000)).count(), 0);
+}
+
 #[test]
 fn a_removal_counts_at_once_without_an_outage() {
     let mut listing = Listing::default();
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -18,8 +18,9 @@
 /// is a quarter of the users' time for configuration to be in force.
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Daemons that each one calls in a round.
-const FAN_OUT: usize = 2;
+/// The daemons for each of which a daemon calls one in a round, and one more at all: news reach
+/// all of them in about four rounds at every size.
+const DAEMONS_PER_CALL: usize = 24;
 
 /// The silence after which a daemon is not told to callers any more: five beats, so that a beat
 /// that is lost and sent again after a second does not count.
@@ -83,6 +84,13 @@
     pub leaving: Vec<Life>,
 }
 
+impl Status {
+    /// How long the daemon has been running, at the least.
+    pub fn age(&self) -> Duration {
+        BEAT_INTERVAL * u32::try_from(self.beat).unwrap_or(u32::MAX)
+    }
+}
+
 /// One message between two daemons, either way.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -177,7 +185,8 @@
         lost.extend(seeds);
         lost.retain(|peer| *peer != own && !live.contains(peer));
         live.retain(|peer| *peer != own);
-        let mut targets = draw(&mut live, FAN_OUT, random);
+        let calls = 1 + live.len() / DAEMONS_PER_CALL;
+        let mut targets = draw(&mut live, calls, random);
         if targets.is_empty() || self.round.is_multiple_of(LOST_ROUNDS) {
             targets.extend(draw(&mut lost, 1, random));
         }
--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -12,13 +12,20 @@
 use std::time::Duration;
 
 /// The part of what a window may hold that is kept for news under way.
-const WINDOW_MARGIN: f64 = 0.05;
+const WINDOW_MARGIN: f64 = 0.07;
 
 /// The part of the slack that a team may use at once, beyond its burst.
 const SLACK_SHARE: f64 = 0.3;
 
-/// The part of a burst that is there when a daemon starts: others may have spent the rest.
-const START_SHARE: f64 = 0.5;
+/// The part of a burst that is there when a daemon starts: all may have started at once, right after
+/// the whole was spent. Six to eight daemons together have less than half a burst then.
+const START_SHARE: f64 = 0.05;
+
+/// The time after its start in which a daemon may not have heard of the others.
+const START_TIME: Duration = Duration::from_millis(600);
+
+/// The part of the refill that a daemon takes in that time, as one of several that started at once.
+const START_REFILL: f64 = 0.15;
 
 /// The part of the retries allowed that is used. The rest covers news under way.
 const RETRY_SHARE: f64 = 0.7;
@@ -91,6 +98,7 @@
     spec: QuotaSpec,
     tolerance: QuotaTolerance,
     level: f64,
+    born: MonotonicInstant,
     filled: MonotonicInstant,
     own: f64,
     others: HashMap<Incarnation, f64>,
@@ -100,7 +108,8 @@
     /// A quota of which nothing is known yet.
     pub fn new(now: MonotonicInstant, spec: QuotaSpec, tolerance: QuotaTolerance) -> Self {
         let level = spec.burst * START_SHARE;
-        Self { spec, tolerance, level, filled: now, own: 0.0, others: HashMap::new() }
+        let (born, filled) = (now, now);
+        Self { spec, tolerance, level, born, filled, own: 0.0, others: HashMap::new() }
     }
 
     /// Takes over a changed specification; what is used stays used.
@@ -112,7 +121,11 @@
     /// Asks for a request of `cost` units, and charges it if it fits.
     pub fn admit(&mut self, now: MonotonicInstant, cost: f64, hearing: Hearing) -> Admitted {
         let capacity = self.tolerance.capacity(&self.spec);
-        let rate = self.tolerance.rate(&self.spec) * hearing.share();
+        let share = match now.since(self.born) {
+            age if age < START_TIME => hearing.share().min(START_REFILL),
+            _ => hearing.share(),
+        };
+        let rate = self.tolerance.rate(&self.spec) * share;
         let refill = rate * now.since(self.filled).as_secs_f64();
         self.level = (self.level + refill).min(capacity);
         self.filled = self.filled.max(now);
@@ -137,10 +150,13 @@
         self.own
     }
 
-    /// Takes in all that another daemon has charged in its life.
-    pub fn on_other(&mut self, other: Incarnation, total: f64) {
-        // What it charged before this daemon heard of it first is taken to be refilled.
-        let before = self.others.insert(other, total).unwrap_or(total);
+    /// Takes in all that another daemon has charged in its life, which began `age` ago.
+    pub fn on_other(&mut self, other: Incarnation, total: f64, age: Duration) {
+        // What an old one charged before it was heard of first is taken to be refilled; a young one
+        // has started together with this one.
+        let young = age < self.tolerance.window;
+        let unheard = if young { 0.0 } else { total };
+        let before = self.others.insert(other, total).unwrap_or(unheard);
         self.level -= total - before;
     }
 
--- a/crates/policy/src/windows.rs
+++ b/crates/policy/src/windows.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Windows that a daemon tells the others of. A report is due two windows after the end of its own.
-const KEPT: u64 = 5;
+/// Windows that a daemon tells the others of: the present one, and those whose reports may be due.
+const KEPT: u64 = 4;
 
 /// Requests by team.
 pub type Counts = BTreeMap<Team, u32>;
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -51,7 +51,8 @@
     }
 
     /// Takes over a configuration's quotas.
-    pub fn on_configuration(&self, serving: &Serving) {
+    pub fn on_configuration(&self, now: MonotonicInstant, serving: &Serving) {
+        let tolerance = self.rules.tolerance;
         let mut state = self.state();
         let specs = serving.teams();
         state.quotas.retain(|team, _| specs.iter().any(|spec| spec.team == *team));
@@ -59,7 +60,10 @@
             match (spec.quota, state.quotas.get_mut(&spec.team)) {
                 (Some(quota), Some(known)) => known.set(quota),
                 (None, _) => drop(state.quotas.remove(&spec.team)),
-                (Some(_), None) => {}
+                (Some(quota), None) => {
+                    let quota = SharedQuota::new(now, quota, tolerance);
+                    state.quotas.insert(spec.team.clone(), quota);
+                }
             }
         }
     }
@@ -69,12 +73,12 @@
         self.state().hearing = hearing;
     }
 
-    /// Takes in what another daemon has charged in its life.
-    pub fn on_charged(&self, other: Incarnation, charged: &BTreeMap<Team, f64>) {
+    /// Takes in what another daemon has charged in its life, which began `age` ago.
+    pub fn on_charged(&self, other: Incarnation, charged: &BTreeMap<Team, f64>, age: Duration) {
         let mut state = self.state();
         for (team, total) in charged {
             if let Some(quota) = state.quotas.get_mut(team) {
-                quota.on_other(other, *total);
+                quota.on_other(other, *total, age);
             }
         }
     }
--- a/crates/relay/src/board.rs
+++ b/crates/relay/src/board.rs
@@ -226,9 +226,9 @@
         named.collect()
     }
 
-    /// The lives that are known to be leaving or gone, at most `most`.
-    pub fn leaving(&self, most: usize) -> Vec<Life> {
-        self.state().listing.leaving().take(most).cloned().collect()
+    /// The lives that have become known to be leaving or gone lately, at most `most`.
+    pub fn leaving(&self, now: MonotonicInstant, most: usize) -> Vec<Life> {
+        self.state().listing.leaving(now).take(most).cloned().collect()
     }
 
     /// The registrations of all upstreams that may get work.
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -147,7 +147,7 @@
             serving.routes().len(),
             serving.teams().len(),
         );
-        self.accounts.on_configuration(&serving);
+        self.accounts.on_configuration(self.clock.now(), &serving);
         self.known().document = Some(Document::new(serving.version, &content));
         limits.send_replace(serving.limits);
         outlet.send_replace(serving);
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -200,7 +200,7 @@
         };
         let (running, charged) = (parts.board.running(), parts.accounts.charged());
         let (windows, arrived) = (parts.accounts.windows(), parts.accounts.arrived());
-        let leaving = parts.board.leaving(LEAVING_MAX);
+        let leaving = parts.board.leaving(now, LEAVING_MAX);
         let contact = parts.follower.contact().max(parts.registrations.contact());
         let mut state = self.state();
         let acting = state.acting;
@@ -313,7 +313,8 @@
             for life in &status.leaving {
                 self.parts.board.on_leaving(now, life, "daemon");
             }
-            self.parts.accounts.on_charged(status.incarnation, &status.charged);
+            let age = status.age();
+            self.parts.accounts.on_charged(status.incarnation, &status.charged, age);
         }
     }
 
