--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -25,10 +25,15 @@
     names.zip(of).map(one).collect()
 }
 
+/// The present time of a fleet that has been running for a while, in milliseconds.
+const START: u64 = 20_000;
+
 /// A fleet whose load needs so many engines.
 fn loaded(engines: u32) -> Fleet {
     let mut fleet = Fleet::default();
-    fleet.on_rate(at(0), f64::from(engines) * TOKENS_PER_ENGINE);
+    // So long ago that what was found at the start does not count any more.
+    fleet.on_rate(at(0), 0.0);
+    fleet.on_rate(at(START), f64::from(engines) * TOKENS_PER_ENGINE);
     fleet
 }
 
@@ -39,16 +44,16 @@
 
 #[test]
 fn replacements_come_before_anything_is_given_up() {
-    let fleet = loaded(8);
-    let orders = fleet.orders(at(0), &spec(), &stock([(2, 0), (2, 0), (2, 0), (2, 0)]));
+    let mut fleet = loaded(8);
+    let orders = fleet.orders(at(START), &spec(), &stock([(2, 0), (2, 0), (2, 0), (2, 0)]));
     assert_eq!(sum(&orders, true), 8, "{orders:?}");
     assert!(orders.iter().all(|order| order.reclaimable), "{orders:?}");
 }
 
 #[test]
 fn what_is_not_needed_goes_once_the_replacements_are_there() {
-    let fleet = loaded(4);
-    let orders = fleet.orders(at(0), &spec(), &stock([(3, 1), (3, 1), (3, 1), (3, 1)]));
+    let mut fleet = loaded(4);
+    let orders = fleet.orders(at(START), &spec(), &stock([(3, 1), (3, 1), (3, 1), (3, 1)]));
     assert_eq!(sum(&orders, false), 1, "{orders:?}");
     assert!(orders.contains(&Order { data_centre: centre("c"), reclaimable: false, count: 0 }));
 }
@@ -56,7 +61,7 @@
 #[test]
 fn the_loss_of_one_data_centres_reclaimable_instances_leaves_what_is_needed() {
     for need in 1..=16 {
-        let wanted = loaded(need).wanted(at(0), &spec(), &stock([(0, 0); 4]), need);
+        let wanted = loaded(need).wanted(at(START), &spec(), &stock([(0, 0); 4]), need);
         let all: u32 = wanted.values().map(Stock::total).sum();
         for lost in wanted.values() {
             assert!(all - lost.reclaimable >= need.min(18), "{need}: {wanted:?}");
@@ -66,18 +71,34 @@
 
 #[test]
 fn before_the_first_request_a_part_of_what_was_found_is_kept() {
-    let fleet = Fleet::default();
+    let mut fleet = Fleet::default();
     let orders = fleet.orders(at(0), &spec(), &stock([(3, 0), (3, 0), (3, 0), (3, 0)]));
-    assert!(sum(&orders, true) + sum(&orders, false) >= 5, "{orders:?}");
+    assert!(sum(&orders, true) + sum(&orders, false) >= 9, "{orders:?}");
+    // What was given up since is not taken for the need.
+    let orders = fleet.orders(at(500), &spec(), &stock([(1, 0), (3, 0), (0, 0), (3, 0)]));
+    assert_eq!(sum(&orders, true), 8, "{orders:?}");
+}
+
+#[test]
+fn the_time_before_the_first_request_does_not_count() {
+    let mut arrivals = Arrivals::default();
+    for step in 0..40_u64 {
+        let arrived = 1_000 * step.saturating_sub(20);
+        arrivals.on_totals(at(step * 250), [(Incarnation(1), arrived)].into_iter());
+        match arrivals.rate() {
+            None => assert!(step < 36, "{step}"),
+            Some(rate) => assert!(rate > 3_000.0, "{step}: {rate}"),
+        }
+    }
 }
 
 #[test]
 fn arrivals_are_counted_through_the_death_of_a_daemon() {
     let mut arrivals = Arrivals::default();
     let (one, two) = (Incarnation(1), Incarnation(2));
-    for step in 0..=16_u64 {
+    for step in 1..=17_u64 {
         // The second daemon dies after a second, and what it told stays known.
-        let of_two = 1_000 * step.min(4);
+        let of_two = 1_000 * step.min(5);
         let totals = [(one, 1_000 * step), (two, of_two)];
         arrivals.on_totals(at(step * 250), totals.into_iter());
     }
@@ -89,9 +110,9 @@
     let mut fleet = loaded(4);
     for name in ["a", "b", "c", "d"] {
         let order = Order { data_centre: centre(name), reclaimable: true, count: 1 };
-        fleet.on_refused(at(10), &order);
+        fleet.on_refused(at(START + 10), &order);
     }
-    let orders = fleet.orders(at(20), &spec(), &stock([(0, 0), (1, 0), (0, 0), (1, 0)]));
+    let orders = fleet.orders(at(START + 20), &spec(), &stock([(0, 0), (1, 0), (0, 0), (1, 0)]));
     assert!(sum(&orders, false) >= 2, "{orders:?}");
     assert!(orders.iter().all(|order| !order.reclaimable), "{orders:?}");
 }
@@ -100,11 +121,11 @@
 fn an_order_is_not_repeated_while_instances_start() {
     let mut fleet = loaded(4);
     let none = stock([(1, 0), (1, 0), (1, 0), (1, 0)]);
-    for order in fleet.orders(at(0), &spec(), &none) {
-        fleet.on_ordered(at(0), &order);
+    for order in fleet.orders(at(START), &spec(), &none) {
+        fleet.on_ordered(at(START), &order);
     }
-    assert_eq!(fleet.orders(at(3_000), &spec(), &none), []);
-    assert_ne!(fleet.orders(at(7_500), &spec(), &none), []);
+    assert_eq!(fleet.orders(at(START + 3_000), &spec(), &none), []);
+    assert_ne!(fleet.orders(at(START + 7_500), &spec(), &none), []);
 }
 
 #[test]
@@ -116,7 +137,7 @@
             let fixed = u32::from(fixed % 7);
             (fixed, u32::from(reclaimable) % (7 - fixed))
         });
-        let wanted = fleet.wanted(at(0), &spec(), &stock(present), need);
+        let wanted = fleet.wanted(at(START), &spec(), &stock(present), need);
         for stock in wanted.values() {
             assert!(stock.total() >= 1 && stock.total() <= 6, "{wanted:?}");
         }
@@ -126,8 +147,29 @@
 #[test]
 fn a_peak_counts_for_a_while() {
     let mut fleet = loaded(8);
-    fleet.on_rate(at(5_000), TOKENS_PER_ENGINE);
-    assert_eq!(fleet.need(0), 8);
-    fleet.on_rate(at(13_000), TOKENS_PER_ENGINE);
-    assert_eq!(fleet.need(0), 1);
+    fleet.on_rate(at(START + 5_000), TOKENS_PER_ENGINE);
+    assert_eq!(fleet.need(at(START + 5_000)), 8);
+    fleet.on_rate(at(START + 13_000), TOKENS_PER_ENGINE);
+    assert_eq!(fleet.need(at(START + 13_000)), 1);
+}
+
+#[test]
+fn in_a_wave_of_reclaims_the_next_data_centre_is_given_up_beforehand() {
+    let mut fleet = loaded(8);
+    let order = Order { data_centre: centre("a"), reclaimable: true, count: 2 };
+    fleet.on_refused(at(START), &order);
+    let found = stock([(0, 0), (1, 2), (0, 2), (1, 2)]);
+    let wanted = fleet.wanted(at(START + 500), &spec(), &found, 8);
+    let left: u32 = wanted.values().map(|stock| stock.fixed).sum::<u32>() + 2 + 2;
+    assert!(left >= 8, "{wanted:?}");
+}
+
+#[test]
+fn the_first_seconds_of_load_do_not_shrink_what_was_found() {
+    let mut fleet = Fleet::default();
+    let found = stock([(3, 0), (3, 0), (3, 0), (3, 0)]);
+    fleet.orders(at(0), &spec(), &found);
+    fleet.on_rate(at(4_000), TOKENS_PER_ENGINE);
+    assert_eq!(fleet.need(at(5_000)), 9);
+    assert_eq!(fleet.need(at(13_000)), 1);
 }
