test(platform): daemons as processes on a stand-in of the platform

The stand-in (store, cloud, upstreams) stands in platform/standin, so that the platform's names end there, and can be silent, busy, forget answers, forget history; upstreams lose answers, break streams off or turn requests down. A first version took ports that had been free a moment ago; one of ten tests then waited for ever, as another daemon had taken the port. Each daemon has a loopback address of its own now, and every wait ends.

--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,335 @@
+//! Daemons on a stand-in of the users' platform, as processes of their own.
+
+#[path = "../platform/standin/mod.rs"]
+#[allow(unreachable_pub)]
+mod standin;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use spindle_http::{Body, Client, read_body};
+use standin::{EVENTS, FILE_VARIABLE, Platform, StoreMood, Upstream, UpstreamMood};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tempfile::TempDir;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How often a test looks before it gives up.
+const TRIES_MAX: u32 = 1_500;
+
+/// The most that any call of a test may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A daemon process, killed when dropped.
+struct Daemon {
+    child: Child,
+    caller: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    _folder: TempDir,
+}
+
+/// Addresses of one daemon. Each daemon has a loopback address of its own, as instances have, so
+/// that ports which were free a moment ago can't be taken by somebody else.
+fn addresses() -> [SocketAddr; 4] {
+    static DAEMONS: AtomicU8 = AtomicU8::new(1);
+    let daemon = DAEMONS.fetch_add(1, Ordering::Relaxed);
+    let process = u8::try_from(std::process::id() % 250).unwrap();
+    let ip = Ipv4Addr::new(127, 20, process, daemon);
+    [8221, 8224, 8229, 8220].map(|port| SocketAddr::from((ip, port)))
+}
+
+fn client() -> Client {
+    Client::new(PATIENCE, 1 << 20)
+}
+
+impl Daemon {
+    fn start(platform: &Platform, name: &str, ports: [SocketAddr; 4], seed: SocketAddr) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("boot.yaml");
+        std::fs::write(&path, platform.settings(name, &ports, &[seed])).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_bronzespindle"))
+            .arg("node")
+            .env(FILE_VARIABLE, &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let [caller, ready, _, directory] = ports;
+        Self { child, caller, ready, directory, _folder: folder }
+    }
+
+    /// Starts daemons that know each other, and waits until each of them tells of all.
+    async fn start_all(platform: &Platform, count: usize) -> Vec<Self> {
+        let ports: Vec<_> = (0..count).map(|_| addresses()).collect();
+        let seed = ports[0][2];
+        let daemons: Vec<Self> = ports
+            .into_iter()
+            .enumerate()
+            .map(|(index, ports)| Self::start(platform, &format!("d-{index}"), ports, seed))
+            .collect();
+        let mut daemons = daemons;
+        for daemon in &mut daemons {
+            let exited = daemon.child.try_wait().unwrap();
+            assert_eq!(exited, None, "the daemon has ended by itself");
+            daemon.wait_for_addresses(count).await;
+        }
+        daemons
+    }
+
+    async fn wait_for_addresses(&self, count: usize) {
+        let path = "/resolve?name=h.example&region=r&zone=a-1";
+        for _ in 0..TRIES_MAX {
+            let reply: Result<serde_json::Value, _> = client().get(self.directory, path).await;
+            if reply.is_ok_and(|reply| reply["addresses"].as_array().unwrap().len() == count) {
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("the daemon does not tell of {count} addresses");
+    }
+
+    async fn is_ready(&self) -> bool {
+        let request = Request::builder().uri(format!("http://{}/readiness", self.ready));
+        let response = client().send(request.body(Body::Empty).unwrap()).await;
+        response.is_ok_and(|response| response.status() == StatusCode::OK)
+    }
+
+    async fn send(&self, id: &str, method: &str, path: &str) -> Response<Incoming> {
+        let mut request =
+            Request::builder().method(method).uri(format!("http://{}{path}", self.caller));
+        for (name, value) in standin::caller_headers(id) {
+            request = request.header(name, value);
+        }
+        let body = if method == "GET" { Body::Empty } else { Body::from("content".to_owned()) };
+        client().send(request.body(body).unwrap()).await.unwrap()
+    }
+
+    /// Sends a request again and again, under a new id each time, until it is answered so.
+    async fn wait_for(&self, path: &str, status: u16) {
+        for attempt in 0..TRIES_MAX {
+            let response = self.send(&format!("wait-{attempt}"), "GET", path).await;
+            if response.status() == status {
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("{path} is never answered {status}");
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(i32::try_from(self.child.id()).unwrap()), signal).unwrap();
+    }
+
+    async fn exit(&mut self) -> ExitStatus {
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+async fn body(response: Response<Incoming>) -> Result<String, String> {
+    let read = read_body(response.into_body(), 1 << 20, PATIENCE).await;
+    read.map(|content| String::from_utf8_lossy(&content).into_owned())
+        .map_err(|error| error.to_string())
+}
+
+/// The events of a whole stream, each once and in order.
+fn whole_stream() -> String {
+    (1..=EVENTS).map(|event| format!("id: {event}\ndata: {event}\n\n")).collect()
+}
+
+/// A platform with two upstreams of each service, and daemons that serve.
+async fn deploy(daemons: usize) -> (Platform, Vec<Upstream>, Vec<Daemon>) {
+    let platform = Platform::start().await;
+    platform.configure(&standin::configuration(3));
+    let mut upstreams = Vec::new();
+    for (name, service) in [("i-1", "desk"), ("i-2", "desk"), ("i-3", "model"), ("i-4", "model")] {
+        upstreams.push(Upstream::start(&platform, name, service).await);
+    }
+    let daemons = Daemon::start_all(&platform, daemons).await;
+    for daemon in &daemons {
+        daemon.wait_for("/read/x", 200).await;
+    }
+    (platform, upstreams, daemons)
+}
+
+#[tokio::test]
+async fn requests_are_served_under_their_teams_names_and_nothing_else_is() {
+    let (platform, _upstreams, daemons) = deploy(2).await;
+    for daemon in &daemons {
+        assert!(daemon.is_ready().await);
+        let response = daemon.send("r-1", "GET", "/read/a?b=c").await;
+        assert!(response.headers().contains_key("x-response-signature"));
+        assert_eq!(body(response).await.unwrap(), "/read/a cava");
+        assert_eq!(daemon.send("r-2", "GET", "/nowhere/").await.status(), 404);
+    }
+    assert_eq!(platform.runs("r-1").len(), 2);
+    assert!(platform.runs("r-2").is_empty());
+    let request = Request::builder().uri(format!("http://{}/read/a", daemons[0].caller));
+    let request = request.header("host", "h.example").header("x-request-id", "r-3");
+    let response = client().send(request.body(Body::Empty).unwrap()).await.unwrap();
+    assert_eq!(response.status(), 401);
+    assert!(platform.runs("r-3").is_empty());
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_another_upstream() {
+    let (platform, upstreams, daemons) = deploy(1).await;
+    upstreams[2].set_mood(UpstreamMood::BreaksOff);
+    for attempt in 0..4 {
+        let id = format!("s-{attempt}");
+        let response = daemons[0].send(&id, "POST", "/draft/x").await;
+        assert_eq!(body(response).await.unwrap(), whole_stream());
+    }
+    let runs: Vec<usize> =
+        (0..4).map(|attempt| platform.runs(&format!("s-{attempt}")).len()).collect();
+    assert!(runs.iter().all(|runs| (1..=2).contains(runs)), "{runs:?}");
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again_after_its_answer_is_lost() {
+    let (platform, upstreams, daemons) = deploy(1).await;
+    upstreams[0].set_mood(UpstreamMood::LosesAnswers);
+    upstreams[1].set_mood(UpstreamMood::LosesAnswers);
+    let response = daemons[0].send("b-1", "POST", "/book/x").await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(platform.runs("b-1").len(), 1);
+}
+
+#[tokio::test]
+async fn a_refusal_of_the_upstreams_is_passed_on_as_not_run_with_a_time_to_come_back() {
+    let (platform, upstreams, daemons) = deploy(1).await;
+    upstreams[0].set_mood(UpstreamMood::Full);
+    upstreams[1].set_mood(UpstreamMood::Full);
+    let response = daemons[0].send("f-1", "POST", "/book/x").await;
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(!response.headers().contains_key("x-response-signature"));
+    assert!(platform.runs("f-1").is_empty());
+}
+
+#[tokio::test]
+async fn a_change_is_in_force_at_every_daemon_and_an_unreadable_one_changes_nothing() {
+    let (platform, _upstreams, daemons) = deploy(2).await;
+    platform.configure(&serde_json::json!({"version": "none"}));
+    let mut changed = standin::configuration(9);
+    changed["routes"][0]["path-prefix"] = serde_json::json!("/new/");
+    platform.configure(&changed);
+    for daemon in &daemons {
+        daemon.wait_for("/new/x", 200).await;
+        assert_eq!(daemon.send("c-1", "GET", "/read/x").await.status(), 404);
+    }
+    // A lower version is never taken.
+    platform.configure(&standin::configuration(5));
+    platform.forget_history();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for daemon in &daemons {
+        assert_eq!(daemon.send("c-2", "GET", "/new/x").await.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let (platform, upstreams, daemons) = deploy(2).await;
+    upstreams[0].leave("desk");
+    // Longer than the users' time for it.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for (index, daemon) in daemons.iter().enumerate() {
+        for attempt in 0..10 {
+            let id = format!("l-{index}-{attempt}");
+            assert_eq!(daemon.send(&id, "GET", "/read/x").await.status(), 200);
+            assert_eq!(platform.runs(&id), ["i-2"]);
+        }
+    }
+}
+
+#[tokio::test]
+async fn requests_are_served_while_the_store_is_away() {
+    let (platform, _upstreams, daemons) = deploy(2).await;
+    for mood in [StoreMood::Busy, StoreMood::Silent] {
+        platform.set_mood(mood);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for daemon in &daemons {
+            assert!(daemon.is_ready().await);
+            assert_eq!(daemon.send("o-1", "GET", "/read/x").await.status(), 200);
+        }
+    }
+    // What may be allowed by now is not denied for good.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(daemons[0].send("o-2", "GET", "/nowhere/").await.status(), 503);
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_stream_off() {
+    let (_platform, _upstreams, mut daemons) = deploy(2).await;
+    let response = daemons[1].send("p-1", "POST", "/draft/x").await;
+    daemons[1].signal(Signal::SIGTERM);
+    assert_eq!(body(response).await.unwrap(), whole_stream());
+    assert!(!daemons[1].is_ready().await);
+    daemons[0].wait_for_addresses(1).await;
+    assert!(daemons[1].exit().await.success());
+}
+
+async fn wait_for_reports(platform: &Platform, count: usize) {
+    for _ in 0..TRIES_MAX {
+        if platform.reports().len() >= count {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("fewer than {count} reports");
+}
+
+#[tokio::test]
+async fn each_window_is_reported_once_also_when_answers_are_lost_and_the_reporter_dies() {
+    let (platform, _upstreams, mut daemons) = deploy(2).await;
+    wait_for_reports(&platform, 3).await;
+    platform.set_mood(StoreMood::Forgetful);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.set_mood(StoreMood::Well);
+    daemons[0].signal(Signal::SIGKILL);
+    daemons[0].exit().await;
+    let before = platform.reports().len();
+    wait_for_reports(&platform, before + 4).await;
+    let mut windows = std::collections::BTreeMap::new();
+    for report in platform.reports() {
+        let window = report["window-id"].as_u64().unwrap();
+        let counts = report["request-counts"].clone();
+        assert_eq!(*windows.entry(window).or_insert_with(|| counts.clone()), counts);
+    }
+}
+
+#[tokio::test]
+async fn requests_over_the_limits_are_refused_at_their_heads() {
+    let (platform, _upstreams, daemons) = deploy(1).await;
+    let send = |header: (&'static str, String), body: Body| {
+        let mut request = Request::builder().method("POST");
+        request = request.uri(format!("http://{}/book/x", daemons[0].caller));
+        for (name, value) in standin::caller_headers("big") {
+            request = request.header(name, value);
+        }
+        let request = request.header(header.0, header.1).body(body).unwrap();
+        async move { client().send(request).await.unwrap().status() }
+    };
+    let long = "x".repeat(20_000);
+    assert_eq!(send(("x-long", long), Body::Empty).await, 431);
+    let large = Body::from("y".repeat(100_000));
+    assert_eq!(send(("x-short", "z".to_owned()), large).await, 413);
+    assert!(platform.runs("big").is_empty());
+}
