--- a/crates/policy/src/sharing.rs
+++ b/crates/policy/src/sharing.rs
@@ -27,6 +27,10 @@
 /// The part of the refill that a daemon takes in that time, as one of several that started at once.
 const START_REFILL: f64 = 0.15;
 
+/// The part of a burst that a daemon adds when it hears of one that has been running for long: not
+/// all have started at once then.
+const JOIN_SHARE: f64 = 0.1;
+
 /// The part of the retries allowed that is used. The rest covers news under way.
 const RETRY_SHARE: f64 = 0.7;
 
@@ -99,6 +103,7 @@
     tolerance: QuotaTolerance,
     level: f64,
     born: MonotonicInstant,
+    joined: bool,
     filled: MonotonicInstant,
     own: f64,
     others: HashMap<Incarnation, f64>,
@@ -109,7 +114,8 @@
     pub fn new(now: MonotonicInstant, spec: QuotaSpec, tolerance: QuotaTolerance) -> Self {
         let level = spec.burst * START_SHARE;
         let (born, filled) = (now, now);
-        Self { spec, tolerance, level, born, filled, own: 0.0, others: HashMap::new() }
+        let (own, others) = (0.0, HashMap::new());
+        Self { spec, tolerance, level, born, joined: false, filled, own, others }
     }
 
     /// Takes over a changed specification; what is used stays used.
@@ -122,7 +128,7 @@
     pub fn admit(&mut self, now: MonotonicInstant, cost: f64, hearing: Hearing) -> Admitted {
         let capacity = self.tolerance.capacity(&self.spec);
         let share = match now.since(self.born) {
-            age if age < START_TIME => hearing.share().min(START_REFILL),
+            age if age < START_TIME && !self.joined => hearing.share().min(START_REFILL),
             _ => hearing.share(),
         };
         let rate = self.tolerance.rate(&self.spec) * share;
@@ -155,6 +161,10 @@
         // What an old one charged before it was heard of first is taken to be refilled; a young one
         // has started together with this one.
         let young = age < self.tolerance.window;
+        if !young && !self.joined {
+            self.joined = true;
+            self.level += self.spec.burst * JOIN_SHARE;
+        }
         let unheard = if young { 0.0 } else { total };
         let before = self.others.insert(other, total).unwrap_or(unheard);
         self.level -= total - before;
--- a/crates/policy/src/sharing/tests.rs
+++ b/crates/policy/src/sharing/tests.rs
@@ -120,3 +120,17 @@
     assert!(further <= 200 + 52, "{further}");
     assert!(further >= 100, "{further}");
 }
+
+#[test]
+fn a_daemon_that_starts_among_old_ones_serves_teams_within_their_quotas_at_once() {
+    let mut quota = SharedQuota::new(at(0), SPEC, TOLERANCE);
+    let all = Hearing { heard: 6, known: 6 };
+    for other in 0..5 {
+        quota.on_other(Incarnation(other), 1_000.0, Duration::from_secs(60));
+    }
+    // A sixth of what the team sends, in pieces.
+    for step in 1..20 {
+        let millis = step * 100;
+        assert_eq!(quota.admit(at(millis), 55.0 / 6.0 / 10.0, all), Admitted::Yes, "{millis}");
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -64,7 +64,7 @@
     pub current: Arc<AtomicBool>,
     /// The daemons that share the upstreams' connections.
     pub daemons: Arc<AtomicU32>,
-    /// Whether the daemon has stopped taking new requests.
+    /// Whether the daemon is so close to its end that it begins no stream any more.
     pub closed: Arc<AtomicBool>,
 }
 
@@ -178,15 +178,15 @@
         if serving.version == 0 {
             return Err(Refusal::NoConfiguration { after: return_after() });
         }
-        if self.0.closed.load(Ordering::Relaxed) {
-            return Err(Refusal::Leaving { after: RETURN_MIN });
-        }
         let path = inbound.target.path();
         let route =
             serving.route(&inbound.host, path).ok_or_else(|| self.deny(Refusal::NoRoute))?;
         let route = Arc::clone(route);
         trail.route.clone_from(&route.name);
         trail.kind = route.repeat.into();
+        if route.repeat.streams() && self.0.closed.load(Ordering::Relaxed) {
+            return Err(Refusal::Leaving { after: RETURN_MIN });
+        }
         let spec = self.team(inbound, &serving, &route)?;
         if let Some(spec) = spec {
             trail.team = spec.team.to_string();
--- a/src/node.rs
+++ b/src/node.rs
@@ -48,9 +48,13 @@
 /// upstream as well.
 const CALLER_DESCRIPTORS: f64 = 0.5;
 
-/// How much of the time that a stop may take is for callers to learn of it. Most keep an address
-/// answer for two seconds.
-const LEARN_SHARE: f64 = 0.3;
+/// How much of the time that a stop may take streams are still begun. Most callers keep an address
+/// answer for two seconds, and streams take a few seconds.
+const STREAMS_SHARE: f64 = 0.3;
+
+/// How much of the time that a stop may take connections are still accepted. Some callers keep an
+/// address answer three times as long as they are told.
+const ACCEPT_SHARE: f64 = 0.76;
 
 /// The part of the time that a stop may take after which the process ends by itself.
 const STOP_SHARE: f64 = 0.95;
@@ -72,10 +76,10 @@
 struct Stop {
     /// Callers are told to go elsewhere.
     leaving: DrainTrigger,
-    /// Nothing new is taken.
-    closing: DrainTrigger,
-    /// The same, for connections that are open.
+    /// No stream is begun any more.
     closed: Arc<AtomicBool>,
+    /// No connection is accepted any more.
+    closing: DrainTrigger,
 }
 
 /// Runs a daemon until SIGTERM, which drains it.
@@ -241,12 +245,12 @@
         let _ = actor.await;
     }
     let grace = settings.bounds.grace;
-    let learnt = grace.mul_f64(LEARN_SHARE).saturating_sub(units.clock.now().since(began));
-    tokio::time::sleep(learnt).await;
+    let until = |share| grace.mul_f64(share).saturating_sub(units.clock.now().since(began));
+    tokio::time::sleep(until(STREAMS_SHARE)).await;
     stop.closed.store(true, Ordering::Relaxed);
+    tokio::time::sleep(until(ACCEPT_SHARE)).await;
     stop.closing.start();
-    let left = grace.mul_f64(STOP_SHARE).saturating_sub(units.clock.now().since(began));
-    tokio::time::timeout(left, serving).await.is_ok()
+    tokio::time::timeout(until(STOP_SHARE), serving).await.is_ok()
 }
 
 async fn start_reception(settings: &NodeSettings, reception: NodeReception) -> eyre::Result<()> {
