feat(node): daemons find each other through the store when no seed answers

Cause: the settings' seeds may be stale or down; a new daemon at a new address was alone then, outside the address answers and with quotas of its own. Each daemon tells its address in a keyed topic, and reads it while it hears nobody. Test: tests/platform.rs, daemons_find_each_other...; Also a log line for each upstream that is left for another one, and for each stream that goes on.

--- a/crates/relay/src/outside.rs
+++ b/crates/relay/src/outside.rs
@@ -7,6 +7,7 @@
 use spindle_policy::windows::Counts;
 use spindle_types::{DataCentre, Fencing, Instance, Service};
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -29,8 +30,6 @@
     Lease,
     /// The usage reports, before they are sent.
     Usage,
-    /// The addresses of daemons.
-    Daemons,
 }
 
 /// One record of a feed, decoded.
@@ -124,6 +123,16 @@
         record: Bytes,
     ) -> impl Future<Output = Result<Appended, StoreError>> + Send;
 
+    /// Tells where a daemon answers the others, in place of what was told of its instance before.
+    fn announce(
+        &self,
+        instance: &Instance,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Where daemons have said that they answer, dead ones included.
+    fn announced(&self) -> impl Future<Output = Result<Vec<SocketAddr>, StoreError>> + Send;
+
     /// Decodes a configuration that another daemon has read.
     ///
     /// # Errors
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -294,7 +294,10 @@
                     trail.sends = sends.arrived;
                     return Ok(*answer);
                 }
-                Sent::Unreached => sends.unreached += 1,
+                Sent::Unreached => {
+                    trail.cause = "upstream_unreached".to_owned();
+                    sends.unreached += 1;
+                }
                 Sent::Refused => {
                     trail.cause = "upstream_full".to_owned();
                     if !self.may_repeat(ticket, sends) {
@@ -326,6 +329,13 @@
                 }
             }
             trail.sends = sends.arrived;
+            log::info!(
+                "event=sent_again id={} upstream={} cause={} sends={}",
+                trail.id,
+                trail.upstream,
+                trail.cause,
+                trail.sends,
+            );
         }
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -184,6 +184,12 @@
     async fn resume(&mut self) -> Option<Answer> {
         self.cutter.drop_partial();
         let after = self.cutter.last().map(str::to_owned);
+        log::info!(
+            "event=stream_resumed id={} upstream={} cause={} after={after:?}",
+            self.trail.id,
+            self.trail.upstream,
+            self.trail.cause,
+        );
         let (relay, ticket, work) = (self.relay.clone(), self.ticket.clone(), &self.work);
         let sending = relay.send(&ticket, work, &mut self.sends, &mut self.trail, after.as_deref());
         let result = tokio::select! {
--- a/src/node.rs
+++ b/src/node.rs
@@ -111,6 +111,7 @@
     let serving = start_callers(&settings, &units, &stop).await?;
     tokio::spawn(units.follower.clone().run());
     tokio::spawn(units.registrations.clone().run());
+    tokio::spawn(units.statuses.clone().find_others());
     tokio::spawn(units.statuses.clone().run());
     let actor = start_actor(&settings, incarnation, &units, &stop);
     log::info!("event=started incarnation={incarnation}");
@@ -151,6 +152,7 @@
         incarnation,
         settings: settings.clone(),
         clock,
+        store: store.clone(),
         board: board.clone(),
         accounts: accounts.clone(),
         follower: follower.clone(),
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -2,8 +2,9 @@
 use spindle_policy::sharing::{QuotaTolerance, RetryLimit};
 use spindle_relay::accounts::AccountRules;
 use spindle_relay::outside::{Appended, Records, Topic};
-use spindle_types::SystemClock;
+use spindle_types::{Instance, SystemClock};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// A store that holds one configuration, answers no call while it is dark, and never answers those
@@ -69,6 +70,14 @@
         Err(StoreError::Refused("not held here".to_owned()))
     }
 
+    async fn announce(&self, _instance: &Instance, _peer: SocketAddr) -> Result<(), StoreError> {
+        Err(StoreError::Refused("not held here".to_owned()))
+    }
+
+    async fn announced(&self) -> Result<Vec<SocketAddr>, StoreError> {
+        Err(StoreError::Refused("not held here".to_owned()))
+    }
+
     fn configuration(&self, _document: &[u8]) -> Result<Serving, String> {
         Err("not held here".to_owned())
     }
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -12,6 +12,7 @@
 use spindle_policy::presence::{BEAT_INTERVAL, Message, Phase, Presence, Status};
 use spindle_policy::sharing::Hearing;
 use spindle_policy::windows::{Counts, Windows, total};
+use spindle_relay::outside::Store;
 use spindle_relay::{Accounts, Board, Serving};
 use spindle_types::{Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team};
 use std::collections::{BTreeMap, HashMap};
@@ -31,6 +32,10 @@
 /// The silence of the store after which a daemon asks another one for the upstreams.
 const STORE_SILENCE: Duration = Duration::from_millis(2_500);
 
+/// The time between two looks for other daemons in the store. Daemons start within 0.3 s of each
+/// other, and a new one is to be used soon.
+const FIND_INTERVAL: Duration = Duration::from_secs(2);
+
 /// The beats between two such questions.
 const ASK_BEATS: u64 = 3;
 
@@ -48,6 +53,8 @@
     pub settings: NodeSettings,
     /// The present time.
     pub clock: BootClock,
+    /// The store, in which daemons find each other when the settings name none that answers.
+    pub store: PlatformStore,
     /// The upstreams.
     pub board: Board,
     /// What teams have used.
@@ -72,6 +79,7 @@
     own: Status,
     acting: Option<Fencing>,
     connections: HashMap<SocketAddr, PeerConnection>,
+    announced: Vec<SocketAddr>,
     fetching: bool,
 }
 
@@ -108,11 +116,34 @@
             own,
             acting: None,
             connections: HashMap::new(),
+            announced: Vec::new(),
             fetching: false,
         };
         Self { parts: Arc::new(parts), state: Arc::new(Mutex::new(state)) }
     }
 
+    /// Tells in the store where this daemon answers, and while no other is heard reads where they
+    /// do; until the process ends.
+    pub async fn find_others(self) {
+        let settings = &self.parts.settings;
+        let mut told = false;
+        loop {
+            if !told {
+                let result = self.parts.store.announce(&settings.instance, settings.peer).await;
+                told = result.is_ok();
+                log::info!("event=announced peer={} result={result:?}", settings.peer);
+            }
+            let alone = self.state().presence.live(self.parts.clock.now()).next().is_none();
+            if alone {
+                match self.parts.store.announced().await {
+                    Ok(found) => self.state().announced = found,
+                    Err(error) => log::debug!("event=announced_unread error={error:?}"),
+                }
+            }
+            tokio::time::sleep(FIND_INTERVAL).await;
+        }
+    }
+
     /// Exchanges until the process ends.
     pub async fn run(self) {
         let mut ticks = tokio::time::interval(BEAT_INTERVAL);
@@ -214,8 +245,8 @@
         self.derive(now, &mut state);
         let state = &mut *state;
         state.presence.prune(now);
-        let seeds = &parts.settings.seeds;
-        state.presence.targets(now, parts.settings.peer, seeds, &mut rand::rng())
+        let seeds = [parts.settings.seeds.as_slice(), &state.announced].concat();
+        state.presence.targets(now, parts.settings.peer, &seeds, &mut rand::rng())
     }
 
     /// Passes on what follows from the statuses.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -275,6 +275,18 @@
     assert_eq!(daemons[0].send("o-2", "GET", "/nowhere/").await.status(), 503);
 }
 
+#[tokio::test]
+async fn daemons_find_each_other_through_the_store_when_no_seed_answers() {
+    let platform = Platform::start().await;
+    platform.configure(&standin::configuration(3));
+    let nobody = addresses()[2];
+    let start = |name| Daemon::start(&platform, name, addresses(), nobody);
+    let daemons = [start("d-0"), start("d-1"), start("d-2")];
+    for daemon in &daemons {
+        daemon.wait_for_addresses(3).await;
+    }
+}
+
 #[tokio::test]
 async fn a_planned_stop_cuts_no_stream_off() {
     let (_platform, _upstreams, mut daemons) = deploy(2).await;
