--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,7 +1,6 @@
 //! How upstreams are spoken to: the names of headers are theirs, the meaning is ours.
 
 use crate::inbound::Inbound;
-use crate::serving::Repeat;
 use http::{HeaderMap, response};
 use spindle_policy::listing::Life;
 use spindle_types::Team;
@@ -20,8 +19,6 @@
     pub after: Option<&'a str>,
     /// The rank at an engine, from 0, which is first, to 9.
     pub rank: Option<u32>,
-    /// What may be repeated.
-    pub repeat: Repeat,
 }
 
 /// What an upstream tells of its load.
--- a/crates/relay/src/measures.rs
+++ b/crates/relay/src/measures.rs
@@ -9,7 +9,7 @@
 pub struct Measures {
     /// Requests by kind, team and outcome.
     pub requests: Counter<u64>,
-    /// Sends to upstreams by how they ended.
+    /// Sends to upstreams by service and how they ended.
     pub sends: Counter<u64>,
     /// Seconds from the first byte to the first byte of the answer.
     pub first: Histogram<f64>,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,6 +4,7 @@
 use crate::board::{Board, Ended, Placed};
 use crate::dialect::{Dialect, Ran};
 use crate::inbound::{Inbound, Refusal, Work};
+use crate::measures::MEASURES;
 use crate::pool::Leased;
 use crate::send::{Job, Sent};
 use crate::serving::{Route, Serving, TeamSpec};
@@ -12,6 +13,7 @@
 use bytes::Bytes;
 use http::{Response, header, response};
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
 use rand::RngExt;
 use spindle_http::{Body, ReadError, read_body};
 use spindle_policy::listing::UpstreamKey;
@@ -288,7 +290,10 @@
             let placed = self.place(ticket, work, sends)?;
             sends.tried.push(placed.key);
             trail.upstream = placed.life.instance.to_string();
-            match self.send_to(placed, Job { ticket, work, after }, sends).await {
+            let sent = self.send_to(placed, Job { ticket, work, after }, sends).await;
+            let ended = KeyValue::new("ended", <&'static str>::from(&sent));
+            MEASURES.sends.add(1, &[KeyValue::new("service", trail.service.clone()), ended]);
+            match sent {
                 Sent::Answer(answer) => {
                     sends.may_have_run = true;
                     trail.sends = sends.arrived;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -15,6 +15,7 @@
 use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use strum::IntoStaticStr;
 
 /// How often the target of a safe request passes before it is also sent elsewhere. Its work takes
 /// a fifth of the target.
@@ -38,6 +39,8 @@
 }
 
 /// How one send ended.
+#[derive(IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum Sent {
     /// The head of an answer came.
     Answer(Box<Answer>),
@@ -183,7 +186,6 @@
             left,
             after: after.or(work.inbound.after.as_deref()),
             rank: ticket.rank,
-            repeat: ticket.route.repeat,
         };
         let mut request = Request::new(Full::new(work.body.clone()));
         *request.method_mut() = work.inbound.method.clone();
