--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use crate::measures::MEASURES;
 use crate::pool::Leased;
 use crate::send::{Job, Sent};
-use crate::serving::{Route, Serving, TeamSpec};
+use crate::serving::{Limits, Route, Serving, TeamSpec};
 use crate::stream;
 use crate::trail::{Outcome, Trail};
 use bytes::Bytes;
@@ -150,8 +150,10 @@
         body: Incoming,
         trail: &mut Trail<K>,
     ) -> Result<Served, Refusal> {
+        let limits = self.0.serving.borrow().limits;
+        let body = read_request(&inbound, body, &limits).await?;
+        // Taken after the body, which may have come slowly: an older one must not decide any more.
         let serving = self.0.serving.borrow().clone();
-        let body = read_request(&inbound, body, &serving).await?;
         let ticket = self.admit(&inbound, serving, trail)?;
         let work = Work { inbound, body };
         let mut sends = Sends::default();
@@ -450,10 +452,10 @@
 async fn read_request(
     inbound: &Inbound,
     body: Incoming,
-    serving: &Serving,
+    limits: &Limits,
 ) -> Result<Bytes, Refusal> {
-    let wait = inbound.patience.unwrap_or(serving.limits.idle_time).min(serving.limits.idle_time);
-    read_body(body, serving.limits.body, wait).await.map_err(|error| match error {
+    let wait = inbound.patience.unwrap_or(limits.idle_time).min(limits.idle_time);
+    read_body(body, limits.body, wait).await.map_err(|error| match error {
         ReadError::Size { .. } => Refusal::TooLarge,
         ReadError::Timeout(_) => Refusal::SlowBody,
         _ => Refusal::Invalid,
