fix(presence): a status that is passed on is as old as it is

Daemons forgot it at different moments, and the last to know it made it new to the others, for 1.2 s each time; a new daemon took it for live as well. Ruled out: late address answers (they were made at 43 s). Change: a status travels with its age. Tests: presence, a_daemon_that_died_is_never_live_again and a_new_daemon_does_not_take_a_dead_one_for_live, fail without.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -22,9 +22,9 @@
 /// all of them in about four rounds at every size.
 const DAEMONS_PER_CALL: usize = 24;
 
-/// The silence after which a daemon is not told to callers any more: five beats, so that a beat
-/// that is lost and sent again after a second does not count.
-pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+/// The silence after which a daemon is not told to callers any more: eight beats, as a status takes
+/// about four of them through others. Half of the users' time for a daemon to be in touch.
+pub const SILENT_AFTER: Duration = Duration::from_millis(1_600);
 
 /// The silence after which a daemon is taken to be dead. Until then it may be cut off, and use its
 /// share of what daemons spend together. The longest window of a quota in the users' rules.
@@ -96,8 +96,8 @@
 pub struct Message {
     /// The newest beat of each daemon that the sender knows.
     pub known: BTreeMap<Incarnation, u64>,
-    /// Statuses that the receiver may lack.
-    pub statuses: Vec<Status>,
+    /// Statuses that the receiver may lack, each with the milliseconds since the sender heard it.
+    pub statuses: Vec<(u64, Status)>,
 }
 
 /// A status and when it was heard.
@@ -118,7 +118,8 @@
 }
 
 impl Presence {
-    /// Takes in the statuses of a message; those that were news.
+    /// Takes in the statuses of a message; those that were news. One that is passed on is as old as
+    /// its sender says, so that nobody takes a daemon that died long ago for a new one.
     pub fn on_message(
         &mut self,
         now: MonotonicInstant,
@@ -126,34 +127,45 @@
         message: &Message,
     ) -> Vec<Incarnation> {
         let mut news = Vec::new();
-        for status in message.statuses.iter().filter(|status| status.incarnation != own) {
+        for (silent, status) in &message.statuses {
+            if status.incarnation == own {
+                continue;
+            }
             let known = self.heard.get(&status.incarnation);
             if known.is_some_and(|known| known.status.beat >= status.beat) {
                 continue;
             }
             news.push(status.incarnation);
-            self.heard.insert(status.incarnation, Heard { status: status.clone(), at: now });
+            let at = now - Duration::from_millis(*silent);
+            self.heard.insert(status.incarnation, Heard { status: status.clone(), at });
         }
         news
     }
 
     /// The message for a daemon that knows the beats given; none are known of a stranger.
-    pub fn message(&self, own: &Status, known: &BTreeMap<Incarnation, u64>) -> Message {
+    pub fn message(
+        &self,
+        now: MonotonicInstant,
+        own: &Status,
+        known: &BTreeMap<Incarnation, u64>,
+    ) -> Message {
         let mut beats: BTreeMap<_, _> =
             self.heard.iter().map(|(life, heard)| (*life, heard.status.beat)).collect();
         beats.insert(own.incarnation, own.beat);
-        let newer = |status: &&Status| {
-            known.get(&status.incarnation).is_none_or(|beat| *beat < status.beat)
-        };
-        let others = self.heard.values().map(|heard| &heard.status);
-        let statuses = others.chain([own]).filter(newer).cloned().collect();
+        let silent =
+            |heard: &Heard| u64::try_from(now.since(heard.at).as_millis()).unwrap_or(u64::MAX);
+        let others = self.heard.values().map(|heard| (silent(heard), &heard.status));
+        let newer =
+            |status: &Status| known.get(&status.incarnation).is_none_or(|beat| *beat < status.beat);
+        let all = others.chain([(0, own)]).filter(|(_, status)| newer(status));
+        let statuses = all.map(|(silent, status)| (silent, status.clone())).collect();
         Message { known: beats, statuses }
     }
 
     /// The message for the daemon at an address, by what it said that it knows.
-    pub fn message_to(&self, own: &Status, peer: SocketAddr) -> Message {
+    pub fn message_to(&self, now: MonotonicInstant, own: &Status, peer: SocketAddr) -> Message {
         let none = BTreeMap::new();
-        self.message(own, self.sent.get(&peer).unwrap_or(&none))
+        self.message(now, own, self.sent.get(&peer).unwrap_or(&none))
     }
 
     /// Notes what the daemon at an address knows.
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -50,10 +50,10 @@
                     self.daemons[from].1.on_missed(target);
                     continue;
                 }
-                let message = self.daemons[from].1.message_to(&own, target);
+                let message = self.daemons[from].1.message_to(now, &own, target);
                 let (other, presence) = &mut self.daemons[to];
                 presence.on_message(now, other.incarnation, &message);
-                let reply = presence.message(other, &message.known);
+                let reply = presence.message(now, other, &message.known);
                 let presence = &mut self.daemons[from].1;
                 presence.on_message(now, own.incarnation, &reply);
                 presence.on_known(target, reply.known);
@@ -110,9 +110,38 @@
             let mut found = status(1);
             found.beat = u64::from(*beat);
             newest = newest.max(found.beat);
-            let message = Message { known: BTreeMap::new(), statuses: vec![found] };
+            let message = Message { known: BTreeMap::new(), statuses: vec![(0, found)] };
             presence.on_message(at(0), Incarnation(9), &message);
             assert_eq!(presence.iter().next().unwrap().status.beat, newest);
         }
     });
 }
+
+/// Found on a mix of vendimia-clara, seed 586384255042: daemons forgot a dead one at different
+/// moments, and the last to know it made it new to the others.
+#[test]
+fn a_daemon_that_died_is_never_live_again() {
+    let mut deployment = Deployment::new(6);
+    deployment.rounds(0, 10, |_, _| true);
+    for round in 0..200_u64 {
+        let now = at(2_000) + BEAT_INTERVAL * u32::try_from(round).unwrap();
+        deployment.round(now, |from, to| from != 5 && to != 5);
+        for (_, presence) in &mut deployment.daemons[..5] {
+            presence.prune(now);
+            let dead = |heard: &Heard| heard.status.incarnation == Incarnation(5);
+            assert!(round < 9 || !presence.live(now).any(dead), "round {round}");
+        }
+    }
+}
+
+#[test]
+fn a_new_daemon_does_not_take_a_dead_one_for_live() {
+    let mut old = Presence::default();
+    let message = Message { known: BTreeMap::new(), statuses: vec![(0, status(1))] };
+    old.on_message(at(0), Incarnation(2), &message);
+    let told = old.message(at(10_000), &status(2), &BTreeMap::new());
+    let mut new = Presence::default();
+    new.on_message(at(50_000), Incarnation(3), &told);
+    let live: Vec<_> = new.live(at(50_000)).map(|heard| heard.status.incarnation).collect();
+    assert_eq!(live, [Incarnation(2)]);
+}
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -297,7 +297,7 @@
     async fn call(self, peer: SocketAddr) {
         let message = {
             let state = self.state();
-            state.presence.message_to(&state.own, peer)
+            state.presence.message_to(self.parts.clock.now(), &state.own, peer)
         };
         match self.exchange(peer, message).await {
             Ok(reply) => {
@@ -334,13 +334,14 @@
     fn on_message(&self, message: &Message) -> Message {
         self.take_in(message);
         let state = self.state();
-        state.presence.message(&state.own, &message.known)
+        state.presence.message(self.parts.clock.now(), &state.own, &message.known)
     }
 
     fn take_in(&self, message: &Message) {
         let now = self.parts.clock.now();
         let news = self.state().presence.on_message(now, self.parts.incarnation, message);
-        for status in message.statuses.iter().filter(|found| news.contains(&found.incarnation)) {
+        let statuses = message.statuses.iter().map(|(_, status)| status);
+        for status in statuses.filter(|found| news.contains(&found.incarnation)) {
             for life in &status.leaving {
                 self.parts.board.on_leaving(now, life, "daemon");
             }
