fix(fleet): go on without refused instances until the next answer

Cause: a refusal counted for as long as the instances were not asked for again. Change: planning counts a refusal until the answer to the next order is there, and an accepted order ends it. Test: what_replaces_refused_instances_..., seen to fail at 3 -> 1 without.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -37,6 +37,10 @@
 /// The time after a refusal before instances of a kind are asked for in a data centre again.
 const REFUSED_FOR: Duration = Duration::from_secs(3);
 
+/// The time after a refusal in which the plan goes on without those instances. Longer than until they
+/// are asked for again, so that the plan waits for that answer; a round of orders takes under 1.5 s.
+const MISSING_FOR: Duration = Duration::from_millis(4_500);
+
 /// The time after which an order that did not bring what was asked for is repeated, beyond the
 /// start-up time.
 const REPEAT_AFTER: Duration = Duration::from_secs(3);
@@ -163,6 +167,13 @@
 
     /// Records that an order has been accepted.
     pub fn on_ordered(&mut self, now: MonotonicInstant, order: &Order) {
+        self.refused.remove(&(order.data_centre.clone(), order.reclaimable));
+        self.on_unanswered(now, order);
+    }
+
+    /// Records that the answer to an order was lost. It may be carried out; it is repeated like one
+    /// that brought nothing.
+    pub fn on_unanswered(&mut self, now: MonotonicInstant, order: &Order) {
         let slot = (order.data_centre.clone(), order.reclaimable);
         self.ordered.insert(slot, (now, order.count));
     }
@@ -216,7 +227,7 @@
         count: u32,
         found: u32,
     ) -> bool {
-        if count > found && self.is_refused(now, slot) {
+        if count > found && self.refused_within(now, slot, REFUSED_FOR) {
             return false;
         }
         match self.ordered.get(slot) {
@@ -227,8 +238,8 @@
         }
     }
 
-    fn is_refused(&self, now: MonotonicInstant, slot: &Slot) -> bool {
-        self.refused.get(slot).is_some_and(|at| now.since(*at) < REFUSED_FOR)
+    fn refused_within(&self, now: MonotonicInstant, slot: &Slot, span: Duration) -> bool {
+        self.refused.get(slot).is_some_and(|at| now.since(*at) < span)
     }
 
     /// What each data centre should have, whatever is there now.
@@ -272,7 +283,7 @@
     ) -> u32 {
         let reclaimable = wanted.iter().map(|(centre, wanted)| {
             let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
-            let refused = self.is_refused(now, &(centre.clone(), true));
+            let refused = self.refused_within(now, &(centre.clone(), true), MISSING_FOR);
             if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
         });
         let reclaimable: Vec<u32> = reclaimable.collect();
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -173,3 +173,28 @@
     assert_eq!(fleet.need(at(5_000)), 9);
     assert_eq!(fleet.need(at(13_000)), 1);
 }
+
+/// Seen on kanem-returns' scale-2: each time that a refusal had passed, what replaced the refused
+/// instances was given up while it started.
+#[test]
+fn what_replaces_refused_instances_is_not_given_up_while_they_are_asked_for_again() {
+    let mut fleet = loaded(12);
+    let stock = stock([(0, 0); 4]);
+    let mut fixed = BTreeMap::new();
+    for millis in (START..START + 4_000).step_by(250) {
+        let now = at(millis);
+        fleet.on_rate(now, 12.0 * TOKENS_PER_ENGINE);
+        let orders = fleet.orders(now, &spec(), &stock);
+        for order in orders {
+            if order.reclaimable {
+                // The cloud answers after a while.
+                fleet.on_refused(now + Duration::from_millis(20), &order);
+                continue;
+            }
+            let before = fixed.insert(order.data_centre.clone(), order.count).unwrap_or(0);
+            assert!(order.count >= before, "{millis}: {order:?} after {before}");
+            fleet.on_ordered(now, &order);
+        }
+    }
+    assert_eq!(fixed.values().sum::<u32>(), 12);
+}
--- a/src/node/actor.rs
+++ b/src/node/actor.rs
@@ -264,7 +264,7 @@
     /// Stores and sends the reports that are due.
     async fn report(&mut self) {
         let bounds = self.parts.bounds;
-        let utc = self.parts.clock.utc();
+        let utc = self.parts.statuses.civil(self.parts.clock.now());
         let late = bounds.usage_late.saturating_sub(LATE_MARGIN);
         let windows: Vec<u64> = due(utc, bounds.usage_window, SETTLE, late).collect();
         for window in windows {
@@ -389,8 +389,8 @@
         let now = self.parts.clock.now();
         let (_, fleet) = self.fleets.entry(service.clone()).or_default();
         match result {
-            // A lost order may be carried out; it is repeated like one that brought nothing.
-            Ok(()) | Err(CloudError::Lost(_)) => fleet.on_ordered(now, &order),
+            Ok(()) => fleet.on_ordered(now, &order),
+            Err(CloudError::Lost(_)) => fleet.on_unanswered(now, &order),
             Err(CloudError::Unavailable) => fleet.on_refused(now, &order),
             Err(CloudError::Refused(_) | CloudError::Fenced) => {}
         }
