--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod cases;
 pub mod checkpoint;
+pub mod civil;
 pub mod claim;
 pub mod exchange;
 pub mod fleet;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -10,7 +10,9 @@
 use crate::windows::{Counts, WINDOWS_KEPT};
 use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
-use spindle_types::{DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team};
+use spindle_types::{
+    DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -92,6 +94,8 @@
     pub beat: u64,
     /// Milliseconds for which it had been running at that beat.
     pub uptime: u64,
+    /// The civil time by its clock at that beat.
+    pub utc: UtcInstant,
     /// Whether it takes requests.
     pub phase: Phase,
     /// The version of the configuration in force there; 0 if there is none.
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -2,7 +2,6 @@
 use crate::windows::Windows;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use spindle_types::UtcInstant;
 
 fn at(millis: u64) -> MonotonicInstant {
     MonotonicInstant::from_millis(millis)
@@ -23,6 +22,7 @@
         }),
         beat: 1,
         uptime: 200,
+        utc: UtcInstant(1_764_806_400_000),
         phase: Phase::Ready,
         config: 0,
         age: None,
--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -1,6 +1,7 @@
 //! What teams have used, what services may get once more, and what began to run when.
 
 use crate::serving::{Serving, TeamSpec};
+use spindle_policy::civil::CivilTime;
 use spindle_policy::sharing::{
     Admitted, Hearing, QuotaTolerance, RetryLimit, RetryShare, SharedQuota,
 };
@@ -29,6 +30,7 @@
     retries: HashMap<Service, RetryShare>,
     arrived: BTreeMap<Service, u64>,
     windows: Windows,
+    civil: CivilTime,
 }
 
 /// The accounts of one daemon.
@@ -39,14 +41,16 @@
 }
 
 impl Accounts {
-    /// Accounts in which nothing stands.
-    pub fn new(rules: AccountRules) -> Self {
+    /// Accounts in which nothing stands, by a clock that is this daemon's own until others are
+    /// heard.
+    pub fn new(rules: AccountRules, civil: CivilTime) -> Self {
         let state = State {
             hearing: Hearing { heard: 1, known: 1 },
             quotas: HashMap::new(),
             retries: HashMap::new(),
             arrived: BTreeMap::new(),
             windows: Windows::default(),
+            civil,
         };
         Self { rules, state: Arc::new(Mutex::new(state)) }
     }
@@ -138,8 +142,29 @@
     }
 
     /// Counts a request that began to run.
-    pub fn on_began(&self, utc: UtcInstant, team: &Team) {
-        self.state().windows.on_began(utc, self.rules.window, team);
+    pub fn on_began(&self, now: MonotonicInstant, team: &Team) {
+        let mut state = self.state();
+        let utc = state.civil.at(now);
+        state.windows.on_began(utc, self.rules.window, team);
+    }
+
+    /// Takes in the clocks of all daemons that are heard.
+    pub fn on_clocks(&self, zeros: Vec<UtcInstant>) {
+        let mut state = self.state();
+        let before = state.civil;
+        if state.civil.on_clocks(zeros) {
+            let zero = MonotonicInstant::default();
+            log::warn!(
+                "event=civil_time_changed before={} after={}",
+                before.at(zero),
+                state.civil.at(zero)
+            );
+        }
+    }
+
+    /// The civil time on which most daemons agree.
+    pub fn civil(&self, now: MonotonicInstant) -> UtcInstant {
+        self.state().civil.at(now)
     }
 
     /// What this daemon saw begin.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -405,7 +405,7 @@
         if trail.on_first(self.0.clock.now())
             && let Some(team) = &ticket.team
         {
-            self.0.accounts.on_began(self.0.clock.utc(), team);
+            self.0.accounts.on_began(self.0.clock.now(), team);
         }
     }
 }
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -1,8 +1,9 @@
 use super::*;
+use spindle_policy::civil::CivilTime;
 use spindle_policy::sharing::{QuotaTolerance, RetryLimit};
 use spindle_relay::accounts::AccountRules;
 use spindle_relay::outside::{Appended, Records, Topic};
-use spindle_types::{Instance, SystemClock};
+use spindle_types::{Instance, SystemClock, UtcInstant};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -92,11 +93,14 @@
 fn follow() -> Following {
     let store = FakeStore::default();
     store.set(1);
-    let accounts = Accounts::new(AccountRules {
-        retries: RetryLimit { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) },
-        tolerance: QuotaTolerance { overage: 0.0, slack: 0.0, window: Duration::from_secs(1) },
-        window: Duration::from_secs(5),
-    });
+    let accounts = Accounts::new(
+        AccountRules {
+            retries: RetryLimit { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) },
+            tolerance: QuotaTolerance { overage: 0.0, slack: 0.0, window: Duration::from_secs(1) },
+            window: Duration::from_secs(5),
+        },
+        CivilTime::new(MonotonicInstant::default(), UtcInstant(0)),
+    );
     let (sender, serving) = watch::channel(Arc::new(Serving::default()));
     let outlets = (sender, watch::Sender::new(Limits::default()));
     let outages = watch::Sender::new(0);
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -8,6 +8,7 @@
 use spindle_http::Drain;
 use spindle_platform::settings::NodeSettings;
 use spindle_platform::store::PlatformStore;
+use spindle_policy::civil::zero_of;
 use spindle_policy::listing::Registration;
 use spindle_policy::presence::{
     LEAVING_MAX, Message, Phase, Place, Presence, ROUND_INTERVAL, Status,
@@ -17,7 +18,9 @@
 use spindle_policy::windows::{Counts, total};
 use spindle_relay::outside::Store;
 use spindle_relay::{Accounts, Board, Serving};
-use spindle_types::{Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team};
+use spindle_types::{
+    Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -107,6 +110,7 @@
             place: Some(place),
             beat: 0,
             uptime: 0,
+            utc: parts.clock.utc(),
             phase: Phase::Starting,
             config: 0,
             age: None,
@@ -218,6 +222,11 @@
         total(others.chain(own.get(window)), teams.iter())
     }
 
+    /// The civil time on which most daemons agree.
+    pub fn civil(&self, now: MonotonicInstant) -> UtcInstant {
+        self.parts.accounts.civil(now)
+    }
+
     /// The prompt tokens that have arrived for a service at each daemon in its life.
     pub fn arrived(&self, service: &Service) -> Vec<(Incarnation, u64)> {
         let own = self.parts.accounts.arrived().get(service).copied().unwrap_or_default();
@@ -264,6 +273,7 @@
         state.told = now;
         own.beat += 1;
         own.uptime = millis(now.since(state.started));
+        own.utc = parts.clock.utc();
         (own.phase, own.acting, own.config) = (phase, state.acting, config);
         let contact = parts.follower.contact().max(parts.registrations.contact());
         own.age = contact.map(|at| millis(now.since(at)));
@@ -287,6 +297,8 @@
         if before != heard {
             log::info!("event=daemons_changed heard={heard} before={before} known={known}");
         }
+        let clocks = state.presence.live(now).map(|heard| zero_of(heard.at, heard.status.utc));
+        parts.accounts.on_clocks(clocks.chain([zero_of(now, parts.clock.utc())]).collect());
         let mut elsewhere: BTreeMap<&Instance, (u32, u32)> = BTreeMap::new();
         for heard in state.presence.live(now) {
             for (instance, (requests, queued)) in &heard.status.running {
