test(platform): all killed at once, callers that leave, ambiguous lengths, a suspended holder

Rules that no test of ours covered (docs/rules.md): RECOVER, GONE, smuggled lengths, ONE through a suspension.

--- a/src/node.rs
+++ b/src/node.rs
@@ -81,6 +81,9 @@
     closed: Arc<AtomicBool>,
     /// No connection is accepted any more.
     closing: DrainTrigger,
+    /// Never starts: other daemons and those who ask for addresses are answered until the process
+    /// ends, so that they hear that this one leaves.
+    never: DrainTrigger,
 }
 
 /// Runs a daemon until SIGTERM, which drains it.
@@ -99,15 +102,20 @@
         settings.caller,
         settings.peer,
     );
-    let stop =
-        Stop { leaving: DrainTrigger::new(), closing: DrainTrigger::new(), closed: Arc::default() };
+    let stop = Stop {
+        leaving: DrainTrigger::new(),
+        closing: DrainTrigger::new(),
+        never: DrainTrigger::new(),
+        closed: Arc::default(),
+    };
     let units = wire(&settings, incarnation, &stop);
     let peers = bind_server(settings.peer, None).await;
     let peers = peers.wrap_err_with(|| format!("listen.control {}", settings.peer))?;
     let service =
         StatusService::new(units.statuses.clone(), units.follower.clone(), units.board.clone());
     let rpc = peers.start(service.into_rpc())?;
-    start_reception(&settings, NodeReception::new(units.statuses.clone(), units.clock)).await?;
+    let reception = NodeReception::new(units.statuses.clone(), units.clock);
+    start_reception(&settings, reception, &stop).await?;
     start_metrics(&settings, &stop).await;
     let serving = start_callers(&settings, &units, &stop).await?;
     tokio::spawn(units.follower.clone().run());
@@ -257,9 +265,12 @@
     tokio::time::timeout(until(STOP_SHARE), serving).await.is_ok()
 }
 
-async fn start_reception(settings: &NodeSettings, reception: NodeReception) -> eyre::Result<()> {
-    // Answers until the process ends: others may be told here that this daemon leaves.
-    let never = Box::leak(Box::new(DrainTrigger::new())).signal();
+async fn start_reception(
+    settings: &NodeSettings,
+    reception: NodeReception,
+    stop: &Stop,
+) -> eyre::Result<()> {
+    let never = stop.never.signal();
     let limits = ServerLimits { header_timeout: Duration::from_secs(3), ..ServerLimits::default() };
     let (directory, _) = bind(settings.directory)
         .await
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -15,6 +15,8 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -26,9 +28,11 @@
 
 /// A daemon process, killed when dropped.
 struct Daemon {
+    name: String,
     child: Child,
     caller: SocketAddr,
     ready: SocketAddr,
+    peer: SocketAddr,
     directory: SocketAddr,
     _folder: TempDir,
 }
@@ -59,8 +63,9 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let [caller, ready, _, directory] = ports;
-        Self { child, caller, ready, directory, _folder: folder }
+        let [caller, ready, peer, directory] = ports;
+        let name = name.to_owned();
+        Self { name, child, caller, ready, peer, directory, _folder: folder }
     }
 
     /// Starts daemons that know each other, and waits until each of them tells of all.
@@ -93,6 +98,17 @@
         panic!("the daemon does not tell of {count} addresses");
     }
 
+    /// Waits until the daemon takes connections of callers.
+    async fn wait_for_server(&self) {
+        for _ in 0..TRIES_MAX {
+            if TcpStream::connect(self.caller).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        panic!("the daemon takes no connections");
+    }
+
     async fn is_ready(&self) -> bool {
         let request = Request::builder().uri(format!("http://{}/readiness", self.ready));
         let response = client().send(request.body(Body::Empty).unwrap()).await;
@@ -345,3 +361,120 @@
     assert_eq!(send(("x-short", "z".to_owned()), large).await, 413);
     assert!(platform.runs("big").is_empty());
 }
+
+#[tokio::test]
+async fn daemons_that_are_all_killed_at_once_serve_again_from_the_store_alone() {
+    let (platform, _upstreams, daemons) = deploy(3).await;
+    let mut changed = standin::configuration(9);
+    changed["routes"][0]["path-prefix"] = serde_json::json!("/new/");
+    platform.configure(&changed);
+    daemons[2].wait_for("/new/x", 200).await;
+    platform.forget_history();
+    let seed = daemons[0].peer;
+    let places: Vec<_> = daemons
+        .iter()
+        .map(|daemon| [daemon.caller, daemon.ready, daemon.peer, daemon.directory])
+        .collect();
+    for mut daemon in daemons {
+        daemon.signal(Signal::SIGKILL);
+        daemon.exit().await;
+    }
+    for (index, place) in places.into_iter().enumerate() {
+        let daemon = Daemon::start(&platform, &format!("d-{index}"), place, seed);
+        // The first answers are of the newest configuration, or say that none is known yet.
+        daemon.wait_for_server().await;
+        for attempt in 0..TRIES_MAX {
+            let id = format!("again-{index}-{attempt}");
+            match daemon.send(&id, "GET", "/new/x").await.status().as_u16() {
+                200 => break,
+                503 => tokio::time::sleep(POLL_INTERVAL).await,
+                status => panic!("{status} for a request of the newest configuration"),
+            }
+            assert!(attempt + 1 < TRIES_MAX, "daemon {index} does not serve again");
+        }
+        daemon.wait_for("/read/x", 404).await;
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_of_the_upstream() {
+    let (platform, _upstreams, daemons) = deploy(1).await;
+    let mut response = daemons[0].send("g-1", "POST", "/draft/x").await;
+    let first = http_body_util::BodyExt::frame(response.body_mut()).await.unwrap().unwrap();
+    assert!(first.is_data());
+    drop(response);
+    for _ in 0..TRIES_MAX {
+        if platform.was_stopped("g-1") {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("the upstream goes on");
+}
+
+/// Sends bytes as they are and gives what comes back until the connection is closed or silent.
+async fn send_raw(daemon: &Daemon, content: &str) -> String {
+    let mut connection = TcpStream::connect(daemon.caller).await.unwrap();
+    connection.write_all(content.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    // A reset is as good a refusal as an orderly end.
+    let _ = tokio::time::timeout(Duration::from_secs(1), connection.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn requests_whose_length_is_ambiguous_are_refused_and_reach_nobody() {
+    let (platform, _upstreams, daemons) = deploy(1).await;
+    let head: String = standin::caller_headers("u-1")
+        .into_iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
+    let hidden = format!("GET /read/hidden HTTP/1.1\r\n{}\r\n", head.replace("u-1", "u-2"));
+    for lengths in [
+        format!("content-length: 0\r\ncontent-length: {}\r\n", hidden.len()),
+        "transfer-encoding: chunked, identity\r\n".to_owned(),
+        "content-length: +0\r\n".to_owned(),
+        "content-length : 0\r\n".to_owned(),
+    ] {
+        let request = format!("POST /book/x HTTP/1.1\r\n{head}{lengths}\r\n0\r\n\r\n{hidden}");
+        let answer = send_raw(&daemons[0], &request).await;
+        let refused = answer.is_empty() || answer.starts_with("HTTP/1.1 400");
+        assert!(refused, "{lengths:?}: {answer:?}");
+    }
+    assert!(platform.runs("u-1").is_empty());
+    assert!(platform.runs("u-2").is_empty());
+    // Of two kinds of length the encoding counts, and the connection ends with the request.
+    let length = format!("content-length: {}\r\n", hidden.len() + 5);
+    let chunked = "transfer-encoding: chunked\r\n";
+    for lengths in [format!("{length}{chunked}"), format!("{chunked}{length}")] {
+        let request = format!("POST /book/x HTTP/1.1\r\n{head}{lengths}\r\n0\r\n\r\n{hidden}");
+        send_raw(&daemons[0], &request).await;
+    }
+    assert!(platform.runs("u-2").is_empty());
+}
+
+#[tokio::test]
+async fn a_suspended_holder_of_the_lease_does_not_act_again_under_its_old_number() {
+    let (platform, _upstreams, daemons) = deploy(2).await;
+    wait_for_reports(&platform, 2).await;
+    let (first, holder) = platform.acts().last().unwrap().clone();
+    let suspended = daemons.iter().find(|daemon| daemon.name == holder).unwrap();
+    suspended.signal(Signal::SIGSTOP);
+    let taken = |acts: &[(u64, String)]| acts.iter().any(|(number, _)| *number > first);
+    for _ in 0..TRIES_MAX {
+        if taken(&platform.acts()) {
+            break;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let before = platform.acts().len();
+    assert!(taken(&platform.acts()), "nobody else acts");
+    suspended.signal(Signal::SIGCONT);
+    wait_for_reports(&platform, platform.reports().len() + 3).await;
+    let acts = platform.acts();
+    assert!(acts[before..].iter().all(|(number, _)| *number > first), "{acts:?}");
+    for (number, holder) in &acts {
+        let same = acts.iter().filter(|(other, _)| other == number);
+        assert!(same.clone().all(|(_, other)| other == holder), "{acts:?}");
+    }
+}
