--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,6 +16,7 @@
 use crate::deployment::Example;
 use crate::reference::reference;
 use crate::settings::{self, LoadError, LogLevel, Settings, schema};
+use crate::trace::{Log, trace};
 use crate::{demo, logs, metrics, node};
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
@@ -63,6 +64,14 @@
     },
     /// Runs a daemon on the users' platform, with the settings file that the platform writes
     Node,
+    /// Follows a request through the logs of daemons, and tells what became of it
+    Trace {
+        /// The request's id
+        id: String,
+        /// The daemons' logs
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
     /// Prints every mistake of a settings file
     Check {
         /// The settings, in YAML
@@ -130,6 +139,7 @@
             block_on(serve(settings))
         }),
         Command::Node => run_node(level.unwrap_or(LogLevel::Info)),
+        Command::Trace { id, files } => follow(&id, &files),
         Command::Check { settings } => with_settings(&settings, |_| {
             println!("no mistakes");
             Ok(())
@@ -204,6 +214,18 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Prints what the logs tell of a request.
+fn follow(id: &str, files: &[PathBuf]) -> eyre::Result<ExitCode> {
+    let mut logs = Vec::with_capacity(files.len());
+    for path in files {
+        let content = std::fs::read(path).wrap_err_with(|| path.display().to_string())?;
+        let name = path.file_stem().unwrap_or(path.as_os_str()).to_string_lossy().into_owned();
+        logs.push(Log { name, text: String::from_utf8_lossy(&content).into_owned() });
+    }
+    print!("{}", trace(id, &logs)?);
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Loads the settings and goes on with them, or prints every mistake.
 fn with_settings(
     path: &Path,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,5 +50,6 @@
 pub mod soak;
 pub mod standins;
 pub mod state;
+pub mod trace;
 pub mod transfer;
 pub mod upstreams;
