perf(registrations): read the store less often as daemons grow

Change: four reads a second of all daemons together up to 16 of them, then one in 4 s each; who leaves is told by whoever reads it first, and a daemon that hears no other reads for itself at once. Tests with paused time.

--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,8 @@
 pub mod actor;
 pub mod boot_clock;
 pub mod configuration;
+#[cfg(test)]
+mod fake_store;
 pub mod reception;
 pub mod registrations;
 pub mod statuses;
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -12,8 +12,9 @@
 /// eighth of the time in which a leaving upstream must get nothing new.
 const READ_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The longest time between two reads of one daemon.
-const READ_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
+/// The longest time between two reads of one daemon, so that it soon sends to new upstreams too. Who
+/// leaves is told by the daemon that read it first.
+const READ_INTERVAL_MAX: Duration = Duration::from_secs(4);
 
 /// The pause after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -69,7 +70,7 @@
                     *self.contact.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
                     self.take_in(now, batch, complete);
                     self.board.prune(now);
-                    tokio::time::sleep(self.interval()).await;
+                    self.wait(now).await;
                 }
                 Err(StoreError::Expired(_)) => {
                     log::info!("event=history_expired feed=upstreams from={next:?}");
@@ -88,7 +89,16 @@
         }
     }
 
-    fn interval(&self) -> Duration {
+    /// Waits until the next read is due. A daemon that does not hear the others any more reads for
+    /// itself, so the time is looked at again and again.
+    async fn wait(&self, read: MonotonicInstant) {
+        while self.clock.now().since(read) < self.interval() {
+            tokio::time::sleep(READ_INTERVAL.min(self.interval())).await;
+        }
+    }
+
+    /// The time between two reads of this daemon.
+    pub fn interval(&self) -> Duration {
         let daemons = self.daemons.load(Ordering::Relaxed).max(1);
         (READ_INTERVAL * daemons).min(READ_INTERVAL_MAX)
     }
@@ -113,3 +123,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/statuses.rs
+++ b/src/node/statuses.rs
@@ -35,8 +35,9 @@
 /// configuration to be in force, and how often a daemon hears from the store.
 const CURRENT_MAX_AGE: Duration = Duration::from_millis(2_500);
 
-/// The silence of the store after which a daemon asks another one for the upstreams.
-const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+/// The silence of the store, beyond the time between two reads, after which a daemon asks another
+/// one for the upstreams: a slow answer and a failed one.
+const STORE_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// The time between two looks for other daemons in the store. Daemons start within 0.3 s of each
 /// other, and a new one is to be used soon.
@@ -401,7 +402,8 @@
             let behind = newer && !state.fetching;
             state.fetching |= behind;
             let contact = self.parts.registrations.contact();
-            let silent = contact.is_none_or(|at| now.since(at) > STORE_SILENCE);
+            let patience = self.parts.registrations.interval() + STORE_SILENCE;
+            let silent = contact.is_none_or(|at| now.since(at) > patience);
             (behind, silent && state.own.beat.is_multiple_of(ASK_BEATS))
         };
         if behind {
