fix(presence): daemons that died don't slow the beat of the others

Cause: the beat and the way of telling went by all statuses known, dead ones for 30 s; eight daemons that were all replaced counted as sixteen. Change: by those heard in the newest round. Test: daemons_that_died_slow_nobody_down, seen to fail by the count of all.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -200,6 +200,8 @@
     heard: BTreeMap<Incarnation, Heard>,
     sent: BTreeMap<SocketAddr, BTreeMap<Incarnation, u64>>,
     round: u64,
+    /// The daemons that were heard in the newest round; dead ones don't slow the others down.
+    live: usize,
 }
 
 impl Presence {
@@ -255,7 +257,7 @@
     pub fn message_to(&self, now: MonotonicInstant, own: &Status, peer: SocketAddr) -> Message {
         let none = BTreeMap::new();
         let mut message = self.message(now, own, self.sent.get(&peer).unwrap_or(&none));
-        if self.heard.len() >= PASSED_ON_MAX {
+        if self.live >= PASSED_ON_MAX {
             message.statuses.retain(|(_, status)| status.incarnation == own.incarnation);
         }
         message
@@ -264,7 +266,7 @@
     /// The answer to the message of another daemon.
     pub fn answer(&self, now: MonotonicInstant, own: &Status, message: &Message) -> Message {
         let mut answer = self.message(now, own, &message.known);
-        if self.heard.len() >= PASSED_ON_MAX {
+        if self.live >= PASSED_ON_MAX {
             answer.known.clear();
         }
         answer
@@ -272,7 +274,7 @@
 
     /// The time between two beats.
     pub fn beat_interval(&self) -> Duration {
-        let rounds = self.heard.len().div_ceil(DAEMONS_PER_ROUND).clamp(1, BEAT_ROUNDS_MAX);
+        let rounds = self.live.div_ceil(DAEMONS_PER_ROUND).clamp(1, BEAT_ROUNDS_MAX);
         ROUND_INTERVAL * u32::try_from(rounds).unwrap_or(1)
     }
 
@@ -310,6 +312,7 @@
         lost.extend(seeds);
         lost.retain(|peer| *peer != own && !live.contains(peer));
         live.retain(|peer| *peer != own);
+        self.live = live.len();
         let calls = 1 + live.len() / DAEMONS_PER_CALL;
         let mut targets = draw(&mut live, calls, random);
         if targets.is_empty() || self.round.is_multiple_of(LOST_ROUNDS) {
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -51,15 +51,13 @@
             }
             let own = own.clone();
             for target in presence.targets(now, peer(own.incarnation.0), &seeds, &mut self.random) {
-                let to = self
-                    .daemons
-                    .iter()
-                    .position(|(status, _)| peer(status.incarnation.0) == target)
-                    .unwrap();
-                if !reach(from, to) {
+                let place = |(status, _): &(Status, _)| peer(status.incarnation.0) == target;
+                let to = self.daemons.iter().position(place);
+                // Nobody answers where a daemon died.
+                let Some(to) = to.filter(|to| reach(from, *to)) else {
                     self.daemons[from].1.on_missed(target);
                     continue;
-                }
+                };
                 let message = self.daemons[from].1.message_to(now, &own, target);
                 let (other, presence) = &mut self.daemons[to];
                 presence.on_message(now, other.incarnation, &message);
@@ -240,3 +238,20 @@
         assert_eq!(presence.live(at(6_600)).count(), 56, "at {index}");
     }
 }
+
+/// Of eight daemons that were all replaced one after the other, the old lives are still known.
+#[test]
+fn daemons_that_died_slow_nobody_down() {
+    let mut deployment = Deployment::new(8);
+    deployment.rounds(0, 10, |_, _| true);
+    let dead = |life: u64| (0, Status { beat: 9, ..status(life) });
+    for (own, presence) in &mut deployment.daemons {
+        let statuses = (100..108).map(dead).collect();
+        let message = Message { known: BTreeMap::new(), statuses };
+        presence.on_message(at(0), own.incarnation, &message);
+    }
+    deployment.rounds(2_000, 5, |_, _| true);
+    for (_, presence) in &deployment.daemons {
+        assert_eq!(presence.beat_interval(), ROUND_INTERVAL);
+    }
+}
