--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -34,7 +34,7 @@
 
 /// The most daemons among which a caller passes on what it heard of others. Among more, each fetches
 /// what it lacks: passed on blindly, most of it would be known there already.
-const PASSED_ON_MAX: usize = 16;
+const PASSED_ON_MAX: usize = 8;
 
 /// The silence, beyond the time between two beats, after which a daemon is not told to callers any
 /// more: seven rounds, as a status takes up to six of them through others. With the beat less than
@@ -122,6 +122,26 @@
 }
 
 impl Status {
+    /// The status of a daemon that has just started.
+    pub fn new(incarnation: Incarnation, place: Place, utc: UtcInstant) -> Self {
+        Self {
+            incarnation,
+            place: Some(place),
+            beat: 0,
+            uptime: 0,
+            utc,
+            phase: Phase::Starting,
+            config: 0,
+            age: None,
+            acting: None,
+            running: BTreeMap::new(),
+            arrived: BTreeMap::new(),
+            charged: Told::default(),
+            windows: Told::default(),
+            leaving: Told::default(),
+        }
+    }
+
     /// How long the daemon had been running at its newest beat.
     pub const fn age(&self) -> Duration {
         Duration::from_millis(self.uptime)
@@ -180,6 +200,8 @@
     heard: BTreeMap<Incarnation, Heard>,
     sent: BTreeMap<SocketAddr, BTreeMap<Incarnation, u64>>,
     round: u64,
+    /// The daemons that were heard in the newest round; dead ones don't slow the others down.
+    live: usize,
 }
 
 impl Presence {
@@ -235,7 +257,7 @@
     pub fn message_to(&self, now: MonotonicInstant, own: &Status, peer: SocketAddr) -> Message {
         let none = BTreeMap::new();
         let mut message = self.message(now, own, self.sent.get(&peer).unwrap_or(&none));
-        if self.heard.len() >= PASSED_ON_MAX {
+        if self.live >= PASSED_ON_MAX {
             message.statuses.retain(|(_, status)| status.incarnation == own.incarnation);
         }
         message
@@ -244,7 +266,7 @@
     /// The answer to the message of another daemon.
     pub fn answer(&self, now: MonotonicInstant, own: &Status, message: &Message) -> Message {
         let mut answer = self.message(now, own, &message.known);
-        if self.heard.len() >= PASSED_ON_MAX {
+        if self.live >= PASSED_ON_MAX {
             answer.known.clear();
         }
         answer
@@ -252,7 +274,7 @@
 
     /// The time between two beats.
     pub fn beat_interval(&self) -> Duration {
-        let rounds = self.heard.len().div_ceil(DAEMONS_PER_ROUND).clamp(1, BEAT_ROUNDS_MAX);
+        let rounds = self.live.div_ceil(DAEMONS_PER_ROUND).clamp(1, BEAT_ROUNDS_MAX);
         ROUND_INTERVAL * u32::try_from(rounds).unwrap_or(1)
     }
 
@@ -290,6 +312,7 @@
         lost.extend(seeds);
         lost.retain(|peer| *peer != own && !live.contains(peer));
         live.retain(|peer| *peer != own);
+        self.live = live.len();
         let calls = 1 + live.len() / DAEMONS_PER_CALL;
         let mut targets = draw(&mut live, calls, random);
         if targets.is_empty() || self.round.is_multiple_of(LOST_ROUNDS) {
