--- a/crates/policy/src/sharing/tests.rs
+++ b/crates/policy/src/sharing/tests.rs
@@ -136,3 +136,14 @@
         assert_eq!(quota.admit(at(millis), 55.0 / 6.0 / 10.0, all), Admitted::Yes, "{millis}");
     }
 }
+
+/// Found on a mix of kanem-returns-grown, seed 552650313066: among 58 daemons news of what others
+/// have charged are over a second old, and each daemon goes on admitting meanwhile.
+#[test]
+#[ignore = "KNOWN-RED"]
+fn a_team_far_over_its_quota_is_held_to_it_by_many_daemons_whose_news_are_late() {
+    let all = Hearing { heard: 58, known: 58 };
+    let total = admitted(58, 700.0, 1_600, all, 8);
+    assert!(total <= RULE, "{total}");
+    assert!(total >= 800.0, "{total}");
+}
