feat(node): log each read of the upstreams

The logs showed when a daemon learns of a leaving upstream, but not when it read the store without learning anything.

--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -54,6 +54,7 @@
         let mut store_lost = false;
         loop {
             let is_full_list = next.is_none();
+            let sent = self.clock.now();
             let result = match next {
                 None => self.store.read_latest(Feed::Upstreams).await,
                 Some(from) => self.store.read_feed(Feed::Upstreams, from, Duration::ZERO).await,
@@ -68,6 +69,13 @@
                     }
                     store_lost = false;
                     next = Some(batch.next);
+                    log::info!(
+                        "event=upstreams_read records={} full_list={is_full_list} call_ms={} \
+                         since_last_ms={:?}",
+                        batch.items.len(),
+                        now.since(sent).as_millis(),
+                        self.last_success().map(|at| now.since(at).as_millis()),
+                    );
                     *self.last_success.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
                     self.apply_batch(now, batch, is_full_list);
                     self.balancer.prune(now);
