fix(node): a daemon reads the upstreams before its knowledge of them gets too old

Cause: each daemon read the registrations every 250 ms times the number of daemons, at most 4 s, and relied on the others to read in between and to report leaving upstreams. Nothing checked that. Daemons start within 0.3 s of each other and kept reading together, so for up to 4 s nobody read.

Change: a daemon tracks up to which moment it knows all leaving upstreams: from its own reads, and from replies of peers, which now state how recent their knowledge is. It reads the store before that is older than 0.6 of drain-ms, whatever the others do. Periodic reads are varied at random, over a whole interval after a start or an outage. A reply lists what the peer has just learnt; it counts from the moment of the call, only with the status that it refers to, and not while registrations are in their grace period or too many upstreams leave to list (256 in place of 64). A read that returns a part of the feed goes on at once.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -54,8 +54,9 @@
 /// known deployment has 16 teams.
 const TEAMS_MAX: usize = 4_096;
 
-/// The maximum number of leaving upstreams that a daemon reports in its status.
-pub const LEAVING_MAX: usize = 64;
+/// The maximum number of leaving upstreams that a daemon reports in its status, to bound memory. With
+/// more, daemons read the store instead of relying on each other.
+pub const LEAVING_MAX: usize = 256;
 
 /// A daemon that is silent is contacted every this many rounds.
 const SILENT_CONTACT_INTERVAL_ROUNDS: u64 = 5;
@@ -176,6 +177,17 @@
     }
 }
 
+/// How recent a daemon's knowledge of leaving upstreams is, when it replies to another daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Coverage {
+    /// The daemon that replies.
+    pub sender: Incarnation,
+    /// The heartbeat at which its status lists the upstreams that it knows to be leaving.
+    pub beat: u64,
+    /// Milliseconds before the reply up to which it knows all that the store acknowledged.
+    pub age: u64,
+}
+
 /// A gossip message: a call to another daemon, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -186,6 +198,9 @@
     /// Statuses that the receiver may lack, each with the milliseconds since its owner was last
     /// heard from.
     pub statuses: Vec<(u64, Status)>,
+    /// What the statuses cover; only in replies, because a call may arrive long after it was sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub coverage: Option<Coverage>,
 }
 
 /// A known daemon: its latest status and when its owner sent it.
@@ -262,7 +277,7 @@
             let newer = beat.is_none_or(|beat| beat < status.beat);
             newer.then(|| (silent, status.changed_since(beat.unwrap_or_default())))
         });
-        Message { statuses: statuses.collect(), known: heartbeats }
+        Message { statuses: statuses.collect(), known: heartbeats, coverage: None }
     }
 
     /// The message for the daemon at an address, given what it last said to know. In a large
@@ -286,6 +301,11 @@
         reply
     }
 
+    /// Whether the statuses known here include everything that a reply covers.
+    pub fn includes(&self, coverage: &Coverage) -> bool {
+        self.known.get(&coverage.sender).is_some_and(|daemon| daemon.status.beat >= coverage.beat)
+    }
+
     /// The time between two heartbeats; it grows with the number of live daemons.
     pub fn heartbeat_interval(&self) -> Duration {
         let rounds = self.live.div_ceil(DAEMONS_PER_ROUND).clamp(1, HEARTBEAT_ROUNDS_MAX);
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -121,7 +121,8 @@
             let mut found = status(1);
             found.beat = u64::from(*beat);
             newest = newest.max(found.beat);
-            let message = Message { known: BTreeMap::new(), statuses: vec![(0, found)] };
+            let message =
+                Message { known: BTreeMap::new(), statuses: vec![(0, found)], coverage: None };
             presence.on_message(at(0), Incarnation(9), &message);
             assert_eq!(presence.iter().next().unwrap().status.beat, newest);
         }
@@ -149,7 +150,8 @@
 #[test]
 fn a_new_daemon_does_not_count_a_dead_one_as_live() {
     let mut old = Presence::default();
-    let message = Message { known: BTreeMap::new(), statuses: vec![(0, status(1))] };
+    let message =
+        Message { known: BTreeMap::new(), statuses: vec![(0, status(1))], coverage: None };
     old.on_message(at(0), Incarnation(2), &message);
     let message = old.message(at(10_000), &status(2), &BTreeMap::new());
     let mut new = Presence::default();
@@ -158,6 +160,18 @@
     assert_eq!(live, [Incarnation(2)]);
 }
 
+#[test]
+fn coverage_counts_only_with_the_status_that_it_refers_to() {
+    let mut presence = Presence::default();
+    let coverage = |beat| Coverage { sender: Incarnation(1), beat, age: 0 };
+    assert!(!presence.includes(&coverage(1)));
+    let message =
+        Message { known: BTreeMap::new(), statuses: vec![(0, status(1))], coverage: None };
+    presence.on_message(at(0), Incarnation(9), &message);
+    assert!(presence.includes(&coverage(1)));
+    assert!(!presence.includes(&coverage(2)));
+}
+
 /// The load of a large deployment: 16 teams, five requests per daemon between two heartbeats, 9
 /// requests in flight per daemon, and 14 leaving upstreams.
 struct Load {
@@ -250,7 +264,7 @@
     let dead = |incarnation: u64| (0, Status { beat: 9, ..status(incarnation) });
     for (own, presence) in &mut deployment.daemons {
         let statuses = (100..108).map(dead).collect();
-        let message = Message { known: BTreeMap::new(), statuses };
+        let message = Message { known: BTreeMap::new(), statuses, coverage: None };
         presence.on_message(at(0), own.incarnation, &message);
     }
     deployment.rounds(2_000, 5, |_, _| true);
--- a/crates/policy/src/upstream_registry.rs
+++ b/crates/policy/src/upstream_registry.rs
@@ -21,7 +21,7 @@
 
 /// How long other daemons are told that an upstream has left. They hear it within a few heartbeats;
 /// daemons that were cut off meanwhile read it from the store.
-const LEAVING_GOSSIP_PERIOD: Duration = Duration::from_secs(6);
+pub const LEAVING_GOSSIP_PERIOD: Duration = Duration::from_secs(6);
 
 new_key_type! {
     /// The key of an upstream in an [`UpstreamRegistry`].
@@ -210,6 +210,11 @@
             .map(|(id, _)| id)
     }
 
+    /// Whether a registration has lapsed that may turn out to be gone.
+    pub fn has_lapsed(&self) -> bool {
+        self.upstreams.values().any(|known| matches!(known.state, UpstreamState::Lapsed { .. }))
+    }
+
     /// Ends expired grace periods, and forgets upstreams that left long ago and have no requests in
     /// flight according to `busy`.
     pub fn prune(&mut self, now: MonotonicInstant, busy: impl Fn(UpstreamKey) -> bool) {
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -57,6 +57,9 @@
     pub items: Vec<FeedRecord>,
     /// Offset from which to continue reading.
     pub next: u64,
+    /// Offset that the next record written to the feed will get. Greater than `next` if the call
+    /// returned only a part of the records.
+    pub end: u64,
 }
 
 /// Records read from a topic in one call.
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -94,6 +94,16 @@
     expected_ms: f64,
 }
 
+/// Upstreams that were recently found to be shutting down or gone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeavingUpstreams {
+    /// The upstreams, in the order of their ids.
+    pub ids: Vec<UpstreamId>,
+    /// Whether they are all that this daemon can tell: none was left out for lack of space, and no
+    /// registration is in its grace period.
+    pub complete: bool,
+}
+
 /// Outcome of an attempt, as far as it concerns the circuit breaker of the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpstreamResult {
@@ -261,8 +271,12 @@
 
     /// Upstreams that were recently found to be shutting down or gone, at most `limit`. The other
     /// daemons are told of them.
-    pub fn leaving(&self, now: MonotonicInstant, limit: usize) -> Vec<UpstreamId> {
-        self.state().registry.leaving(now).take(limit).cloned().collect()
+    pub fn leaving(&self, now: MonotonicInstant, limit: usize) -> LeavingUpstreams {
+        let state = self.state();
+        let mut recent = state.registry.leaving(now);
+        let ids = recent.by_ref().take(limit).cloned().collect();
+        let complete = recent.next().is_none() && !state.registry.has_lapsed();
+        LeavingUpstreams { ids, complete }
     }
 
     /// Registrations of all upstreams that may get new requests.
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -50,7 +50,8 @@
         if feed == Feed::Upstreams {
             let records = self.upstreams.lock().unwrap();
             let items = records.iter().skip(from as usize).cloned().collect();
-            return Ok(FeedBatch { items, next: records.len() as u64 });
+            let end = records.len() as u64;
+            return Ok(FeedBatch { items, next: end, end });
         }
         let mut remaining_wait = wait;
         let step = Duration::from_millis(10);
@@ -65,7 +66,7 @@
         let version = self.version.load(Ordering::Relaxed);
         let item = FeedRecord::Configuration(Arc::new(config(version)), Bytes::new());
         let items = if version >= from { vec![item] } else { Vec::new() };
-        Ok(FeedBatch { items, next: version + 1 })
+        Ok(FeedBatch { items, next: version + 1, end: version + 1 })
     }
 }
 
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -1,20 +1,22 @@
 //! Keeps the balancer up to date with the upstream registrations in the store.
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use spindle_policy::read_schedule::{ReadReason, ReadSchedule};
 use spindle_relay::Balancer;
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
 use spindle_types::{Clock, Instance, MonotonicInstant};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Interval between two reads across all daemons, which tell each other about leaving upstreams.
-/// It is an eighth of the time within which a leaving upstream must stop receiving new requests.
-const READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Fraction of the time allowed for acting on a leaving upstream after which a daemon that has not
+/// heard of a recent read reads the store itself. The rest is left for the read and for stalls.
+const MAX_AGE_FRACTION: f64 = 0.6;
 
-/// Maximum interval between two reads by one daemon, so that it soon uses new upstreams. Daemons
-/// learn about leaving upstreams earlier, from the daemon that read the change first.
-const READ_INTERVAL_MAX: Duration = Duration::from_secs(4);
+/// Interval at which a waiting daemon checks whether its next read has been brought forward.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -27,15 +29,32 @@
     balancer: Balancer,
     daemon_count: Arc<AtomicU32>,
     outages: watch::Sender<u64>,
-    last_success: Arc<Mutex<Option<MonotonicInstant>>>,
+    reads: Arc<Mutex<Reads>>,
+}
+
+/// When this daemon reads, with the generator that keeps its reads apart from those of others.
+#[derive(Debug)]
+struct Reads {
+    schedule: ReadSchedule,
+    generator: ChaCha8Rng,
 }
 
 impl<S: Store, K: Clock> RegistrationFollower<S, K> {
     /// Creates a follower that knows no upstream. `daemon_count` is the number of live daemons,
-    /// among which the reads are divided.
-    pub fn new(store: S, clock: K, balancer: Balancer, daemon_count: Arc<AtomicU32>) -> Self {
+    /// among which the reads are divided. `drain` is the time allowed for acting on a leaving
+    /// upstream, and `seed` differs between daemons.
+    pub fn new(
+        store: S,
+        clock: K,
+        balancer: Balancer,
+        daemon_count: Arc<AtomicU32>,
+        (drain, seed): (Duration, u64),
+    ) -> Self {
         let outages = watch::Sender::new(0);
-        Self { store, clock, balancer, daemon_count, outages, last_success: Arc::default() }
+        let schedule = ReadSchedule::new(drain.mul_f64(MAX_AGE_FRACTION));
+        let generator = ChaCha8Rng::seed_from_u64(seed);
+        let reads = Arc::new(Mutex::new(Reads { schedule, generator }));
+        Self { store, clock, balancer, daemon_count, outages, reads }
     }
 
     /// A counter that increases whenever the connection to the store is lost or regained.
@@ -43,15 +62,33 @@
         self.outages.subscribe()
     }
 
-    /// The time of the last successful read from the store.
+    /// When the last successful read from the store was sent.
     pub fn last_success(&self) -> Option<MonotonicInstant> {
-        *self.last_success.lock().unwrap_or_else(PoisonError::into_inner)
+        self.reads().schedule.last_read()
+    }
+
+    /// The time for which this daemon may have missed that an upstream is leaving; none before its
+    /// first read.
+    pub fn age(&self, now: MonotonicInstant) -> Option<Duration> {
+        self.reads().schedule.age(now)
+    }
+
+    /// Records that all leaving upstreams are known here that a peer knew `age` before its answer to
+    /// a call sent at `sent`.
+    pub fn on_peer(&self, sent: MonotonicInstant, age: Duration) {
+        self.reads().schedule.on_peer(self.clock.now(), sent, age);
+    }
+
+    /// The longest interval between two reads by this daemon while the store answers.
+    pub fn read_interval_max(&self) -> Duration {
+        ReadSchedule::interval_max(self.daemon_count.load(Ordering::Relaxed))
     }
 
     /// Reads the feed until the process exits.
     pub async fn run(self) {
         let mut next = None;
         let mut store_lost = false;
+        let mut reason = ReadReason::Interval;
         loop {
             let is_full_list = next.is_none();
             let sent = self.clock.now();
@@ -69,17 +106,22 @@
                     }
                     store_lost = false;
                     next = Some(batch.next);
+                    let (records, is_complete) = (batch.items.len(), batch.next >= batch.end);
+                    let age = self.age(now);
+                    self.apply_batch(now, batch, is_full_list);
+                    self.balancer.prune(now);
                     log::info!(
-                        "event=upstreams_read records={} full_list={is_full_list} call_ms={} \
-                         since_last_ms={:?}",
-                        batch.items.len(),
+                        "event=upstreams_read reason={reason} records={records} \
+                         full_list={is_full_list} complete={is_complete} call_ms={} age_ms={:?}",
                         now.since(sent).as_millis(),
-                        self.last_success().map(|at| now.since(at).as_millis()),
+                        age.map(|age| age.as_millis()),
                     );
-                    *self.last_success.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
-                    self.apply_batch(now, batch, is_full_list);
-                    self.balancer.prune(now);
-                    self.wait_until_due(now).await;
+                    if is_complete {
+                        self.on_complete_read(sent);
+                        reason = self.wait_until_due().await;
+                    } else if records == 0 {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                    }
                 }
                 Err(StoreError::Expired(_)) => {
                     log::info!("event=history_expired feed=upstreams from={next:?}");
@@ -91,6 +133,7 @@
                         self.outages.send_modify(|count| *count += 1);
                     }
                     store_lost = true;
+                    self.reads().schedule.on_failed_read();
                     self.balancer.on_outage(now);
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -98,19 +141,29 @@
         }
     }
 
-    /// Waits until the next read is due. The interval is evaluated repeatedly, because it shrinks
-    /// when this daemon loses contact with the others and has to read for itself.
-    async fn wait_until_due(&self, last_read: MonotonicInstant) {
-        while self.clock.now().since(last_read) < self.read_interval() {
-            tokio::time::sleep(READ_INTERVAL.min(self.read_interval())).await;
+    fn on_complete_read(&self, sent: MonotonicInstant) {
+        let Reads { schedule, generator } = &mut *self.reads();
+        schedule.on_read(sent, generator);
+    }
+
+    /// Waits until the next read is due, and returns the reason for it. The time is evaluated
+    /// repeatedly: answers of peers postpone it, and it is brought forward when this daemon loses
+    /// contact with the others and has to read for itself.
+    async fn wait_until_due(&self) -> ReadReason {
+        loop {
+            let (due, reason) =
+                self.reads().schedule.next_read(self.daemon_count.load(Ordering::Relaxed));
+            let remaining = due.since(self.clock.now());
+            if remaining.is_zero() {
+                return reason;
+            }
+            tokio::time::sleep(remaining.min(CHECK_INTERVAL)).await;
         }
     }
 
-    /// The interval between two reads by this daemon: longer with more daemons, at most
-    /// [`READ_INTERVAL_MAX`].
-    pub fn read_interval(&self) -> Duration {
-        let daemon_count = self.daemon_count.load(Ordering::Relaxed).max(1);
-        (READ_INTERVAL * daemon_count).min(READ_INTERVAL_MAX)
+    fn reads(&self) -> MutexGuard<'_, Reads> {
+        // A poisoned lock is safe to use: no holder panics halfway through a change.
+        self.reads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn apply_batch(&self, now: MonotonicInstant, batch: FeedBatch, is_full_list: bool) {
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -12,12 +12,13 @@
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::clock_origin;
 use spindle_policy::presence::{
-    DaemonIdentity, LEAVING_MAX, Message, Phase, Presence, ROUND_INTERVAL, Status,
+    Coverage, DaemonIdentity, LEAVING_MAX, Message, Phase, Presence, ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
 use spindle_policy::upstream_registry::Registration;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
+use spindle_relay::balancer::LeavingUpstreams;
 use spindle_relay::{ActiveConfig, Balancer, UsageTracker};
 use spindle_types::{
     Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
@@ -265,7 +266,7 @@
         let has_news = own.phase != phase
             || own.config != config_version
             || own.acting != state.fencing
-            || leaving.iter().any(|upstream| own.leaving.get(upstream).is_none());
+            || has_unlisted(own, &leaving);
         // Half a round of tolerance, because rounds vary in length.
         let interval = state.presence.heartbeat_interval().saturating_sub(ROUND_INTERVAL / 2);
         if !has_news && now.since(state.updated_at) < interval {
@@ -283,7 +284,7 @@
         own.charged.set(beat, parts.usage.own_charges());
         let windows = parts.usage.windows();
         own.windows.set(beat, windows.counts().iter().map(|(key, counts)| (*key, counts.clone())));
-        own.leaving.set(beat, leaving.into_iter().map(|upstream| (upstream, ())));
+        own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
     }
 
     /// Passes what follows from the statuses to the balancer, the usage tracker and the relay.
@@ -337,14 +338,16 @@
     }
 
     async fn exchange_with(self, peer: SocketAddr) {
+        let sent = self.parts.clock.now();
         let message = {
             let state = self.state();
-            state.presence.message_to(self.parts.clock.now(), &state.own, peer)
+            state.presence.message_to(sent, &state.own, peer)
         };
         match self.exchange(peer, message).await {
             Ok(reply) => {
                 let known = reply.known.clone();
                 self.apply_message(&reply);
+                self.apply_coverage(sent, reply.coverage);
                 self.state().presence.on_known_heartbeats(peer, known);
                 self.fetch_missing(peer).await;
             }
@@ -375,8 +378,30 @@
     /// Applies a message from a peer and returns the reply.
     fn on_message(&self, message: &Message) -> Message {
         self.apply_message(message);
-        let state = self.state();
-        state.presence.reply(self.parts.clock.now(), &state.own, message)
+        let now = self.parts.clock.now();
+        let mut state = self.state();
+        let leaving = self.parts.balancer.leaving(now, LEAVING_MAX);
+        if has_unlisted(&state.own, &leaving) {
+            self.update_own_status(now, &mut state);
+        }
+        let mut reply = state.presence.reply(now, &state.own, message);
+        let age = self.parts.registrations.age(now).filter(|_| leaving.complete);
+        reply.coverage = age.map(|age| Coverage {
+            sender: state.own.incarnation,
+            beat: state.own.beat,
+            // Rounded up, so that it is never less than the age.
+            age: millis(age) + 1,
+        });
+        reply
+    }
+
+    /// Applies what the reply to a call sent at `sent` states about leaving upstreams, after its
+    /// statuses have been applied.
+    fn apply_coverage(&self, sent: MonotonicInstant, coverage: Option<Coverage>) {
+        let Some(coverage) = coverage else { return };
+        if self.state().presence.includes(&coverage) {
+            self.parts.registrations.on_peer(sent, Duration::from_millis(coverage.age));
+        }
     }
 
     fn apply_message(&self, message: &Message) {
@@ -406,7 +431,7 @@
             let config_outdated = newer && !state.fetching_config;
             state.fetching_config |= config_outdated;
             let last_success = self.parts.registrations.last_success();
-            let max_silence = self.parts.registrations.read_interval() + STORE_GRACE;
+            let max_silence = self.parts.registrations.read_interval_max() + STORE_GRACE;
             let store_silent = last_success.is_none_or(|at| now.since(at) > max_silence);
             (config_outdated, store_silent && state.own.beat.is_multiple_of(FETCH_INTERVAL_BEATS))
         };
@@ -449,6 +474,11 @@
     }
 }
 
+/// Whether some leaving upstreams are not listed in a status yet.
+fn has_unlisted(status: &Status, leaving: &LeavingUpstreams) -> bool {
+    leaving.ids.iter().any(|upstream| status.leaving.get(upstream).is_none())
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
