feat(node): report how old the knowledge of leaving upstreams gets

Nothing told on-call whether the bound on acting on leaving upstreams is kept. A histogram by reason of the read, and a warning when a read ends an age above drain-ms.

--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -1,10 +1,13 @@
 //! Keeps the balancer up to date with the upstream registrations in the store.
 
+use opentelemetry::KeyValue;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use spindle_policy::read_schedule::{ReadReason, ReadSchedule};
 use spindle_relay::Balancer;
+
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
+use spindle_relay::metrics::METRICS;
 use spindle_types::{Clock, Instance, MonotonicInstant};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,6 +33,7 @@
     daemon_count: Arc<AtomicU32>,
     outages: watch::Sender<u64>,
     reads: Arc<Mutex<Reads>>,
+    drain: Duration,
 }
 
 /// When this daemon reads, with the generator that keeps its reads apart from those of others.
@@ -54,7 +58,7 @@
         let schedule = ReadSchedule::new(drain.mul_f64(MAX_AGE_FRACTION));
         let generator = ChaCha8Rng::seed_from_u64(seed);
         let reads = Arc::new(Mutex::new(Reads { schedule, generator }));
-        Self { store, clock, balancer, daemon_count, outages, reads }
+        Self { store, clock, balancer, daemon_count, outages, reads, drain }
     }
 
     /// A counter that increases whenever the connection to the store is lost or regained.
@@ -108,6 +112,7 @@
                     next = Some(batch.next);
                     let (records, is_complete) = (batch.items.len(), batch.next >= batch.end);
                     let age = self.age(now);
+                    self.check_age(age, reason);
                     self.apply_batch(now, batch, is_full_list);
                     self.balancer.prune(now);
                     log::info!(
@@ -141,6 +146,20 @@
         }
     }
 
+    /// Reports the age that a read has ended, and whether it was more than is allowed.
+    fn check_age(&self, age: Option<Duration>, reason: ReadReason) {
+        let Some(age) = age else { return };
+        let reason: &'static str = reason.into();
+        METRICS.upstreams_age_seconds.record(age.as_secs_f64(), &[KeyValue::new("reason", reason)]);
+        if age > self.drain {
+            log::warn!(
+                "event=upstreams_stale age_ms={} allowed_ms={}",
+                age.as_millis(),
+                self.drain.as_millis()
+            );
+        }
+    }
+
     fn on_complete_read(&self, sent: MonotonicInstant) {
         let Reads { schedule, generator } = &mut *self.reads();
         schedule.on_read(sent, generator);
