fix(node): read a restored store again from the start

Callers: after the store came back from an older copy, a daemon went on reading from its old offset. Offsets are given out again, so it took the new records for the continuation of the lost ones and missed what was written below: an upstream's leaving, for one (DRAIN), while it reported its knowledge as complete. Upstreams missing from the copy counted as gone for good, and a daemon's address for the others was never published again.

Cause: nothing read the era that the store states in its answers.

Change: the store client returns the era with each batch. A follower's position is valid in one era only: a higher one discards the batch, counts as a disturbance of the store (missing registrations lapse, reads fall out of step) and leads to the complete list; a lower one is an answer that came late and is ignored; the first known or a missing one is no restore. Daemons publish their addresses again.

Tests: restored_store_is_read_again_from_the_start fails with the comparison of eras taken out (requests run at the upstream that left) and passes with it; the stand-in copies and restores its topics.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod solve;
 pub mod spend;
 pub mod steering;
+pub mod store_era;
 pub mod upstream_registry;
 pub mod upstream_selection;
 pub mod usage_windows;
--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -47,8 +47,8 @@
     complete_until: Option<MonotonicInstant>,
     interval_factor: f64,
     age_factor: f64,
-    /// Whether all daemons may have read at the same moment as this one, when they started or when
-    /// the store came back.
+    /// Whether all daemons may read at the same moment as this one, when they started or when the
+    /// store came back.
     in_step: bool,
 }
 
@@ -77,8 +77,8 @@
         self.in_step = false;
     }
 
-    /// Records that a read failed.
-    pub const fn on_failed_read(&mut self) {
+    /// Records a disturbance of the store, after which all daemons may read at the same moment.
+    pub const fn on_disturbance(&mut self) {
         self.in_step = true;
     }
 
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -60,6 +60,8 @@
     /// Offset that the next record written to the feed will get. Greater than `next` if the call
     /// returned only a part of the records.
     pub end: u64,
+    /// The era of the store, which rises with each restore from an older copy; none if unknown.
+    pub era: Option<u64>,
 }
 
 /// Records read from a topic in one call.
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 #[cfg(test)]
 mod fake_store;
+pub mod feed_position;
 pub mod leader;
 pub mod registrations;
 pub mod status_exchange;
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -1,5 +1,6 @@
 //! Keeps the operators' configuration up to date, from the store or from other daemons.
 
+use super::feed_position::{Continuation, FeedPosition};
 use bytes::Bytes;
 use spindle_daemon::ConfigDocument;
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
@@ -77,14 +78,14 @@
 
     /// Reads the feed until the process exits.
     pub async fn run(self) {
-        let mut next = None;
+        let mut position = FeedPosition::new(Feed::Configuration);
         let mut store_lost = false;
         let mut outages = self.outages.clone();
         loop {
             // During an outage, a long poll would notice too late that the store is back.
             let wait = if store_lost { Duration::ZERO } else { READ_WAIT };
             let read = async {
-                match next {
+                match position.next() {
                     None => self.store.read_latest(Feed::Configuration).await,
                     Some(from) => self.store.read_feed(Feed::Configuration, from, wait).await,
                 }
@@ -97,18 +98,22 @@
             };
             match result {
                 Ok(batch) => {
+                    let batch = match position.on_batch(batch) {
+                        Continuation::Valid(batch) => batch,
+                        Continuation::Restored => continue,
+                        Continuation::Outdated => {
+                            tokio::time::sleep(RETRY_DELAY).await;
+                            continue;
+                        }
+                    };
                     if store_lost {
                         log::info!("event=store_regained feed=configuration");
                     }
                     store_lost = false;
-                    next = Some(batch.next);
                     self.state().last_success = Some(self.clock.now());
                     self.apply_batch(batch);
                 }
-                Err(StoreError::Expired(_)) => {
-                    log::info!("event=history_expired feed=configuration from={next:?}");
-                    next = None;
-                }
+                Err(StoreError::Expired(_)) => position.on_expired(),
                 Err(error) => {
                     if !store_lost {
                         log::warn!("event=store_lost feed=configuration error={error:?}");
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -51,7 +51,7 @@
             let records = self.upstreams.lock().unwrap();
             let items = records.iter().skip(from as usize).cloned().collect();
             let end = records.len() as u64;
-            return Ok(FeedBatch { items, next: end, end });
+            return Ok(FeedBatch { items, next: end, end, era: None });
         }
         let mut remaining_wait = wait;
         let step = Duration::from_millis(10);
@@ -66,7 +66,7 @@
         let version = self.version.load(Ordering::Relaxed);
         let item = FeedRecord::Configuration(Arc::new(config(version)), Bytes::new());
         let items = if version >= from { vec![item] } else { Vec::new() };
-        Ok(FeedBatch { items, next: version + 1, end: version + 1 })
+        Ok(FeedBatch { items, next: version + 1, end: version + 1, era: None })
     }
 }
 
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -1,5 +1,6 @@
 //! Keeps the balancer up to date with the upstream registrations in the store.
 
+use super::feed_position::{Continuation, FeedPosition};
 use opentelemetry::KeyValue;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -32,6 +33,7 @@
     balancer: Balancer,
     daemon_count: Arc<AtomicU32>,
     outages: watch::Sender<u64>,
+    restores: watch::Sender<u64>,
     reads: Arc<Mutex<Reads>>,
     drain: Duration,
 }
@@ -54,18 +56,23 @@
         daemon_count: Arc<AtomicU32>,
         (drain, seed): (Duration, u64),
     ) -> Self {
-        let outages = watch::Sender::new(0);
+        let (outages, restores) = (watch::Sender::new(0), watch::Sender::new(0));
         let schedule = ReadSchedule::new(drain.mul_f64(MAX_AGE_FRACTION));
         let generator = ChaCha8Rng::seed_from_u64(seed);
         let reads = Arc::new(Mutex::new(Reads { schedule, generator }));
-        Self { store, clock, balancer, daemon_count, outages, reads, drain }
+        Self { store, clock, balancer, daemon_count, outages, restores, reads, drain }
     }
 
-    /// A counter that increases whenever the connection to the store is lost or regained.
+    /// A counter that increases whenever the store is lost, regained or restored from an older copy.
     pub fn outages(&self) -> watch::Receiver<u64> {
         self.outages.subscribe()
     }
 
+    /// A counter that increases whenever the store was restored from an older copy.
+    pub fn restores(&self) -> watch::Receiver<u64> {
+        self.restores.subscribe()
+    }
+
     /// When the last successful read from the store was sent.
     pub fn last_success(&self) -> Option<MonotonicInstant> {
         self.reads().schedule.last_read()
@@ -90,26 +97,24 @@
 
     /// Reads the feed until the process exits.
     pub async fn run(self) {
-        let mut next = None;
+        let mut position = FeedPosition::new(Feed::Upstreams);
         let mut store_lost = false;
         let mut reason = ReadReason::Interval;
         loop {
-            let is_full_list = next.is_none();
+            let is_full_list = position.next().is_none();
             let sent = self.clock.now();
-            let result = match next {
+            let result = match position.next() {
                 None => self.store.read_latest(Feed::Upstreams).await,
                 Some(from) => self.store.read_feed(Feed::Upstreams, from, Duration::ZERO).await,
             };
             let now = self.clock.now();
-            match result {
-                Ok(batch) => {
+            match result.map(|batch| position.on_batch(batch)) {
+                Ok(Continuation::Valid(batch)) => {
                     if store_lost {
                         log::info!("event=store_regained feed=upstreams");
-                        self.outages.send_modify(|count| *count += 1);
-                        self.balancer.on_outage(now);
+                        self.on_store_disturbance(now);
                     }
                     store_lost = false;
-                    next = Some(batch.next);
                     let (records, is_complete) = (batch.items.len(), batch.next >= batch.end);
                     let age = self.age(now);
                     self.check_age(age, reason);
@@ -128,24 +133,35 @@
                         tokio::time::sleep(RETRY_DELAY).await;
                     }
                 }
-                Err(StoreError::Expired(_)) => {
-                    log::info!("event=history_expired feed=upstreams from={next:?}");
-                    next = None;
+                // Registrations that are missing from the copy count as lapsed, not as removed.
+                Ok(Continuation::Restored) => {
+                    self.on_store_disturbance(now);
+                    self.restores.send_modify(|count| *count += 1);
                 }
+                Ok(Continuation::Outdated) => tokio::time::sleep(RETRY_DELAY).await,
+                Err(StoreError::Expired(_)) => position.on_expired(),
                 Err(error) => {
-                    if !store_lost {
+                    if store_lost {
+                        self.balancer.on_outage(now);
+                    } else {
                         log::warn!("event=store_lost feed=upstreams error={error:?}");
-                        self.outages.send_modify(|count| *count += 1);
+                        self.on_store_disturbance(now);
                     }
                     store_lost = true;
-                    self.reads().schedule.on_failed_read();
-                    self.balancer.on_outage(now);
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
+    /// Records that the store has become unavailable, has become available again, or was restored
+    /// from an older copy. The other reader of the store is told, and all daemons may read in step.
+    fn on_store_disturbance(&self, now: MonotonicInstant) {
+        self.outages.send_modify(|count| *count += 1);
+        self.balancer.on_outage(now);
+        self.reads().schedule.on_disturbance();
+    }
+
     /// Reports the age that a read has ended, and whether it was more than is allowed.
     fn check_age(&self, age: Option<Duration>, reason: ReadReason) {
         let Some(age) = age else { return };
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -130,12 +130,18 @@
         Self { parts: Arc::new(parts), state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Publishes the peer address of this daemon in the store and, while no other daemon is live,
-    /// reads the addresses of the others from it. Runs until the process exits.
+    /// Publishes the peer address of this daemon in the store, again after each restore of the store
+    /// from an older copy, which may lack it. While no other daemon is live, reads the addresses of the others
+    /// from it. Runs until the process exits.
     pub async fn discover_peers(self) {
         let settings = &self.parts.settings;
         let mut published = false;
+        let mut restores = self.parts.registrations.restores();
         loop {
+            if restores.has_changed().unwrap_or_default() {
+                restores.mark_unchanged();
+                published = false;
+            }
             if !published {
                 let result = self
                     .parts
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -278,6 +278,44 @@
     }
 }
 
+/// Guards against a restored store whose offsets, given out again, are taken for the continuation of
+/// the records that were lost.
+#[tokio::test]
+async fn restored_store_is_read_again_from_the_start() {
+    let (platform, upstreams, daemons) = start_deployment(2).await;
+    platform.copy_store();
+    let late = Upstream::start(&platform, "i-5", "desk").await;
+    let mut changed = standin::configuration(9);
+    changed["routes"][0]["path-prefix"] = serde_json::json!("/new/");
+    platform.configure(&changed);
+    for daemon in &daemons {
+        daemon.wait_for("/new/x", 200).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    platform.restore_store();
+    upstreams[0].leave("desk");
+    for _ in 0..3 {
+        upstreams[1].renew("desk");
+    }
+    // Later than the daemons notice the restore, and within the time that upstreams are given.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    late.renew("desk");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for (index, daemon) in daemons.iter().enumerate() {
+        for attempt in 0..20 {
+            let id = format!("e-{index}-{attempt}");
+            assert_eq!(daemon.send(&id, "GET", "/new/x").await.status(), 200);
+            assert!(!platform.executions(&id).contains(&"i-1".to_owned()));
+        }
+    }
+    upstreams[1].set_behaviour(UpstreamBehaviour::Full);
+    for (index, daemon) in daemons.iter().enumerate() {
+        let id = format!("e-{index}");
+        assert_eq!(daemon.send(&id, "GET", "/new/x").await.status(), 200);
+        assert_eq!(platform.executions(&id), ["i-5"]);
+    }
+}
+
 #[tokio::test]
 async fn requests_are_served_while_the_store_is_unavailable() {
     let (platform, _upstreams, daemons) = start_deployment(2).await;
@@ -306,6 +344,21 @@
     }
 }
 
+#[tokio::test]
+async fn daemons_publish_their_addresses_again_after_the_store_was_restored() {
+    let platform = Platform::start().await;
+    platform.configure(&standin::configuration(3));
+    platform.copy_store();
+    let nobody = addresses()[2];
+    let start = |name| Daemon::start(&platform, name, addresses(), nobody);
+    let first = start("d-0");
+    first.wait_for_addresses(1).await;
+    platform.restore_store();
+    // The second daemon finds the first one only through the store.
+    let second = start("d-1");
+    second.wait_for_addresses(2).await;
+}
+
 #[tokio::test]
 async fn planned_stop_lets_open_streams_finish() {
     let (_platform, _upstreams, mut daemons) = start_deployment(2).await;
