fix(node): the lease survives a restore of the store

Callers and operators: after the store came back from a copy without the newest lease records, every append of the lease conflicted and no daemon reported usage or ordered instances again; with another copy the next holder got a token that had been granted before.

Cause: lease records and tokens were judged by offsets alone, and offsets are given out again.

Change: the lease looks at the era of each answer. A holder that notices a restore stops, and everybody waits one term before taking the lease. A record counts only in the era in which its appender had read, so a late append based on the older history grants nothing. Tokens are era x 2^32 + offset. Reports of usage windows that had ended when the restore was noticed are not written anew.

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -18,7 +18,13 @@
 //!   does not check them, a new holder waits until the orders of the former holder have timed out.
 //!   An order that arrives even later is corrected rather than prevented: orders state the desired
 //!   state, and the new holder compares the actual state with it again.
+//!
+//! A log that was restored from an older copy may lack records that granted the lease, and gives their
+//! offsets out again. If it states its era, a record is valid only in the era in which its appender
+//! had read, and tokens contain the era. A reader that notices a restore starts anew: a holder stops,
+//! and a candidate waits the longest term.
 
+use crate::store_era::{EraChange, StoreEra};
 use serde::{Deserialize, Serialize};
 use spindle_types::config::FencingCheck;
 use spindle_types::{Fencing, Incarnation, MonotonicInstant, Offset, Span};
@@ -30,6 +36,10 @@
 /// The longest term that a record can grant. Longer ones are cut to it.
 pub const TERM_MAX: Duration = Duration::from_secs(60);
 
+/// The number of low bits of a fencing token that hold the offset. The era is above them. Tokens up to
+/// era 2^21 are exact as a 64-bit floating-point number.
+const OFFSET_BITS: u32 = 32;
+
 /// The number of different start delays over which candidates are spread.
 const START_DELAY_STEPS: u64 = 64;
 
@@ -46,6 +56,9 @@
     pub action: LeaseAction,
     /// A random number by which the appender recognises its own record.
     pub nonce: u64,
+    /// The era of the log in which the appender had read; 0 if the log states none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
 }
 
 /// The action of a record of the lease stream.
@@ -109,6 +122,7 @@
     /// From when the lease may be taken.
     free_from: MonotonicInstant,
     longest_term: Duration,
+    era: StoreEra,
 }
 
 impl LeaseState {
@@ -126,7 +140,24 @@
             grant: None,
             free_from: after_elapsed(now, longest_term),
             longest_term,
+            era: StoreEra::default(),
+        }
+    }
+
+    /// Applies the era of an answer of the log, before its content. If the log was restored, nothing
+    /// that has been read counts any more, and this daemon doesn't hold the lease. The content of an
+    /// outdated answer must not be applied.
+    pub fn on_answer(&mut self, now: MonotonicInstant, era: Option<u64>) -> EraChange {
+        let change = self.era.on_answer(era);
+        if matches!(change, EraChange::Restored { .. }) {
+            *self = Self { era: self.era, ..Self::with_longest_term(now, self.longest_term) };
         }
+        change
+    }
+
+    /// The era of the log, for records that are appended; 0 if the log states none.
+    pub fn era(&self) -> u64 {
+        self.era.known().unwrap_or_default()
     }
 
     /// The offset to read next.
@@ -140,9 +171,9 @@
     }
 
     /// Applies the bounds of the stream. In a stream that never had a record the lease is free at
-    /// once. If records have expired unread, one of them may have granted the lease.
+    /// once, unless the records may have been lost by a restore. If records have expired unread, one of them may have granted the lease.
     pub fn on_bounds(&mut self, now: MonotonicInstant, oldest: Offset, end: Offset) {
-        if end == Offset(1) && self.newest == Offset(0) {
+        if end == Offset(1) && self.newest == Offset(0) && self.era() == 0 {
             self.free_from = self.free_from.min(now);
         }
         if oldest > self.next() {
@@ -163,14 +194,14 @@
             return LeaseChange::Ignored;
         }
         self.newest = offset;
-        if record.after.next() != offset {
+        if record.after.next() != offset || record.era != self.era() {
             return LeaseChange::Ignored;
         }
         self.free_from = after_elapsed(now, capped_term(record.term));
         let grant = |fencing| Grant { holder: record.holder, fencing, nonce: record.nonce };
         match record.action {
             LeaseAction::Take => {
-                let grant = grant(Fencing(offset.0));
+                let grant = grant(fencing_token(record.era, offset));
                 self.grant = Some(grant);
                 LeaseChange::Taken(grant)
             }
@@ -231,6 +262,17 @@
     }
 }
 
+/// A token that no record of another era or at another offset gets, higher than those of earlier ones.
+const fn fencing_token(era: u64, offset: Offset) -> Fencing {
+    Fencing(era.saturating_mul(1 << OFFSET_BITS).saturating_add(offset.0))
+}
+
+// Serde calls it with a reference.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+const fn is_zero(era: &u64) -> bool {
+    *era == 0
+}
+
 fn capped_term(span: Span) -> Duration {
     span.get().min(TERM_MAX)
 }
--- a/crates/policy/src/lease/tests.rs
+++ b/crates/policy/src/lease/tests.rs
@@ -2,6 +2,7 @@
 use crate::cases::check;
 use bolero::TypeGenerator;
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::iter;
 
 const TERM: Duration = Duration::from_secs(10);
@@ -16,7 +17,7 @@
 
 fn record(holder: u64, after: u64, action: LeaseAction) -> LeaseRecord {
     let (holder, term) = (Incarnation(holder), Span::from_secs(10));
-    LeaseRecord { holder, after: Offset(after), term, action, nonce: holder.0 }
+    LeaseRecord { holder, after: Offset(after), term, action, nonce: holder.0, era: 0 }
 }
 
 #[test]
@@ -89,6 +90,7 @@
     IsPaused,
     ForgetsAll,
     LogExpires,
+    LogIsRestored,
 }
 
 /// A daemon with its own clock: `rate` is in milliseconds per tick.
@@ -107,6 +109,21 @@
     records: Vec<LeaseRecord>,
     oldest: usize,
     nonce: u64,
+    era: u64,
+}
+
+impl World {
+    const fn new() -> Self {
+        Self { records: Vec::new(), oldest: 0, nonce: 0, era: 0 }
+    }
+
+    /// Restores a copy that lacks the newest records.
+    fn restore(&mut self) {
+        let lost = self.records.len() % 6;
+        self.records.truncate(self.records.len() - lost);
+        self.oldest = self.oldest.min(self.records.len());
+        self.era += 1;
+    }
 }
 
 impl Daemon {
@@ -137,6 +154,9 @@
     }
 
     fn read(&mut self, now: MonotonicInstant, world: &World, count: usize) {
+        if self.lease.on_answer(now, Some(world.era)) != EraChange::Unchanged {
+            self.permission = None;
+        }
         let end = Offset(world.records.len() as u64 + 1);
         self.lease.on_bounds(now, Offset(world.oldest as u64 + 1), end);
         let from = self.lease.next().0 as usize - 1;
@@ -168,7 +188,8 @@
         };
         world.nonce += 1;
         let (holder, nonce) = (self.own, world.nonce);
-        let record = LeaseRecord { holder, after, term: Span(TERM), action, nonce };
+        let era = self.lease.era();
+        let record = LeaseRecord { holder, after, term: Span(TERM), action, nonce, era };
         self.sent.push((nonce, now));
         self.renewed = now;
         match event {
@@ -183,8 +204,9 @@
 fn no_two_daemons_are_permitted_at_once() {
     let holders = Cell::new([0; 3]);
     check::<Vec<([Event; 3], u8)>>(300, |phases| {
-        let mut world = World { records: Vec::new(), oldest: 0, nonce: 0 };
+        let mut world = World::new();
         let mut daemons = [0, 1, 2].map(Daemon::new);
+        let mut tokens: BTreeMap<Fencing, Incarnation> = BTreeMap::new();
         let ticks =
             phases.iter().flat_map(|(events, length)| iter::repeat_n(events, (*length).into()));
         for (tick, events) in (0..).zip(ticks.take(TICKS_MAX)) {
@@ -193,12 +215,19 @@
                     Event::IsPaused => {}
                     Event::ForgetsAll if tick % 500 == 0 => *daemon = Daemon::new(daemon.own.0),
                     Event::LogExpires => world.oldest = world.records.len(),
+                    Event::LogIsRestored if tick % 50 == 0 => world.restore(),
                     event => daemon.run(*event, tick, &mut world),
                 }
             }
             let permitted: Vec<_> =
                 daemons.iter().filter(|daemon| daemon.permitted(tick)).collect();
             assert!(permitted.len() <= 1, "tick {tick}");
+            for daemon in &permitted {
+                let token = daemon.permission.unwrap().fencing;
+                let is_newest = tokens.keys().all(|other| *other <= token);
+                let holder = *tokens.entry(token).or_insert(daemon.own);
+                assert!(is_newest && holder == daemon.own, "tick {tick}, token {token}");
+            }
             let mut counts = holders.get();
             permitted.iter().for_each(|daemon| counts[daemon.own.0 as usize] += 1);
             holders.set(counts);
@@ -213,7 +242,7 @@
 
 #[test]
 fn lease_passes_to_a_running_daemon() {
-    let mut world = World { records: Vec::new(), oldest: 0, nonce: 0 };
+    let mut world = World::new();
     let mut daemons = [0, 1, 2].map(Daemon::new);
     for tick in 0..1_800 {
         let paused = tick / 600;
@@ -229,6 +258,43 @@
     }
 }
 
+/// After a restore somebody acts again within the longest term, the candidates' delay and a round.
+#[test]
+fn lease_is_taken_again_after_a_restore() {
+    let ticks = u64::try_from((TERM_MAX * 103 / 100 + SPREAD).as_millis()).unwrap() / 99;
+    for restored in [601, 650, 700, 733, 790] {
+        let mut world = World::new();
+        let mut daemons = [0, 1, 2].map(Daemon::new);
+        for tick in 0..restored + ticks {
+            if tick == restored {
+                world.restore();
+            }
+            for daemon in &mut daemons {
+                daemon.run(Event::Runs, tick, &mut world);
+            }
+            if tick == restored {
+                assert!(!daemons.iter().any(|daemon| daemon.permitted(tick)));
+            }
+        }
+        let permitted = daemons.iter().filter(|daemon| daemon.permitted(restored + ticks - 1));
+        assert_eq!(1, permitted.count(), "restored at {restored}");
+    }
+}
+
+#[test]
+fn token_of_a_later_era_is_higher_at_a_lower_offset() {
+    let mut lease = LeaseState::new(at(0));
+    lease.on_answer(at(0), Some(1));
+    let take = LeaseRecord { era: 1, ..record(1, 8, LeaseAction::Take) };
+    let LeaseChange::Taken(before) = lease.on_record(at(0), Offset(9), take) else { panic!() };
+    assert_eq!(EraChange::Restored { was: 1 }, lease.on_answer(at(1), Some(2)));
+    assert_eq!(None, lease.grant());
+    assert_eq!(LeaseChange::Ignored, lease.on_record(at(1), Offset(3), record(1, 2, take.action)));
+    let take = LeaseRecord { era: 2, ..record(2, 3, LeaseAction::Take) };
+    let LeaseChange::Taken(after) = lease.on_record(at(1), Offset(4), take) else { panic!() };
+    assert!(after.fencing > before.fencing);
+}
+
 #[test]
 fn record_after_the_largest_offset_is_not_valid() {
     let mut lease = LeaseState::new(at(0));
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -73,9 +73,20 @@
     pub end: u64,
     /// Offset and content of each record, oldest first.
     pub records: Vec<(u64, Bytes)>,
+    /// The era of the store, which rises with each restore from an older copy; none if unknown.
+    pub era: Option<u64>,
+}
+
+/// Result of a conditional append, and the era of the store in which it was made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Appended {
+    /// Whether the record was appended.
+    pub outcome: AppendOutcome,
+    /// The era of the store; none if unknown.
+    pub era: Option<u64>,
 }
 
-/// Result of a conditional append.
+/// Outcome of a conditional append.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendOutcome {
     /// The record was appended at this offset.
@@ -129,7 +140,7 @@
         topic: Topic,
         at: u64,
         record: Bytes,
-    ) -> impl Future<Output = Result<AppendOutcome, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Appended, StoreError>> + Send;
 
     /// Publishes the address at which a daemon serves the other daemons. Replaces an earlier
     /// address of the same instance.
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -145,7 +145,7 @@
     async fn append(&mut self, after: Offset, action: LeaseAction) {
         let nonce = u64::try_from(self.context.random() >> 64).unwrap_or_default();
         let term = Span(self.term);
-        let record = LeaseRecord { holder: self.own, after, term, action, nonce };
+        let record = LeaseRecord { holder: self.own, after, term, action, nonce, era: 0 };
         self.last_sent = self.context.clock().now();
         self.sent_appends.push_back((nonce, self.last_sent));
         if self.sent_appends.len() > SENT_APPENDS_MAX {
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use spindle_relay::backends::{
-    AppendOutcome, Feed, FeedBatch, FeedRecord, Store, StoreError, Topic, TopicRecords,
+    Appended, Feed, FeedBatch, FeedRecord, Store, StoreError, Topic, TopicRecords,
 };
 use spindle_relay::{ActiveConfig, Limits};
 use spindle_types::Instance;
@@ -93,7 +93,7 @@
         _topic: Topic,
         _at: u64,
         _record: Bytes,
-    ) -> Result<AppendOutcome, StoreError> {
+    ) -> Result<Appended, StoreError> {
         Err(StoreError::Refused("not supported by the fake store".to_owned()))
     }
 
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -12,10 +12,11 @@
 use spindle_policy::lease::{
     Grant, LeaseAction, LeaseRecord, LeaseState, LeaseStep, Permission, PermissionCheck,
 };
-use spindle_policy::usage_windows::due_windows;
+use spindle_policy::store_era::EraChange;
+use spindle_policy::usage_windows::{due_windows, window_at};
 use spindle_relay::Balancer;
 use spindle_relay::backends::{
-    AppendOutcome, Cloud, CloudError, ScaleOrder, Store, StoreError, Topic, TopicRecords,
+    AppendOutcome, Appended, Cloud, CloudError, ScaleOrder, Store, StoreError, Topic, TopicRecords,
 };
 use spindle_relay::config::{ActiveConfig, ScaleSpec};
 use spindle_types::config::FencingCheck;
@@ -79,6 +80,9 @@
     stored: BTreeMap<u64, Bytes>,
     /// Usage windows whose reports the cloud has accepted.
     sent: BTreeSet<u64>,
+    /// The first usage window for which a report may be written. The report of an earlier one may
+    /// have been sent and then lost by a restore of the store.
+    first: u64,
 }
 
 /// Competes for the leader lease, and performs the leader's tasks while holding it.
@@ -210,6 +214,7 @@
             term: Span(self.parts.bounds.lease),
             action,
             nonce: rand::random(),
+            era: self.lease_state.era(),
         };
         let content = match serde_json::to_vec(&record) {
             Ok(content) => content,
@@ -218,7 +223,13 @@
                 return;
             }
         };
-        match self.parts.store.append(Topic::Lease, after.0, content.into()).await {
+        let result = self.parts.store.append(Topic::Lease, after.0, content.into()).await;
+        if let Ok(Appended { era, .. }) = result
+            && !self.is_current(era)
+        {
+            return;
+        }
+        match result.map(|appended| appended.outcome) {
             Ok(AppendOutcome::At(offset)) => {
                 self.lease_state.on_record(self.parts.clock.now(), Offset(offset + 1), record);
             }
@@ -252,7 +263,8 @@
                 self.parts.statuses.set_fencing(Some(fencing));
                 if taken {
                     log::info!("event=lease_taken fencing={}", fencing.0);
-                    self.reports = UsageReports::default();
+                    self.reports =
+                        UsageReports { first: self.reports.first, ..UsageReports::default() };
                     self.planners.clear();
                     self.taken_at = sent;
                 }
@@ -261,10 +273,32 @@
         }
     }
 
+    /// Whether an answer of the store may be used, given its era. If the store was restored from an
+    /// older copy, starts anew: the lease is given up, and the reports of the windows that have ended
+    /// are not written again.
+    fn is_current(&mut self, era: Option<u64>) -> bool {
+        let now = self.parts.clock.now();
+        match self.lease_state.on_answer(now, era) {
+            EraChange::Unchanged => true,
+            EraChange::Outdated => false,
+            EraChange::Restored { was } => {
+                log::warn!("event=store_restored feed=lease era={era:?} was={was}");
+                self.drop_lease("store_restored");
+                let utc = self.parts.statuses.agreed_utc(now);
+                let first = window_at(utc, self.parts.bounds.usage_window);
+                self.reports = UsageReports { first, ..UsageReports::default() };
+                false
+            }
+        }
+    }
+
     async fn read_lease(&mut self) -> Result<(), StoreError> {
         let from = self.lease_state.next().0 - 1;
-        let TopicRecords { oldest, end, records } =
+        let TopicRecords { oldest, end, records, era } =
             self.parts.store.read_topic(Topic::Lease, from).await?;
+        if !self.is_current(era) {
+            return Ok(());
+        }
         let now = self.parts.clock.now();
         self.lease_state.on_bounds(now, Offset(oldest + 1), Offset(end + 1));
         for (offset, content) in records {
@@ -318,6 +352,11 @@
         if let Some(report) = self.reports.stored.get(&window) {
             return Some(report.clone());
         }
+        if window < self.reports.first {
+            log::info!("event=usage_report_skipped window={window} cause=store_restored");
+            self.reports.sent.insert(window);
+            return None;
+        }
         let config = self.parts.config.borrow().clone();
         let teams: Vec<Team> = config.teams().iter().map(|spec| spec.team.clone()).collect();
         let counts = self.parts.statuses.window_counts(window, &teams);
@@ -325,7 +364,14 @@
         let mut record = BytesMut::with_capacity(report.len() + 8);
         record.put_u64(window);
         record.extend_from_slice(&report);
-        match self.parts.store.append(Topic::Usage, self.reports.next, record.freeze()).await {
+        let next = self.reports.next;
+        let result = self.parts.store.append(Topic::Usage, next, record.freeze()).await;
+        if let Ok(Appended { era, .. }) = result
+            && !self.is_current(era)
+        {
+            return None;
+        }
+        match result.map(|appended| appended.outcome) {
             Ok(AppendOutcome::At(offset)) => {
                 self.reports.next = offset + 1;
                 self.reports.stored.insert(window, report);
@@ -348,6 +394,9 @@
 
     async fn read_reports(&mut self) -> Result<(), StoreError> {
         let found = self.parts.store.read_topic(Topic::Usage, self.reports.next).await?;
+        if !self.is_current(found.era) {
+            return Ok(());
+        }
         self.reports.next = found.end;
         for (_, mut record) in found.records {
             if record.len() < 8 {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -399,6 +399,42 @@
     }
 }
 
+#[tokio::test]
+async fn leader_acts_under_a_higher_token_after_the_store_was_restored() {
+    let platform = Platform::start().await;
+    platform.configure(&standin::configuration(3));
+    // The copy holds no record of the lease.
+    platform.copy_store();
+    let _daemons = Daemon::start_all(&platform, 3).await;
+    for _ in 0..2 {
+        let before = platform.usage_reports().len();
+        wait_for_reports(&platform, before + 2).await;
+        let (token, _) = platform.cloud_calls().last().unwrap().clone();
+        platform.restore_store();
+        let restored_at = platform.cloud_calls().len();
+        let acts_again = |calls: &[(u64, String)]| calls.iter().any(|(other, _)| *other > token);
+        for _ in 0..POLLS_MAX {
+            if acts_again(&platform.cloud_calls()[restored_at..]) {
+                break;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        assert!(acts_again(&platform.cloud_calls()[restored_at..]), "nobody acts again");
+    }
+    let (mut holders, mut highest) = (std::collections::BTreeMap::new(), 0);
+    for (token, holder) in platform.cloud_calls() {
+        assert!(token >= highest, "{token} after {highest}");
+        highest = token;
+        assert_eq!(*holders.entry(token).or_insert_with(|| holder.clone()), holder);
+    }
+    let mut windows = std::collections::BTreeMap::new();
+    for report in platform.usage_reports() {
+        let counts = report["request-counts"].clone();
+        let window = report["window-id"].as_u64().unwrap();
+        assert_eq!(*windows.entry(window).or_insert_with(|| counts.clone()), counts);
+    }
+}
+
 #[tokio::test]
 async fn oversized_requests_are_refused_before_they_reach_an_upstream() {
     let (platform, _upstreams, daemons) = start_deployment(1).await;
