--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -171,7 +171,8 @@
     }
 
     /// Applies the bounds of the stream. In a stream that never had a record the lease is free at
-    /// once, unless the records may have been lost by a restore. If records have expired unread, one of them may have granted the lease.
+    /// once. In an era above 0, a restore may have lost its records. If records have expired unread,
+    /// one of them may have granted the lease.
     pub fn on_bounds(&mut self, now: MonotonicInstant, oldest: Offset, end: Offset) {
         if end == Offset(1) && self.newest == Offset(0) && self.era() == 0 {
             self.free_from = self.free_from.min(now);
--- a/src/node.rs
+++ b/src/node.rs
@@ -167,7 +167,8 @@
         clock,
         balancer.clone(),
         Arc::clone(&daemon_count),
-        (settings.bounds.upstream_drain, rand::random()),
+        settings.bounds.upstream_drain,
+        rand::random(),
     );
     let follower = ConfigurationFollower::new(
         store.clone(),
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -6,7 +6,6 @@
 use rand_chacha::ChaCha8Rng;
 use spindle_policy::read_schedule::{ReadReason, ReadSchedule};
 use spindle_relay::Balancer;
-
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
 use spindle_relay::metrics::METRICS;
 use spindle_types::{Clock, Instance, MonotonicInstant};
@@ -54,7 +53,8 @@
         clock: K,
         balancer: Balancer,
         daemon_count: Arc<AtomicU32>,
-        (drain, seed): (Duration, u64),
+        drain: Duration,
+        seed: u64,
     ) -> Self {
         let (outages, restores) = (watch::Sender::new(0), watch::Sender::new(0));
         let schedule = ReadSchedule::new(drain.mul_f64(MAX_AGE_FRACTION));
--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -31,7 +31,7 @@
     let drain = drain_of(daemon_count);
     let daemon_count = Arc::new(AtomicU32::new(daemon_count));
     let count = Arc::clone(&daemon_count);
-    let follower = RegistrationFollower::new(store.clone(), clock, balancer, count, (drain, 7));
+    let follower = RegistrationFollower::new(store.clone(), clock, balancer, count, drain, 7);
     tokio::spawn(follower.clone().run());
     let count = Arc::clone(&daemon_count);
     tokio::spawn(async move {
@@ -130,7 +130,8 @@
             self.clock,
             balancer,
             Arc::clone(&daemon_count),
-            (drain_of(count), self.daemons.len() as u64),
+            drain_of(count),
+            self.daemons.len() as u64,
         );
         let task = tokio::spawn(follower.clone().run());
         self.daemons.push(ClusterDaemon { follower, daemon_count, task });
