--- a/crates/policy/src/read_schedule/tests.rs
+++ b/crates/policy/src/read_schedule/tests.rs
@@ -39,6 +39,14 @@
     }
 }
 
+#[test]
+fn read_is_due_at_once_after_a_pause() {
+    let (now, pause) = (at(60_000), Duration::from_secs(50));
+    let schedule = running_schedule(3);
+    assert_eq!(schedule.age(now), Some(pause));
+    assert!(schedule.next_read(58).0 < now);
+}
+
 #[test]
 fn informed_daemon_reads_at_its_interval_only() {
     let mut schedule = running_schedule(3);
