test(platform): a call in progress at the suspension of the holder may arrive late, and is refused

resumed_lease_holder_does_not_act_with_its_old_fencing_token failed once in some 50 runs of its file. Traced in 126 runs of the test alone with the daemons' logs (two failed): SIGSTOP met the holder between the check of its lease and the write of a usage report. After SIGCONT this one call reached the cloud under the old token; the daemon logged 'no answer in time', found its lease lapsed, and sent nothing more. No check before a send can exclude this; the fencing token is for it, and the users' page says that such calls are refused and break nothing.

The test still demands that no call is accepted under the old token, and now also that at most one is refused.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -567,6 +567,8 @@
     wait_for_reports(&platform, platform.usage_reports().len() + 3).await;
     let calls = platform.cloud_calls();
     assert!(calls[before..].iter().all(|(number, _)| *number > first), "{calls:?}");
+    // A call that was in progress when the holder was suspended arrives late and is refused.
+    assert!(platform.refused_calls() <= 1, "{} calls refused", platform.refused_calls());
     for (number, holder) in &calls {
         let same = calls.iter().filter(|(other, _)| other == number);
         assert!(same.clone().all(|(_, other)| other == holder), "{calls:?}");
