--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -51,7 +51,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn up_to_sixteen_daemons_together_read_four_times_a_second() {
+async fn up_to_sixteen_informed_daemons_together_read_four_times_a_second() {
     let mut total_reads_per_second = Vec::new();
     for daemon_count in [1, 6, 8, 16] {
         total_reads_per_second
@@ -251,7 +251,21 @@
     assert_eq!(failures, []);
 }
 
-/// Guards against the same when the daemons whose reads the others rely on have just died.
+/// The reads that are forced by age come on top of the planned ones where few daemons read.
+#[tokio::test(start_paused = true)]
+async fn reads_of_all_daemons_together_stay_bounded() {
+    for (daemon_count, limit) in [(1, 4.2), (6, 6.0), (16, 12.0), (58, 16.0), (77, 20.5)] {
+        let mut cluster = Cluster::start(daemon_count, 0.0).await;
+        let (before, span) = (cluster.store.calls.load(Ordering::Relaxed), 60);
+        cluster.rounds_for(Duration::from_secs(span)).await;
+        let calls = cluster.store.calls.load(Ordering::Relaxed) - before;
+        let rate = calls as f64 / span as f64;
+        println!("{daemon_count} daemons: {rate} reads a second of {limit}");
+        assert!(rate <= limit, "{daemon_count} daemons: {rate} reads a second");
+    }
+}
+
+/// Guards against late news when the daemons whose reads the others rely on have just died.
 #[tokio::test(start_paused = true)]
 async fn daemons_whose_peers_died_stop_using_a_leaving_upstream_in_time() {
     let mut failures = Vec::new();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -12,6 +12,7 @@
 use standin::{
     Platform, SETTINGS_FILE_VARIABLE, STREAM_EVENTS, StoreBehaviour, Upstream, UpstreamBehaviour,
 };
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -391,7 +392,12 @@
     daemons[0].exit().await;
     let before = platform.usage_reports().len();
     wait_for_reports(&platform, before + 4).await;
-    let mut windows = std::collections::BTreeMap::new();
+    assert_reports_are_consistent(&platform);
+}
+
+/// Checks that no two reports of a usage window differ.
+fn assert_reports_are_consistent(platform: &Platform) {
+    let mut windows = BTreeMap::new();
     for report in platform.usage_reports() {
         let window = report["window-id"].as_u64().unwrap();
         let counts = report["request-counts"].clone();
@@ -421,18 +427,13 @@
         }
         assert!(acts_again(&platform.cloud_calls()[restored_at..]), "nobody acts again");
     }
-    let (mut holders, mut highest) = (std::collections::BTreeMap::new(), 0);
+    let (mut holders, mut highest) = (BTreeMap::new(), 0);
     for (token, holder) in platform.cloud_calls() {
         assert!(token >= highest, "{token} after {highest}");
         highest = token;
         assert_eq!(*holders.entry(token).or_insert_with(|| holder.clone()), holder);
     }
-    let mut windows = std::collections::BTreeMap::new();
-    for report in platform.usage_reports() {
-        let counts = report["request-counts"].clone();
-        let window = report["window-id"].as_u64().unwrap();
-        assert_eq!(*windows.entry(window).or_insert_with(|| counts.clone()), counts);
-    }
+    assert_reports_are_consistent(&platform);
 }
 
 #[tokio::test]
