--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -19,10 +19,10 @@
 //!   An order that arrives even later is corrected rather than prevented: orders state the desired
 //!   state, and the new holder compares the actual state with it again.
 //!
-//! A log that was restored from an older copy may lack records that granted the lease, and gives their
-//! offsets out again. If it states its era, a record is valid only in the era in which its appender
-//! had read, and tokens contain the era. A reader that notices a restore starts anew: a holder stops,
-//! and a candidate waits the longest term.
+//! A log that was restored from an older copy may lack records that granted the lease, and gives
+//! their offsets out again. If it states its era, a record is valid only in the era in which its
+//! appender had read, and tokens contain the era. A reader that notices a restore starts anew: a
+//! holder stops, and a candidate waits the longest term.
 
 use crate::store_era::{EraChange, StoreEra};
 use serde::{Deserialize, Serialize};
@@ -36,8 +36,8 @@
 /// The longest term that a record can grant. Longer ones are cut to it.
 pub const TERM_MAX: Duration = Duration::from_secs(60);
 
-/// The number of low bits of a fencing token that hold the offset. The era is above them. Tokens up to
-/// era 2^21 are exact as a 64-bit floating-point number.
+/// The number of low bits of a fencing token that hold the offset. The era is above them. Tokens up
+/// to era 2^21 are exact as a 64-bit floating-point number.
 const OFFSET_BITS: u32 = 32;
 
 /// The number of different start delays over which candidates are spread.
@@ -144,9 +144,9 @@
         }
     }
 
-    /// Applies the era of an answer of the log, before its content. If the log was restored, nothing
-    /// that has been read counts any more, and this daemon doesn't hold the lease. The content of an
-    /// outdated answer must not be applied.
+    /// Applies the era of an answer of the log, before its content. If the log was restored,
+    /// nothing that has been read counts any more, and this daemon doesn't hold the lease. The
+    /// content of an outdated answer must not be applied.
     pub fn on_answer(&mut self, now: MonotonicInstant, era: Option<u64>) -> EraChange {
         let change = self.era.on_answer(era);
         if matches!(change, EraChange::Restored { .. }) {
@@ -171,8 +171,8 @@
     }
 
     /// Applies the bounds of the stream. In a stream that never had a record the lease is free at
-    /// once. In an era above 0, a restore may have lost its records. If records have expired unread,
-    /// one of them may have granted the lease.
+    /// once. In an era above 0, a restore may have lost its records. If records have expired
+    /// unread, one of them may have granted the lease.
     pub fn on_bounds(&mut self, now: MonotonicInstant, oldest: Offset, end: Offset) {
         if end == Offset(1) && self.newest == Offset(0) && self.era() == 0 {
             self.free_from = self.free_from.min(now);
@@ -263,7 +263,8 @@
     }
 }
 
-/// A token that no record of another era or at another offset gets, higher than those of earlier ones.
+/// A token that no record of another era or at another offset gets, higher than those of earlier
+/// ones.
 const fn fencing_token(era: u64, offset: Offset) -> Fencing {
     Fencing(era.saturating_mul(1 << OFFSET_BITS).saturating_add(offset.0))
 }
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -54,8 +54,8 @@
 /// known deployment has 16 teams.
 const TEAMS_MAX: usize = 4_096;
 
-/// The maximum number of leaving upstreams that a daemon reports in its status, to bound memory. With
-/// more, daemons read the store instead of relying on each other.
+/// The maximum number of leaving upstreams that a daemon reports in its status, to bound memory.
+/// With more, daemons read the store instead of relying on each other.
 pub const LEAVING_MAX: usize = 256;
 
 /// A daemon that is silent is contacted every this many rounds.
--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -1,10 +1,10 @@
-//! When a daemon reads the registrations of the upstreams, so that it acts on every leaving upstream
-//! within a given time after the store has acknowledged it.
+//! When a daemon reads the registrations of the upstreams, so that it acts on every leaving
+//! upstream within a given time after the store has acknowledged it.
 //!
-//! A daemon learns of most leaving upstreams from the others. It does not rely on when they read the
-//! store: it tracks up to which moment its own knowledge is complete, from its own reads and from
-//! what its peers say of theirs, and reads the store itself before that moment is too long ago. The
-//! bound therefore holds at any number of daemons, and whatever happens to the others.
+//! A daemon learns of most leaving upstreams from the others. It does not rely on when they read
+//! the store: it tracks up to which moment its own knowledge is complete, from its own reads and
+//! from what its peers say of theirs, and reads the store itself before that moment is too long
+//! ago. The bound therefore holds at any number of daemons, and whatever happens to the others.
 
 use crate::upstream_registry::LEAVING_GOSSIP_PERIOD;
 use rand::{Rng, RngExt};
--- a/crates/policy/src/read_schedule/tests.rs
+++ b/crates/policy/src/read_schedule/tests.rs
@@ -166,8 +166,8 @@
     caller: Incarnation,
 }
 
-/// Daemons whose calls and replies are delayed, lost and reordered, and which restart, beside a store
-/// in which upstreams leave.
+/// Daemons whose calls and replies are delayed, lost and reordered, and which restart, beside a
+/// store in which upstreams leave.
 struct Interleaving {
     random: ChaCha8Rng,
     now: MonotonicInstant,
--- a/crates/policy/src/store_era.rs
+++ b/crates/policy/src/store_era.rs
@@ -1,8 +1,9 @@
 //! Whether the store has been restored from an older copy.
 //!
-//! After a restore, records that were acknowledged may be gone, and their offsets are given out again.
-//! A reader that went on from its last offset would take the new records for the continuation of the
-//! old ones. The store counts its restores and states the number, the era, in its answers.
+//! After a restore, records that were acknowledged may be gone, and their offsets are given out
+//! again. A reader that went on from its last offset would take the new records for the
+//! continuation of the old ones. The store counts its restores and states the number, the era, in
+//! its answers.
 
 use std::cmp::Ordering;
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -17,8 +17,8 @@
     pub total_seconds: Histogram<f64>,
     /// Time between two chunks of events of a stream, in seconds.
     pub event_interval_seconds: Histogram<f64>,
-    /// Time for which the daemon may have missed that an upstream is leaving, in seconds, when a read
-    /// from the store has ended that time; by the reason of the read.
+    /// Time for which the daemon may have missed that an upstream is leaving, in seconds, when a
+    /// read from the store has ended that time; by the reason of the read.
     pub upstreams_age_seconds: Histogram<f64>,
 }
 
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -12,8 +12,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A store that holds one configuration version and a log of registrations. While it is unreachable,
-/// calls fail after their timeout, even if the store becomes reachable before that.
+/// A store that holds one configuration version and a log of registrations. While it is
+/// unreachable, calls fail after their timeout, even if the store becomes reachable before that.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FakeStore {
     /// Whether calls time out instead of being answered.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -274,8 +274,8 @@
     }
 
     /// Whether an answer of the store may be used, given its era. If the store was restored from an
-    /// older copy, starts anew: the lease is given up, and the reports of the windows that have ended
-    /// are not written again.
+    /// older copy, starts anew: the lease is given up, and the reports of the windows that have
+    /// ended are not written again.
     fn is_current(&mut self, era: Option<u64>) -> bool {
         let now = self.parts.clock.now();
         match self.lease_state.on_answer(now, era) {
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -63,7 +63,8 @@
         Self { store, clock, balancer, daemon_count, outages, restores, reads, drain }
     }
 
-    /// A counter that increases whenever the store is lost, regained or restored from an older copy.
+    /// A counter that increases whenever the store is lost, regained or restored from an older
+    /// copy.
     pub fn outages(&self) -> watch::Receiver<u64> {
         self.outages.subscribe()
     }
@@ -84,8 +85,8 @@
         self.reads().schedule.age(now)
     }
 
-    /// Records that all leaving upstreams are known here that a peer knew `age` before its answer to
-    /// a call sent at `sent`.
+    /// Records that all leaving upstreams are known here that a peer knew `age` before its answer
+    /// to a call sent at `sent`.
     pub fn on_peer(&self, sent: MonotonicInstant, age: Duration) {
         self.reads().schedule.on_peer(self.clock.now(), sent, age);
     }
--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use tokio::task::JoinHandle;
 
-/// The time allowed for acting on a leaving upstream in deployments of up to `daemon_count` daemons.
+/// The time allowed for acting on a leaving upstream in deployments of up to `daemon_count`
+/// daemons.
 fn drain_of(daemon_count: u32) -> Duration {
     match daemon_count {
         0..=16 => Duration::from_secs(2),
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -130,9 +130,9 @@
         Self { parts: Arc::new(parts), state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Publishes the peer address of this daemon in the store, again after each restore of the store
-    /// from an older copy, which may lack it. While no other daemon is live, reads the addresses of
-    /// the others from it. Runs until the process exits.
+    /// Publishes the peer address of this daemon in the store, again after each restore of the
+    /// store from an older copy, which may lack it. While no other daemon is live, reads the
+    /// addresses of the others from it. Runs until the process exits.
     pub async fn discover_peers(self) {
         let settings = &self.parts.settings;
         let mut published = false;
@@ -386,7 +386,8 @@
         self.apply_message(message);
         let now = self.parts.clock.now();
         let mut state = self.state();
-        // The reply states how recent its list of leaving upstreams is, so the list has to be complete.
+        // The reply states how recent its list of leaving upstreams is, so the list has to be
+        // complete.
         let leaving = self.parts.balancer.leaving(now, LEAVING_MAX);
         if has_unlisted(&state.own, &leaving) {
             self.update_own_status(now, &mut state);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -279,8 +279,8 @@
     }
 }
 
-/// Guards against a restored store whose offsets, given out again, are taken for the continuation of
-/// the records that were lost.
+/// Guards against a restored store whose offsets, given out again, are taken for the continuation
+/// of the records that were lost.
 #[tokio::test]
 async fn restored_store_is_read_again_from_the_start() {
     let (platform, upstreams, daemons) = start_deployment(2).await;
