--- a/tests/platform.rs
+++ b/tests/platform/main.rs
@@ -1,167 +1,22 @@
 //! Daemons as separate processes on a stand-in of the users' platform.
 
-#[path = "../platform/standin/mod.rs"]
+mod daemon;
+#[path = "../../platform/standin/mod.rs"]
 #[allow(unreachable_pub)]
 mod standin;
 
-use http::{Request, Response, StatusCode};
+use daemon::{CALL_TIMEOUT, Daemon, POLL_INTERVAL, POLLS_MAX, addresses, client, start_deployment};
+use http::{Request, Response};
 use hyper::body::Incoming;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
-use spindle_http::{Body, Client, read_body};
-use standin::{
-    Platform, SETTINGS_FILE_VARIABLE, STREAM_EVENTS, StoreBehaviour, Upstream, UpstreamBehaviour,
-};
+use nix::sys::signal::Signal;
+use spindle_http::{Body, read_body};
+use standin::{Platform, STREAM_EVENTS, StoreBehaviour, Upstream, UpstreamBehaviour};
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::process::Command;
 use std::time::Duration;
-use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// The maximum number of polls before a test fails.
-const POLLS_MAX: u32 = 1_500;
-
-/// The timeout of any HTTP call in a test.
-const CALL_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// A daemon process, killed when dropped.
-struct Daemon {
-    name: String,
-    child: Child,
-    caller: SocketAddr,
-    ready: SocketAddr,
-    peer: SocketAddr,
-    directory: SocketAddr,
-    _folder: TempDir,
-}
-
-/// Returns the addresses of one daemon. Each daemon has its own loopback IP address, as instances
-/// have, so that no other process takes its ports between their choice and the daemon's start.
-fn addresses() -> [SocketAddr; 4] {
-    static DAEMONS: AtomicU8 = AtomicU8::new(1);
-    let daemon = DAEMONS.fetch_add(1, Ordering::Relaxed);
-    let process = u8::try_from(std::process::id() % 250).unwrap();
-    let ip = Ipv4Addr::new(127, 20, process, daemon);
-    [8221, 8224, 8229, 8220].map(|port| SocketAddr::from((ip, port)))
-}
-
-fn client() -> Client {
-    Client::new(CALL_TIMEOUT, 1 << 20)
-}
-
-impl Daemon {
-    fn start(platform: &Platform, name: &str, ports: [SocketAddr; 4], seed: SocketAddr) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let path = folder.path().join("boot.yaml");
-        std::fs::write(&path, platform.settings(name, &ports, &[seed])).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_bronzespindle"))
-            .arg("node")
-            .env(SETTINGS_FILE_VARIABLE, &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let [caller, ready, peer, directory] = ports;
-        let name = name.to_owned();
-        Self { name, child, caller, ready, peer, directory, _folder: folder }
-    }
-
-    /// Starts daemons that know a common seed, and waits until each lists the addresses of all.
-    async fn start_all(platform: &Platform, count: usize) -> Vec<Self> {
-        let ports: Vec<_> = (0..count).map(|_| addresses()).collect();
-        let seed = ports[0][2];
-        let daemons: Vec<Self> = ports
-            .into_iter()
-            .enumerate()
-            .map(|(index, ports)| Self::start(platform, &format!("d-{index}"), ports, seed))
-            .collect();
-        let mut daemons = daemons;
-        for daemon in &mut daemons {
-            let exited = daemon.child.try_wait().unwrap();
-            assert_eq!(exited, None, "the daemon exited unexpectedly");
-            daemon.wait_for_addresses(count).await;
-        }
-        daemons
-    }
-
-    async fn wait_for_addresses(&self, count: usize) {
-        let path = "/resolve?name=h.example&region=r&zone=a-1";
-        for _ in 0..POLLS_MAX {
-            let reply: Result<serde_json::Value, _> = client().get(self.directory, path).await;
-            if reply.is_ok_and(|reply| reply["addresses"].as_array().unwrap().len() == count) {
-                return;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        panic!("the daemon does not list {count} addresses");
-    }
-
-    /// Waits until the daemon accepts connections from callers.
-    async fn wait_for_server(&self) {
-        for _ in 0..POLLS_MAX {
-            if TcpStream::connect(self.caller).await.is_ok() {
-                return;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        panic!("the daemon accepts no connections");
-    }
-
-    async fn is_ready(&self) -> bool {
-        let request = Request::builder().uri(format!("http://{}/readiness", self.ready));
-        let response = client().send(request.body(Body::Empty).unwrap()).await;
-        response.is_ok_and(|response| response.status() == StatusCode::OK)
-    }
-
-    async fn send(&self, id: &str, method: &str, path: &str) -> Response<Incoming> {
-        let mut request =
-            Request::builder().method(method).uri(format!("http://{}{path}", self.caller));
-        for (name, value) in standin::caller_headers(id) {
-            request = request.header(name, value);
-        }
-        let body = if method == "GET" { Body::Empty } else { Body::from("content".to_owned()) };
-        client().send(request.body(body).unwrap()).await.unwrap()
-    }
-
-    /// Sends requests, each with a new id, until one is answered with `status`.
-    async fn wait_for(&self, path: &str, status: u16) {
-        for attempt in 0..POLLS_MAX {
-            let response = self.send(&format!("wait-{attempt}"), "GET", path).await;
-            if response.status() == status {
-                return;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        panic!("{path} was never answered with {status}");
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(i32::try_from(self.child.id()).unwrap()), signal).unwrap();
-    }
-
-    async fn exit(&mut self) -> ExitStatus {
-        loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status;
-            }
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        // An error only means that the process has already exited.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 async fn body(response: Response<Incoming>) -> Result<String, String> {
     let read = read_body(response.into_body(), 1 << 20, CALL_TIMEOUT).await;
     read.map(|content| String::from_utf8_lossy(&content).into_owned())
@@ -173,22 +28,6 @@
     (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: {event}\n\n")).collect()
 }
 
-/// Starts a platform with two upstreams of each service, and daemons, and waits until all daemons
-/// serve requests.
-async fn start_deployment(daemons: usize) -> (Platform, Vec<Upstream>, Vec<Daemon>) {
-    let platform = Platform::start().await;
-    platform.configure(&standin::configuration(3));
-    let mut upstreams = Vec::new();
-    for (name, service) in [("i-1", "desk"), ("i-2", "desk"), ("i-3", "model"), ("i-4", "model")] {
-        upstreams.push(Upstream::start(&platform, name, service).await);
-    }
-    let daemons = Daemon::start_all(&platform, daemons).await;
-    for daemon in &daemons {
-        daemon.wait_for("/read/x", 200).await;
-    }
-    (platform, upstreams, daemons)
-}
-
 #[tokio::test]
 async fn only_requests_with_a_team_and_a_route_are_served() {
     let (platform, _upstreams, daemons) = start_deployment(2).await;
