feat(relay): log and count the limits that upstreams name

An upstream in need names in its responses the requests a second that it takes from all daemons together. Nothing read that, so neither logs nor metrics could tell an upstream with a limit from another one.

The header is decoded once, in the platform's adapter. A change is logged with the rate before; a value that is no rate (0, negative, text, too high) is logged as it came and changes nothing. relay_limited_sends counts the responses that name a limit. No decision depends on the limit yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod spend;
 pub mod steering;
 pub mod store_era;
+pub mod upstream_limit;
 pub mod upstream_registry;
 pub mod upstream_selection;
 pub mod usage_windows;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -230,7 +230,11 @@
         pooled: PooledConnection,
     ) -> AttemptOutcome {
         let now = self.0.clock.now();
-        match self.0.protocol.classify_response(&attempt.buffered.inbound, &head) {
+        let class = self.0.protocol.classify_response(&attempt.buffered.inbound, &head);
+        if matches!(class, ResponseClass::Executed(_) | ResponseClass::Refused { .. }) {
+            assignment.on_limit(now, self.0.protocol.named_limit(&head));
+        }
+        match class {
             ResponseClass::Executed(executed) => {
                 assignment.on_load(now, executed.load);
                 AttemptOutcome::Answer(Box::new(UpstreamResponse {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,10 +1,13 @@
 //! Load balancing: the known upstreams, the load on each, and the choice among them.
 
+use crate::metrics::METRICS;
 use crate::pool::ConnectionPool;
-use crate::protocol::ReportedLoad;
+use crate::protocol::{NamedLimit, ReportedLoad};
+use opentelemetry::KeyValue;
 use slotmap::SecondaryMap;
 use spindle_policy::breaker::{BreakerTransition, CircuitBreaker, FailureKind};
 use spindle_policy::fleet::InstanceCounts;
+use spindle_policy::upstream_limit::RequestRate;
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
@@ -55,6 +58,8 @@
     peer_load: (u32, u32),
     /// Number of requests that the upstream reported last, and when.
     reported_load: Option<(MonotonicInstant, u32)>,
+    /// Limit on the rate of requests that the upstream named last, and when.
+    limit: Option<(MonotonicInstant, RequestRate)>,
     /// Prompt prefixes sent there, and when last.
     recent_prefixes: HashMap<u64, MonotonicInstant>,
     /// Smoothed ratio of measured to estimated latency, and when it was updated.
@@ -417,6 +422,41 @@
         }
     }
 
+    /// Records the limit that a response names, and counts requests to limited upstreams.
+    pub fn on_limit(&self, now: MonotonicInstant, named: NamedLimit) {
+        let mut state = self.balancer.state();
+        let State { registry, upstreams } = &mut *state;
+        let (Some(listed), Some(upstream)) = (registry.get(self.key), upstreams.get_mut(self.key))
+        else {
+            return;
+        };
+        let rate = match named {
+            NamedLimit::None => None,
+            NamedLimit::Rate(rate) => Some(rate),
+            NamedLimit::Invalid(text) => {
+                log::warn!(
+                    "event=limit_invalid upstream={} text={text:?}",
+                    self.upstream_id.instance
+                );
+                return;
+            }
+        };
+        let before = upstream.limit.map(|(_, rate)| rate);
+        if before != rate {
+            log::warn!(
+                "event=upstream_limit upstream={} per_s={:?} before={:?} source=answer",
+                self.upstream_id.instance,
+                rate.map(f64::from),
+                before.map(f64::from),
+            );
+        }
+        upstream.limit = rate.map(|rate| (now, rate));
+        if rate.is_some() {
+            let service = KeyValue::new("service", listed.registration.service.to_string());
+            METRICS.limited_sends.add(1, &[service]);
+        }
+    }
+
     /// Records the first byte of the response: the prompt has left the queue, and the measured
     /// latency updates the upstream's slowdown. Later calls have no effect.
     pub fn on_first_byte(&mut self, now: MonotonicInstant) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,8 @@
     pub requests: Counter<u64>,
     /// Number of attempts at upstreams, by service and result (`ended`).
     pub sends: Counter<u64>,
+    /// Number of responses that name a limit of their upstream, by service.
+    pub limited_sends: Counter<u64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
     pub first_byte_seconds: Histogram<f64>,
     /// Time from the first byte of a request to the end of its response, in seconds.
@@ -28,6 +30,7 @@
     Metrics {
         requests: meter.u64_counter("relay_requests").build(),
         sends: meter.u64_counter("relay_sends").build(),
+        limited_sends: meter.u64_counter("relay_limited_sends").build(),
         first_byte_seconds: meter.f64_histogram("relay_first_byte_seconds").build(),
         total_seconds: meter.f64_histogram("relay_whole_seconds").build(),
         event_interval_seconds: meter.f64_histogram("relay_event_interval_seconds").build(),
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -3,6 +3,7 @@
 
 use crate::request::Inbound;
 use http::{HeaderMap, response};
+use spindle_policy::upstream_limit::RequestRate;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_types::Team;
 use std::time::Duration;
@@ -56,6 +57,17 @@
     Invalid,
 }
 
+/// What a response says of the rate of requests that the upstream takes from all daemons together.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NamedLimit {
+    /// The response names no limit.
+    None,
+    /// The upstream takes requests up to this rate.
+    Rate(RequestRate),
+    /// The response names something that is no rate; this is its text.
+    Invalid(String),
+}
+
 /// Translation to and from the headers of the upstreams.
 pub trait UpstreamProtocol: Clone + Send + Sync + 'static {
     /// Returns the headers of the request that is sent to an upstream.
@@ -63,4 +75,7 @@
 
     /// Tells what the head of the response to a request means.
     fn classify_response(&self, inbound: &Inbound, head: &response::Parts) -> ResponseClass;
+
+    /// Returns the limit that the head of a response names.
+    fn named_limit(&self, head: &response::Parts) -> NamedLimit;
 }
