test(platform): an upstream that names a limit gets more requests than that

Reproduces the LIMIT incident with three daemon processes: an upstream names 0.5 requests a second, each daemon returns such a response, and half a second later 60 requests are sent through them.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Daemons as separate processes on a stand-in of the users' platform.
 
 mod daemon;
+mod limits;
 #[path = "../../platform/standin/mod.rs"]
 #[allow(unreachable_pub)]
 mod standin;
