fix(fleet): make up for the capacity that limits leave unused

An engine that names a limit of 1 request a second counted as a whole engine, so the leader ordered nothing in its place. The planner now adds what the limits leave unused, from the rates in force and the mean prompt of a request. Without that sum the new test fails with 8 engines needed in place of 10.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -162,6 +162,8 @@
     ordered: BTreeMap<InstanceKey, (MonotonicInstant, u32)>,
     /// The time of the last refusal.
     refused: BTreeMap<InstanceKey, MonotonicInstant>,
+    /// Engines whose capacity is missing because of limits.
+    missing: f64,
 }
 
 impl FleetPlanner {
@@ -177,6 +179,13 @@
         self.peaks.push_back((now, rate));
     }
 
+    /// Sets the requests per second that the engines with a limit take, and the mean number of prompt
+    /// tokens of a request. What they leave unused has to be replaced.
+    pub fn on_limits(&mut self, rates: &[f64], prompt_tokens: f64) {
+        let unused = |rate: &f64| (1.0 - rate * prompt_tokens / TOKENS_PER_ENGINE).max(0.0);
+        self.missing = rates.iter().map(unused).sum();
+    }
+
     /// Records that the cloud accepted an order.
     pub fn on_ordered(&mut self, now: MonotonicInstant, order: &CapacityOrder) {
         self.refused.remove(&(order.data_centre.clone(), order.reclaimable));
@@ -195,12 +204,13 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The number of engines that the load needs. Until the rate has been known for `PEAK_MEMORY`,
+    /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
     /// at least `START_SHARE` of the most engines found so far is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
         let start = share_of(self.found, START_SHARE);
         let need =
-            self.peaks.front().map_or(0, |(_, rate)| (rate / TOKENS_PER_ENGINE).ceil() as u32);
+            self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
+        let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
         need.max(if early { start } else { 1 }).max(1)
     }
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -204,3 +204,15 @@
     }
     assert_eq!(on_demand.values().sum::<u32>(), 12);
 }
+
+#[test]
+fn engines_that_name_a_limit_are_made_up_for() {
+    let mut fleet = loaded(8);
+    assert_eq!(fleet.engines_needed(at(START)), 8);
+    // One engine takes next to nothing, one half of what an engine prefills, one more than that.
+    let tokens = 2_600.0;
+    fleet.on_limits(&[0.1, 5.0, 50.0], tokens);
+    assert_eq!(fleet.engines_needed(at(START)), 10);
+    fleet.on_limits(&[], tokens);
+    assert_eq!(fleet.engines_needed(at(START)), 8);
+}
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -33,6 +33,8 @@
     retries: HashMap<Service, RetryBudgetShare>,
     /// Prompt tokens received since the start.
     prompt_tokens: BTreeMap<Service, u64>,
+    /// Requests received since the start.
+    requests: BTreeMap<Service, u64>,
     /// Requests counted by usage window and team.
     windows: UsageWindows,
     cluster_clock: ClusterClock,
@@ -54,6 +56,7 @@
             quotas: HashMap::new(),
             retries: HashMap::new(),
             prompt_tokens: BTreeMap::new(),
+            requests: BTreeMap::new(),
             windows: UsageWindows::default(),
             cluster_clock,
         };
@@ -142,10 +145,16 @@
         let mut state = self.state();
         let budget = self.rules.retries;
         state.retries.entry(service.clone()).or_default().on_request(now, &budget);
-        match state.prompt_tokens.get_mut(service) {
-            Some(tokens) => *tokens += u64::from(prompt),
-            None => drop(state.prompt_tokens.insert(service.clone(), u64::from(prompt))),
-        }
+        add(&mut state.prompt_tokens, service, u64::from(prompt));
+        add(&mut state.requests, service, 1);
+    }
+
+    /// Mean number of prompt tokens of this daemon's requests for a service; 0 without any.
+    pub fn mean_prompt_tokens(&self, service: &Service) -> f64 {
+        let state = self.state();
+        let tokens = state.prompt_tokens.get(service).copied().unwrap_or_default();
+        let requests = state.requests.get(service).copied().unwrap_or_default();
+        tokens as f64 / requests.max(1) as f64
     }
 
     /// Takes one retry from the budget of a service. Returns `false` if the budget is used up.
@@ -210,3 +219,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn add(counts: &mut BTreeMap<Service, u64>, service: &Service, amount: u64) {
+    match counts.get_mut(service) {
+        Some(count) => *count += amount,
+        None => drop(counts.insert(service.clone(), amount)),
+    }
+}
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -419,6 +419,8 @@
             let instances = self.parts.balancer.instance_counts(service);
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
+            let limited_rates = self.parts.balancer.limited_rates(now, service);
+            planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
             arrivals.on_totals(now, prompt_tokens.into_iter());
             let rate = if arrivals.has_arrivals() { arrivals.rate() } else { None };
             if let Some(rate) = rate {
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -261,6 +261,11 @@
         reported.chain([(self.parts.incarnation, own)]).collect()
     }
 
+    /// The mean number of prompt tokens of this daemon's requests for a service.
+    pub fn mean_prompt_tokens(&self, service: &Service) -> f64 {
+        self.parts.usage.mean_prompt_tokens(service)
+    }
+
     /// Starts a round: updates the own status, applies the statuses of the peers, and returns the
     /// addresses of the daemons to exchange statuses with.
     fn start_round(&self) -> Vec<SocketAddr> {
