test(retry): daemons that start together spend the slack of the budget each

With agreed views the shares add up to less than the budget. Daemons that start together and know only themselves for 2 s divide its slack by one each: six daemons take 66 retries in 1 s where 65 are allowed.

A trial in which a daemon takes nothing of the slack in its first 3 s passes this test, but broken_stream_continues_at_another_upstream fails with it: a stream that breaks off soon after a start is not resumed. A daemon that knows from its seeds that it is alone would need no such time.

--- a/crates/policy/src/shared_limits/tests.rs
+++ b/crates/policy/src/shared_limits/tests.rs
@@ -274,3 +274,27 @@
         }
     }
 }
+
+#[test]
+#[ignore = "KNOWN-RED"]
+fn daemons_that_start_together_and_do_not_know_each_other_yet_stay_within_the_retry_budget() {
+    let limit = RetryBudgetSpec { ratio: 0.2, slack: 52.0, window: Duration::from_secs(10) };
+    for daemons in [1, 6, 58, 400_u32] {
+        let mut shares = vec![RetryBudgetShare::default(); daemons as usize];
+        let (mut requests, mut retries) = (0, 0);
+        for millis in (0..10_000).step_by(100) {
+            // Two seconds pass until each daemon has heard of all others.
+            let known = if millis < 2_000 { 1 } else { daemons };
+            for share in &mut shares {
+                share.on_request(at(millis), &limit);
+                requests += 1;
+                retries += u32::from(share.try_take(at(millis), &limit, known));
+            }
+            let allowed = limit.ratio * f64::from(requests) + limit.slack;
+            assert!(
+                f64::from(retries) <= allowed,
+                "{daemons} daemons: {retries} retries in {millis} ms, {allowed} allowed"
+            );
+        }
+    }
+}
