--- a/crates/policy/src/shared_limits/tests.rs
+++ b/crates/policy/src/shared_limits/tests.rs
@@ -204,11 +204,11 @@
                 let uptime = Duration::from_millis(now);
                 quotas[to].on_peer_usage(Incarnation(from as u64), total, uptime);
             }
-            for from in 0..count {
+            for (from, quota) in quotas.iter().enumerate() {
                 if !(now + from as u64 * step as u64).is_multiple_of(interval) {
                     continue;
                 }
-                let total = quotas[from].own_usage();
+                let total = quota.own_usage();
                 for to in (0..count).filter(|to| *to != from) {
                     let delay = random.random_range(50..self.news_max) / 10 * 10;
                     news.entry(now + delay).or_default().push((from, to, total));
