fix(relay): sums of limits go back to zero; a limit that is no rate is logged once

The gauges kept their last value when the last limited upstream of a service had gone, so they showed a limit that no longer existed. An upstream that names nonsense in each response caused a line with each response. No decision changes.

--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -9,7 +9,7 @@
 use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey, UpstreamRegistry};
 use spindle_policy::upstream_selection::LimitState;
 use spindle_types::{Instance, MonotonicInstant, Service};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -24,11 +24,17 @@
     limit: Option<UpstreamLimit>,
     /// What this daemon's own responses said last.
     own_report: Option<LimitReport>,
+    /// The last text that was no rate. It is logged once, not with each response.
+    invalid: Option<String>,
 }
 
 /// Limits of all upstreams.
 #[derive(Debug, Default)]
-pub(crate) struct UpstreamLimits(SecondaryMap<UpstreamKey, TrackedLimit>);
+pub(crate) struct UpstreamLimits {
+    tracked: SecondaryMap<UpstreamKey, TrackedLimit>,
+    /// Services whose sums were recorded last, to record zero once they have no limit any more.
+    recorded: BTreeSet<Service>,
+}
 
 /// The limit under which a request is sent, for the logs.
 #[derive(Clone, Copy, Debug)]
@@ -80,13 +86,13 @@
     /// Counts a request. Returns `None` if the upstream has no limit, and otherwise whether the
     /// request may be sent.
     pub(crate) fn take(&mut self, now: MonotonicInstant, key: UpstreamKey) -> Option<bool> {
-        let limit = self.0.get_mut(key)?.limit.as_mut()?;
+        let limit = self.tracked.get_mut(key)?.limit.as_mut()?;
         limit.is_limited(now).then(|| limit.take(now))
     }
 
     /// Takes back the count of a request that was not sent.
     pub(crate) fn give_back(&mut self, key: UpstreamKey) {
-        if let Some(limit) = self.0.get_mut(key).and_then(|tracked| tracked.limit.as_mut()) {
+        if let Some(limit) = self.tracked.get_mut(key).and_then(|tracked| tracked.limit.as_mut()) {
             limit.give_back();
         }
     }
@@ -112,10 +118,7 @@
         let rate = match named {
             NamedLimit::None => None,
             NamedLimit::Rate(rate) => Some(rate),
-            NamedLimit::Invalid(text) => {
-                log::warn!("event=limit_invalid upstream={upstream} text={text:?}");
-                return;
-            }
+            NamedLimit::Invalid(text) => return self.on_invalid((key, upstream), text),
         };
         let known = self.limit(key).and_then(UpstreamLimit::named);
         if rate.is_none() && self.limit(key).is_none() {
@@ -130,12 +133,21 @@
         };
         let report = LimitReport { rate, at: if rises { sent } else { now } };
         if self.apply(now, (key, upstream), report, ReportSource::Answer)
-            && let Some(tracked) = self.0.get_mut(key)
+            && let Some(tracked) = self.tracked.get_mut(key)
         {
             tracked.own_report = Some(report);
         }
     }
 
+    fn on_invalid(&mut self, (key, upstream): (UpstreamKey, &Instance), text: String) {
+        let Some(entry) = self.tracked.entry(key) else { return };
+        let known = &mut entry.or_default().invalid;
+        if known.as_ref() != Some(&text) {
+            log::warn!("event=limit_invalid upstream={upstream} text={text:?}");
+            *known = Some(text);
+        }
+    }
+
     /// Records what another daemon was told of a limit.
     pub(crate) fn on_peer_report(
         &mut self,
@@ -156,7 +168,7 @@
         report: LimitReport,
         source: ReportSource,
     ) -> bool {
-        let Some(entry) = self.0.entry(key) else { return false };
+        let Some(entry) = self.tracked.entry(key) else { return false };
         let tracked = entry.or_default();
         let before = tracked.limit.as_ref().and_then(UpstreamLimit::named);
         let changed = match (&mut tracked.limit, report.rate) {
@@ -186,7 +198,7 @@
         registry: &UpstreamRegistry,
         count: usize,
     ) -> Vec<(UpstreamId, LimitReport)> {
-        let reports = self.0.iter().filter_map(|(key, tracked)| {
+        let reports = self.tracked.iter().filter_map(|(key, tracked)| {
             let (report, limit) = (tracked.own_report?, tracked.limit.as_ref()?);
             let is_recent = report.rate.is_some() || now.since(report.at) < LIFTED_REPORT_TIME;
             // A report that a newer one of another daemon contradicts is not repeated.
@@ -204,15 +216,15 @@
         registry: &UpstreamRegistry,
         position: impl Fn(&Service, &UpstreamId) -> Option<Position>,
     ) {
-        let mut totals: BTreeMap<&Service, LimitTotals> = BTreeMap::new();
-        for (key, tracked) in &mut self.0 {
+        let mut totals: BTreeMap<Service, LimitTotals> = BTreeMap::new();
+        for (key, tracked) in &mut self.tracked {
             let Some(listed) = registry.get(key) else { continue };
             let Some(limit) = &mut tracked.limit else { continue };
             let (service, id) = (&listed.registration.service, &listed.registration.id);
-            let sums = totals.entry(service).or_default();
             if !limit.is_limited(now) {
                 continue;
             }
+            let sums = totals.entry(service.clone()).or_default();
             let place = position(service, id);
             let had_part = limit.own_rate() > 0.0;
             limit.set_position(now, place);
@@ -231,6 +243,14 @@
             sums.own += limit.own_rate();
             sums.age = sums.age.max(limit.age(now));
         }
+        self.record(totals);
+    }
+
+    fn record(&mut self, mut totals: BTreeMap<Service, LimitTotals>) {
+        let limited = totals.keys().cloned().collect();
+        for service in std::mem::replace(&mut self.recorded, limited) {
+            totals.entry(service).or_default();
+        }
         for (service, sums) in totals {
             let label = [KeyValue::new("service", service.to_string())];
             METRICS.limited_upstreams.record(sums.upstreams, &label);
@@ -248,7 +268,7 @@
         registry: &UpstreamRegistry,
         service: &Service,
     ) -> Vec<f64> {
-        let limited = self.0.iter().filter_map(|(key, tracked)| {
+        let limited = self.tracked.iter().filter_map(|(key, tracked)| {
             let listed = registry.get(key).filter(|listed| listed.usable(now))?;
             let limit = tracked.limit.as_ref().filter(|limit| limit.is_limited(now))?;
             (listed.registration.service == *service).then(|| limit.rate(now))
@@ -258,11 +278,11 @@
 
     /// Forgets the limits of upstreams for which the predicate returns false.
     pub(crate) fn retain(&mut self, keep: impl Fn(UpstreamKey) -> bool) {
-        self.0.retain(|key, _| keep(key));
+        self.tracked.retain(|key, _| keep(key));
     }
 
     fn limit(&self, key: UpstreamKey) -> Option<&UpstreamLimit> {
-        self.0.get(key)?.limit.as_ref()
+        self.tracked.get(key)?.limit.as_ref()
     }
 }
 
