fix(logs): write the last lines of a daemon that stops

Cause: a thread writes the lines, and the process ended without waiting for it. Where it has a fraction of a core, that thread rarely ran again.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -208,7 +208,9 @@
     with_node_settings(Path::new(&path), |settings| {
         logs::start_stdout(level);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        runtime.block_on(node::run(settings))
+        let result = runtime.block_on(node::run(settings));
+        logs::flush_stdout();
+        result
     })
 }
 
--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -6,7 +6,9 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use spindle_http::{Body, Client};
+use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
@@ -29,6 +31,8 @@
     pub(crate) ready: SocketAddr,
     pub(crate) peer: SocketAddr,
     pub(crate) directory: SocketAddr,
+    /// The file that has its standard output.
+    output: PathBuf,
     _folder: TempDir,
 }
 
@@ -56,16 +60,17 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("boot.yaml");
         std::fs::write(&path, platform.settings(name, &ports, &[seed])).unwrap();
+        let output = folder.path().join("output");
         let child = Command::new(env!("CARGO_BIN_EXE_bronzespindle"))
             .arg("node")
             .env(SETTINGS_FILE_VARIABLE, &path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(File::create(&output).unwrap())
             .spawn()
             .unwrap();
         let [caller, ready, peer, directory] = ports;
         let name = name.to_owned();
-        Self { name, child, caller, ready, peer, directory, _folder: folder }
+        Self { name, child, caller, ready, peer, directory, output, _folder: folder }
     }
 
     /// Starts daemons that know a common seed, and waits until each lists the addresses of all.
@@ -137,6 +142,11 @@
         panic!("{path} was never answered with {status}");
     }
 
+    /// What it has written to its standard output.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(i32::try_from(self.child.id()).unwrap()), signal).unwrap();
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -200,6 +200,16 @@
     second.wait_for_addresses(2).await;
 }
 
+#[tokio::test]
+async fn a_daemon_that_stops_writes_its_log_to_the_last_line() {
+    let (_platform, _upstreams, mut daemons) = start_deployment(1).await;
+    daemons[0].signal(Signal::SIGTERM);
+    assert!(daemons[0].exit().await.success());
+    let log = daemons[0].log();
+    let last = log.lines().last().unwrap();
+    assert!(last.contains("event=stopped") && last.contains("finished=true"), "{last}");
+}
+
 #[tokio::test]
 async fn planned_stop_lets_open_streams_finish() {
     let (_platform, _upstreams, mut daemons) = start_deployment(2).await;
