fix(policy): no probe of a limit at a failing upstream; own earlier incarnation is no peer

An upstream whose limit is to be learnt again took precedence even while its circuit breaker was open, so a crashed upstream with a limit got each request that its limit permitted. A restarted daemon that heard of its own earlier incarnation counted it among those that divide a limit, and took a smaller part for up to 30 s. Both tests failed before.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -410,11 +410,17 @@
         })
     }
 
-    /// The daemons that may send requests for a service, and for how long each has been silent. Of
-    /// each instance only the newest incarnation counts; leaving daemons don't.
-    pub fn senders(&self, now: MonotonicInstant, service: &Service) -> Vec<(&Instance, Duration)> {
+    /// The other daemons that may send requests for a service, and for how long each has been silent.
+    /// Of each instance only the newest incarnation counts; leaving daemons and earlier incarnations
+    /// of this one don't.
+    pub fn senders(
+        &self,
+        now: MonotonicInstant,
+        own: &Instance,
+        service: &Service,
+    ) -> Vec<(&Instance, Duration)> {
         let mut newest: BTreeMap<&Instance, &KnownDaemon> = BTreeMap::new();
-        for daemon in self.known.values() {
+        for daemon in self.known.values().filter(|daemon| daemon.identity.instance != *own) {
             let known = newest.entry(&daemon.identity.instance).or_insert(daemon);
             if daemon.at > known.at {
                 *known = daemon;
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -272,3 +272,36 @@
         assert_eq!(presence.heartbeat_interval(), ROUND_INTERVAL);
     }
 }
+
+#[test]
+fn a_daemon_divides_a_rate_with_the_newest_incarnation_of_each_other_instance_once() {
+    let service = Service::try_from("desk").unwrap();
+    let sender = |incarnation: u64, instance: &str, phase: Phase| {
+        let mut status = status(incarnation);
+        let identity = status.identity.as_mut().unwrap();
+        identity.instance = instance.try_into().unwrap();
+        status.arrived.insert(service.clone(), 1);
+        Status { phase, ..status }
+    };
+    let mut idle = sender(7, "d-7", Phase::Ready);
+    idle.arrived.clear();
+    let statuses = vec![
+        // Earlier incarnations of this daemon's own instance and of another one.
+        (3_000, sender(1, "d-0", Phase::Ready)),
+        (3_000, sender(2, "d-1", Phase::Ready)),
+        (0, sender(3, "d-1", Phase::Ready)),
+        (0, sender(4, "d-2", Phase::Leaving)),
+        (500, sender(5, "d-3", Phase::Ready)),
+        (0, idle),
+    ];
+    let message = Message { known: BTreeMap::new(), statuses, coverage: None };
+    let mut presence = Presence::default();
+    presence.on_message(at(10_000), Incarnation(0), &message);
+    let own = Instance::try_from("d-0").unwrap();
+    let senders = presence.senders(at(10_000), &own, &service);
+    let found: Vec<_> = senders
+        .iter()
+        .map(|(instance, silence)| (instance.as_str(), silence.as_millis()))
+        .collect();
+    assert_eq!(found, [("d-1", 0), ("d-3", 500)]);
+}
--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -138,8 +138,9 @@
 
     /// Whether a request is to be sent to the upstream first, to learn of its state.
     fn needs_probe(&self) -> bool {
+        let asks_limit = self.limit == LimitState::Permitted { probe: true };
         self.breaker == BreakerState::HalfOpen
-            || self.limit == (LimitState::Permitted { probe: true })
+            || (asks_limit && self.breaker == BreakerState::Closed)
     }
 
     /// The ratio of requests to slots.
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -155,3 +155,12 @@
     let choice = choose(&candidates, Some(&prompt(1)), PATIENCE);
     assert_eq!(chosen(choice), Some(candidates[1].key));
 }
+
+#[test]
+fn an_upstream_that_fails_is_not_asked_for_its_limit() {
+    let mut candidates = engines(&[0.0, 900.0]);
+    candidates[0].limit = LimitState::Permitted { probe: true };
+    candidates[0].breaker = BreakerState::Open { until: MonotonicInstant::from_millis(1_000) };
+    let choice = choose(&candidates, None, PATIENCE);
+    assert_eq!(chosen(choice), Some(candidates[1].key));
+}
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -346,7 +346,7 @@
             let mut senders = senders.borrow_mut();
             let senders = senders
                 .entry(service.clone())
-                .or_insert_with(|| state.presence.senders(now, service));
+                .or_insert_with(|| state.presence.senders(now, own, service));
             state.presence.position(own, senders, upstream)
         });
     }
