fix(relay): a refusal without a limit doesn't end the limit

Only responses to executed requests, and refusals that name a limit, tell what the limit is. A precaution: no upstream was seen that leaves it out of refusals.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,7 +4,7 @@
 use crate::config::{RepeatPolicy, Route};
 use crate::connection::SendError;
 use crate::pool::{PoolError, PooledConnection};
-use crate::protocol::{ForwardContext, ResponseClass, UpstreamProtocol};
+use crate::protocol::{ForwardContext, NamedLimit, ResponseClass, UpstreamProtocol};
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN, UpstreamResponse};
 use crate::request::BufferedRequest;
 use bytes::Bytes;
@@ -240,8 +240,15 @@
     ) -> AttemptOutcome {
         let now = self.0.clock.now();
         let class = self.0.protocol.classify_response(&attempt.buffered.inbound, &head);
-        if matches!(class, ResponseClass::Executed(_) | ResponseClass::Refused { .. }) {
-            assignment.on_limit(now, self.0.protocol.named_limit(&head));
+        let named = self.0.protocol.named_limit(&head);
+        // A refusal may come from a part of the upstream that knows of no limit.
+        let tells_limit = match class {
+            ResponseClass::Executed(_) => true,
+            ResponseClass::Refused { .. } => named != NamedLimit::None,
+            ResponseClass::WrongUpstream | ResponseClass::Invalid => false,
+        };
+        if tells_limit {
+            assignment.on_limit(now, named);
         }
         match class {
             ResponseClass::Executed(executed) => {
