--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -210,6 +210,29 @@
     assert!(last.contains("event=stopped") && last.contains("finished=true"), "{last}");
 }
 
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_request_whose_upstream_is_silent_is_answered_before_a_planned_stop_ends() {
+    let (platform, upstreams, mut daemons) = start_deployment(1).await;
+    for upstream in &upstreams {
+        upstream.set_behaviour(UpstreamBehaviour::Silent);
+    }
+    let request =
+        Request::builder().method("POST").uri(format!("http://{}/book/x", daemons[0].caller));
+    let headers = standin::caller_headers("silent-1");
+    let request = headers.into_iter().fold(request, |all, (name, value)| all.header(name, value));
+    let request = request.body(Body::from("content".to_owned())).unwrap();
+    let sending = tokio::spawn(async move { client().send(request).await });
+    while platform.executions("silent-1").is_empty() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    daemons[0].signal(Signal::SIGTERM);
+    assert!(daemons[0].exit().await.success());
+    let response = sending.await.unwrap();
+    let status = response.map(|response| response.status().as_u16());
+    assert!(matches!(status, Ok(502 | 504)), "{status:?}");
+}
+
 #[tokio::test]
 async fn planned_stop_lets_open_streams_finish() {
     let (_platform, _upstreams, mut daemons) = start_deployment(2).await;
