--- a/crates/policy/src/upstream_limit.rs
+++ b/crates/policy/src/upstream_limit.rs
@@ -1,4 +1,5 @@
-//! The rate of requests that an upstream in need takes from all daemons together.
+//! Server-side rate limits: the requests per second that an upstream accepts, summed over all
+//! daemons.
 //!
 //! The limit is known only from responses, of which few come at a low limit, to few daemons. They
 //! pass it on to each other, late and in any order. A lower limit therefore holds at once, and the
@@ -19,13 +20,13 @@
 #[serde(try_from = "f64", into = "f64")]
 pub struct RequestRate(f64);
 
-/// A number that is no rate: zero, negative, too high, or not a number.
+/// A number that is not a valid rate: zero, negative, too high, or NaN.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct InvalidRate(pub f64);
 
 impl std::fmt::Display for InvalidRate {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} is no rate above 0 and up to {RATE_MAX} requests per second", self.0)
+        write!(f, "{} is not between 0 and {RATE_MAX} requests per second", self.0)
     }
 }
 
@@ -93,7 +94,7 @@
     Daemon,
 }
 
-/// What one daemon knows of the limit of an upstream that has named one at some time.
+/// What one daemon knows of the limit of an upstream that has reported one at some time.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamLimit {
     newest: LimitReport,
@@ -104,7 +105,7 @@
 }
 
 impl UpstreamLimit {
-    /// Creates the knowledge from the first report that names a limit.
+    /// Creates the state from the first report of a limit.
     pub fn new(now: MonotonicInstant, at: MonotonicInstant, rate: RequestRate) -> Self {
         let permitted = rate.per_second().max(RATE_MIN);
         Self {
@@ -140,7 +141,7 @@
             if at <= self.newest.at + TIME_ERROR {
                 return false;
             }
-            // A limit that the upstream has named to this daemon is taken at its word.
+            // Received from the upstream itself, so it can't be a wrong report of a peer.
             let is_certain = source == ReportSource::Answer && report.rate.is_some();
             self.permitted = (now, if is_certain { after } else { permitted });
         } else {
@@ -154,7 +155,8 @@
         before != after
     }
 
-    /// The requests per second that all daemons together may send now; infinite without a limit.
+    /// The requests per second that may be sent now, summed over all daemons; infinite without a
+    /// limit.
     pub fn rate(&self, now: MonotonicInstant) -> f64 {
         let (at, permitted) = self.permitted;
         let doublings = now.since(at).as_secs_f64() / DOUBLING_TIME.as_secs_f64();
--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -10,7 +10,7 @@
 //! Plain calls go to the upstream with the fewest requests, weighted by how fast each upstream has
 //! answered recently.
 //!
-//! An upstream that names a limit gets requests up to it and no prefix of its own, and the other
+//! An upstream with a rate limit gets requests up to it, but no prefix is assigned to it. The other
 //! upstreams get the rest.
 
 use crate::breaker::BreakerState;
@@ -89,7 +89,7 @@
     }
 }
 
-/// Whether the limit that an upstream has named permits a request of this daemon.
+/// Whether the rate limit of an upstream permits a request of this daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LimitState {
     /// There is no limit.
@@ -179,8 +179,8 @@
     Upstream(UpstreamKey, f64),
     /// No upstream can serve the request in time; one is expected to after the delay.
     Overloaded(Duration),
-    /// No upstream may get a request because of the limits that they have named; one is expected
-    /// to be permitted after the delay.
+    /// The rate limits of the upstreams permit no request now; one is expected to be permitted after
+    /// the delay.
     Limited(Duration),
     /// There is no upstream, or all have been tried.
     None,
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -1,4 +1,4 @@
-//! The limits on the rate of requests that upstreams have named, and this daemon's part of them.
+//! Rate limits that upstreams have reported, and this daemon's part of them.
 
 use crate::metrics::METRICS;
 use crate::protocol::NamedLimit;
@@ -20,11 +20,11 @@
 /// What this daemon knows of one upstream's limit.
 #[derive(Debug, Default)]
 struct TrackedLimit {
-    /// `None` if no limit was ever named.
+    /// `None` if no limit was ever reported.
     limit: Option<UpstreamLimit>,
     /// What this daemon's own responses said last.
     own_report: Option<LimitReport>,
-    /// The last text that was no rate. It is logged once, not with each response.
+    /// The last invalid header value. It is logged once, not with each response.
     invalid: Option<String>,
 }
 
@@ -39,9 +39,9 @@
 /// The limit under which a request is sent, for the logs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LimitUse {
-    /// The limit that the upstream named last; `None` while it is being lifted.
+    /// The limit that the upstream reported last; `None` while it is being lifted.
     named: Option<RequestRate>,
-    /// The rate that is permitted to all daemons together, in requests per second.
+    /// The permitted rate, summed over all daemons, in requests per second.
     permitted: f64,
     age: Duration,
     /// This daemon's part, in requests per second.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,17 +11,17 @@
     pub requests: Counter<u64>,
     /// Number of attempts at upstreams, by service and result (`ended`).
     pub sends: Counter<u64>,
-    /// Number of responses that name a limit of their upstream, by service.
+    /// Number of responses that report a rate limit, by service.
     pub limited_sends: Counter<u64>,
-    /// Number of upstreams that name a limit, by service.
+    /// Number of upstreams with a rate limit, by service.
     pub limited_upstreams: Gauge<u64>,
-    /// Requests per second that all daemons together may send to those upstreams, by service.
+    /// Requests per second that may be sent to those upstreams, summed over all daemons, by service.
     pub limit_permitted: Gauge<f64>,
     /// This daemon's part of that rate, by service.
     pub limit_own: Gauge<f64>,
     /// The other daemons' part of that rate, by service.
     pub limit_peers: Gauge<f64>,
-    /// Time since the upstream with the oldest news named its limit, in seconds, by service.
+    /// Age of the oldest of these limits, in seconds, by service.
     pub limit_age_seconds: Gauge<f64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
     pub first_byte_seconds: Histogram<f64>,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -57,14 +57,14 @@
     Invalid,
 }
 
-/// What a response says of the rate of requests that the upstream takes from all daemons together.
+/// The rate limit that a response reports. It applies to the sum over all daemons.
 #[derive(Clone, Debug, PartialEq)]
 pub enum NamedLimit {
-    /// The response names no limit.
+    /// The response reports no limit.
     None,
-    /// The upstream takes requests up to this rate.
+    /// The upstream accepts requests up to this rate.
     Rate(RequestRate),
-    /// The response names something that is no rate; this is its text.
+    /// The reported value is not a valid rate; this is its text.
     Invalid(String),
 }
 
@@ -76,6 +76,6 @@
     /// Tells what the head of the response to a request means.
     fn classify_response(&self, inbound: &Inbound, head: &response::Parts) -> ResponseClass;
 
-    /// Returns the limit that the head of a response names.
+    /// Returns the limit that the head of a response reports.
     fn named_limit(&self, head: &response::Parts) -> NamedLimit;
 }
