feat(relay): log and count how each response of an upstream is framed and how it ended

Callers got streams that were cut off but ended as complete (ORDER).

The request's line has `framing` (length, chunked, close) and `ended`; `event=response_ended` says so for each response that isn't complete, or leaves part of an event; `relay_response_ends` counts both. No decision changes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::protocol::{ForwardContext, NamedLimit, ResponseClass, UpstreamProtocol};
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN, UpstreamResponse};
 use crate::request::BufferedRequest;
+use crate::response_end::Framing;
 use bytes::Bytes;
 use http::{Request, response};
 use http_body_util::Full;
@@ -67,7 +68,7 @@
     /// No byte of the request was written.
     Unsent,
     /// The head of a response arrived.
-    Head(Box<response::Parts>, Incoming, PooledConnection),
+    Head(Box<(response::Parts, Framing)>, Incoming, PooledConnection),
     Lost,
     Abandoned,
     TimedOut,
@@ -178,9 +179,10 @@
         };
         match result {
             Ok(response) => {
+                let framing = Framing::of(&response);
                 let (head, body) = response.into_parts();
                 past.may_have_run = ran_before;
-                ExchangeOutcome::Head(Box::new(head), body, pooled)
+                ExchangeOutcome::Head(Box::new((head, framing)), body, pooled)
             }
             Err(SendError::Unsent) => {
                 past.reached -= 1;
@@ -235,7 +237,7 @@
         assignment: Assignment,
         attempt: Attempt<'_>,
         past: &mut AttemptHistory,
-        (head, body): (response::Parts, Incoming),
+        ((head, framing), body): ((response::Parts, Framing), Incoming),
         pooled: PooledConnection,
     ) -> AttemptOutcome {
         let now = self.0.clock.now();
@@ -255,6 +257,7 @@
                 assignment.on_load(now, executed.load);
                 AttemptOutcome::Answer(Box::new(UpstreamResponse {
                     head,
+                    framing,
                     body,
                     executed,
                     pooled,
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -56,6 +56,11 @@
         !self.partial.is_empty()
     }
 
+    /// Size of the data after the last event boundary, in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards an incomplete event, before the stream is resumed at another upstream.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod request;
 mod request_log;
+pub mod response_end;
 mod stream;
 pub mod usage;
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,6 +11,9 @@
     pub requests: Counter<u64>,
     /// Number of attempts at upstreams, by service and result (`ended`).
     pub sends: Counter<u64>,
+    /// Number of responses of upstreams that ended, by how their end is marked (`framing`) and how
+    /// they ended (`ended`).
+    pub response_ends: Counter<u64>,
     /// Number of responses that report a rate limit, by service.
     pub limited_sends: Counter<u64>,
     /// Number of upstreams with a rate limit, by service.
@@ -40,6 +43,7 @@
     Metrics {
         requests: meter.u64_counter("relay_requests").build(),
         sends: meter.u64_counter("relay_sends").build(),
+        response_ends: meter.u64_counter("relay_response_ends").build(),
         limited_sends: meter.u64_counter("relay_limited_sends").build(),
         limited_upstreams: meter.u64_gauge("relay_limited_upstreams").build(),
         limit_permitted: meter.f64_gauge("relay_limit_permitted_per_second").build(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,6 +9,7 @@
 use crate::protocol::{ExecutedResponse, UpstreamProtocol};
 use crate::request::{BufferedRequest, Inbound, Refusal};
 use crate::request_log::{Outcome, RequestLog};
+use crate::response_end::{Framing, ResponseEnd};
 use crate::stream;
 use crate::usage::UsageTracker;
 use bytes::Bytes;
@@ -118,6 +119,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub(crate) head: response::Parts,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
     pub(crate) executed: ExecutedResponse,
     pub(crate) pooled: PooledConnection,
@@ -412,7 +414,7 @@
         upstream_response: UpstreamResponse,
         request_log: &mut RequestLog<K>,
     ) -> Option<Response<Body>> {
-        let UpstreamResponse { mut head, body, executed, pooled, mut assignment } =
+        let UpstreamResponse { mut head, framing, body, executed, pooled, mut assignment } =
             upstream_response;
         let now = self.0.clock.now();
         assignment.on_first_byte(now);
@@ -423,12 +425,13 @@
         let content = match read {
             Ok(content) => content,
             Err(error) => {
-                log::debug!("event=answer_broke_off id={} error={error:?}", request_log.id);
+                request_log.on_response_end(framing, body_end(&error), &error.to_string());
                 request_log.cause = "answer_broke_off".to_owned();
                 assignment.on_result(now, UpstreamResult::Failed);
                 return None;
             }
         };
+        request_log.on_response_end(framing, ResponseEnd::Complete, "");
         let failed = head.status.is_server_error();
         assignment
             .on_result(now, if failed { UpstreamResult::Failed } else { UpstreamResult::Answered });
@@ -468,6 +471,15 @@
     Stream(Box<UpstreamResponse>, Box<AdmittedRequest>, Box<BufferedRequest>, Box<AttemptHistory>),
 }
 
+/// How a response ended whose body could not be read.
+const fn body_end(error: &ReadError) -> ResponseEnd {
+    match error {
+        ReadError::Size { .. } => ResponseEnd::Oversized,
+        ReadError::Timeout(_) => ResponseEnd::Expired,
+        ReadError::Broken(_) | ReadError::Form(_) => ResponseEnd::Broken,
+    }
+}
+
 /// Turns `refusal` into one that does not claim that the request has not run, if it may have run.
 fn refuse(past: &AttemptHistory, refusal: Refusal) -> Refusal {
     match (past.may_have_run, refusal) {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -3,6 +3,7 @@
 use crate::limits::LimitUse;
 use crate::metrics::METRICS;
 use crate::request::Refusal;
+use crate::response_end::{Framing, ResponseEnd};
 use opentelemetry::KeyValue;
 use spindle_types::{Clock, MonotonicInstant};
 use std::fmt;
@@ -40,6 +41,8 @@
     pub(crate) sends: u32,
     pub(crate) status: u16,
     pub(crate) events: u64,
+    /// How the end of the last response was marked, and how it ended.
+    response_end: Option<(Framing, ResponseEnd)>,
     pub(crate) outcome: Outcome,
     pub(crate) cause: String,
     received_at: MonotonicInstant,
@@ -63,6 +66,7 @@
             sends: 0,
             status: 0,
             events: 0,
+            response_end: None,
             outcome: Outcome::CallerLeft,
             cause: "-".to_owned(),
             received_at,
@@ -79,6 +83,23 @@
         first
     }
 
+    /// Records how the response of an upstream ended. `detail` tells what is not as it should be.
+    pub(crate) fn on_response_end(&mut self, framing: Framing, end: ResponseEnd, detail: &str) {
+        self.response_end = Some((framing, end));
+        let (framing, ended): (&'static str, &'static str) = (framing.into(), end.into());
+        let labels = [KeyValue::new("framing", framing), KeyValue::new("ended", ended)];
+        METRICS.response_ends.add(1, &labels);
+        if end != ResponseEnd::Complete || !detail.is_empty() {
+            log::info!(
+                "event=response_ended id={} upstream={} framing={framing} ended={ended} events={} \
+                 detail={detail:?}",
+                self.id,
+                self.upstream,
+                self.events,
+            );
+        }
+    }
+
     /// Logs that the request is sent to another upstream.
     pub(crate) fn on_sent_again(&self) {
         log::info!(
@@ -116,6 +137,10 @@
             millis(self.clock.now().since(self.received_at)),
             self.cause,
         )?;
+        if let Some((framing, end)) = self.response_end {
+            let (framing, ended): (&'static str, &'static str) = (framing.into(), end.into());
+            write!(f, " framing={framing} ended={ended}")?;
+        }
         match &self.limit {
             Some(limit) => write!(f, " {limit}"),
             None => Ok(()),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, UpstreamResponse};
 use crate::request::BufferedRequest;
 use crate::request_log::{Outcome, RequestLog};
+use crate::response_end::ResponseEnd;
 use http::{Response, header, response};
 use http_body_util::BodyExt;
 use spindle_http::{Body, BodySender};
@@ -31,20 +32,6 @@
 /// prompt again.
 const EVENT_SILENCE_MIN: Duration = Duration::from_millis(1_600);
 
-/// Why no more events are read from an upstream.
-enum StopReason {
-    /// The response is complete.
-    End,
-    /// The caller has disconnected.
-    CallerGone,
-    /// The response broke off or holds an oversized event.
-    Broken,
-    /// The upstream has been silent for too long, and a retry has been taken from the budget.
-    Silent,
-    /// The request's deadline has passed.
-    Expired,
-}
-
 /// Starts a task that forwards a stream to the caller, and returns the response with its head.
 pub(crate) fn start<P: UpstreamProtocol, K: Clock>(
     relay: Relay<P, K>,
@@ -65,6 +52,7 @@
         past,
         sender,
         splitter: EventSplitter::default(),
+        detail: String::new(),
     };
     tokio::spawn(forwarder.run(upstream_response));
     Response::from_parts(head, body)
@@ -86,25 +74,29 @@
     past: AttemptHistory,
     sender: BodySender,
     splitter: EventSplitter,
+    /// Why the response of an upstream is not complete, for the log.
+    detail: String,
 }
 
 impl<P: UpstreamProtocol, K: Clock> StreamForwarder<P, K> {
     async fn run(mut self, mut upstream_response: UpstreamResponse) {
         loop {
-            let reason = self.forward_events(&mut upstream_response).await;
+            let end = self.forward_events(&mut upstream_response).await;
             self.request_log.events = self.splitter.count();
+            let detail = std::mem::take(&mut self.detail);
+            self.request_log.on_response_end(upstream_response.framing, end, &detail);
             let now = self.relay.0.clock.now();
-            match reason {
-                StopReason::End => return self.finish(upstream_response, now).await,
-                StopReason::CallerGone => {
+            match end {
+                ResponseEnd::Complete => return self.finish(upstream_response, now).await,
+                ResponseEnd::CallerLeft => {
                     self.request_log.outcome = Outcome::CallerLeft;
                     return;
                 }
-                StopReason::Expired => {
+                ResponseEnd::Expired => {
                     self.request_log.cause = "time_passed".to_owned();
                     return;
                 }
-                StopReason::Broken => {
+                ResponseEnd::Broken | ResponseEnd::Oversized => {
                     upstream_response.assignment.on_result(now, UpstreamResult::Failed);
                     self.request_log.cause = "upstream_broke_off".to_owned();
                     if !self.admitted.route.repeat.allows_retry()
@@ -113,7 +105,7 @@
                         return;
                     }
                 }
-                StopReason::Silent => {
+                ResponseEnd::Silent => {
                     upstream_response.assignment.on_result(now, UpstreamResult::Failed);
                     self.request_log.cause = "upstream_silent".to_owned();
                 }
@@ -126,12 +118,12 @@
     }
 
     /// Forwards the events of one upstream until they stop.
-    async fn forward_events(&mut self, upstream_response: &mut UpstreamResponse) -> StopReason {
+    async fn forward_events(&mut self, upstream_response: &mut UpstreamResponse) -> ResponseEnd {
         let mut last_data_at = self.relay.0.clock.now();
         loop {
             let now = self.relay.0.clock.now();
             if now >= self.admitted.deadline {
-                return StopReason::Expired;
+                return ResponseEnd::Expired;
             }
             let silence = self.max_event_silence();
             let wait =
@@ -140,13 +132,13 @@
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(wait, upstream_response.body.frame()) => frame,
-                () = self.sender.closed() => return StopReason::CallerGone,
+                () = self.sender.closed() => return ResponseEnd::CallerLeft,
             };
             let now = self.relay.0.clock.now();
             let data = match frame {
                 Err(_) if now.since(last_data_at) >= silence => {
                     if self.relay.may_switch_upstream(&self.admitted, &self.past) {
-                        return StopReason::Silent;
+                        return ResponseEnd::Silent;
                     }
                     // No other upstream or no retry is available: keeps waiting, and checks again
                     // after the same time.
@@ -154,13 +146,15 @@
                     continue;
                 }
                 Err(_) => continue,
-                Ok(None) => return StopReason::End,
+                Ok(None) => {
+                    if self.splitter.is_partial() {
+                        self.detail = format!("partial_bytes={}", self.splitter.partial_bytes());
+                    }
+                    return ResponseEnd::Complete;
+                }
                 Ok(Some(Err(error))) => {
-                    log::debug!(
-                        "event=stream_broke_off id={} error={error:?}",
-                        self.request_log.id
-                    );
-                    return StopReason::Broken;
+                    self.detail = error.to_string();
+                    return ResponseEnd::Broken;
                 }
                 Ok(Some(Ok(frame))) => frame.into_data(),
             };
@@ -169,10 +163,10 @@
             upstream_response.assignment.on_first_byte(now);
             last_data_at = now;
             let Ok(events) = self.splitter.push(data) else {
-                return StopReason::Broken;
+                return ResponseEnd::Oversized;
             };
             if !events.is_empty() && self.sender.send(events).await.is_err() {
-                return StopReason::CallerGone;
+                return ResponseEnd::CallerLeft;
             }
         }
     }
