test(relay): responses that end at every byte, by FIN and RST, with each kind of framing

A stand-in upstream writes scripted bytes and ends its connection as told; a relay in the test's process serves raw callers of HTTP/1.0 and 1.1. Plain bodies that are cut off pass (a_body_that_is_cut_off_is_never_passed_on).

--- /dev/null
+++ b/tests/response_ends/main.rs
@@ -0,0 +1,217 @@
+//! Responses of upstreams that end at every byte, with each kind of framing.
+
+mod front;
+#[path = "../../platform/standin/raw.rs"]
+#[allow(unreachable_pub)]
+mod raw;
+
+use front::{Front, Received};
+use raw::{Ending, RawUpstream, Script};
+use spindle_relay::RepeatPolicy;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    Length,
+    Chunked,
+    Close,
+}
+
+/// A response of an upstream, of which only a part is sent.
+#[derive(Clone, Debug)]
+struct Case {
+    version: &'static str,
+    framing: Framing,
+    /// The events of a stream, or the parts of another body.
+    parts: Vec<&'static str>,
+    /// How many bytes of the encoded body are sent.
+    sent: usize,
+    ending: Ending,
+}
+
+impl Case {
+    fn content(&self) -> String {
+        self.parts.concat()
+    }
+
+    /// The body as it is encoded on the connection.
+    fn encoded(&self) -> Vec<u8> {
+        if self.framing != Framing::Chunked {
+            return self.content().into_bytes();
+        }
+        let chunk = |part: &&str| format!("{:x}\r\n{part}\r\n", part.len());
+        let chunks: String = self.parts.iter().map(chunk).collect();
+        format!("{chunks}0\r\n\r\n").into_bytes()
+    }
+
+    fn script(&self) -> Script {
+        let framing = match self.framing {
+            Framing::Length => format!("content-length: {}\r\n", self.content().len()),
+            Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
+            Framing::Close => String::new(),
+        };
+        let (body, ending) = (self.encoded()[..self.sent].to_vec(), self.ending.clone());
+        Script { head: head(self.version, &framing), body, ending }
+    }
+
+    /// Whether the upstream sent a complete stream, as far as that can be told.
+    fn is_complete_stream(&self) -> bool {
+        if self.framing != Framing::Close {
+            return self.sent == self.encoded().len();
+        }
+        let mut ends = self.parts.iter().scan(0, |end, part| {
+            *end += part.len();
+            Some(*end)
+        });
+        self.ending == Ending::Fin && ends.any(|end| end == self.sent)
+    }
+
+    /// All cases with the given parts of a body.
+    fn all(parts: &[&'static str]) -> Vec<Self> {
+        let mut cases = Vec::new();
+        for (version, framing) in [
+            ("1.1", Framing::Length),
+            ("1.1", Framing::Chunked),
+            ("1.1", Framing::Close),
+            ("1.0", Framing::Length),
+            ("1.0", Framing::Close),
+        ] {
+            for ending in [Ending::Fin, Ending::Rst] {
+                let case = Self { version, framing, parts: parts.to_vec(), sent: 0, ending };
+                let length = case.encoded().len();
+                cases.extend((0..=length).map(|sent| Self { sent, ..case.clone() }));
+            }
+        }
+        cases
+    }
+}
+
+fn head(version: &str, framing: &str) -> String {
+    format!(
+        "HTTP/{version} 200 OK\r\nx-request-id: {{id}}\r\nx-response-signature: s\r\n{framing}\r\n"
+    )
+}
+
+/// Streams with each kind of line end, and with both in one stream.
+const STREAMS: [[&str; 3]; 3] = [
+    ["id: 1\ndata: a\n\n", "id: 2\ndata: bb\n\n", "id: 3\ndata: c\n\n"],
+    ["id: 1\r\ndata: a\r\n\r\n", "id: 2\r\ndata: bb\r\n\r\n", "id: 3\r\ndata: c\r\n\r\n"],
+    ["id: 1\ndata: a\n\r\n", "id: 2\r\ndata: bb\r\n\n", "id: 3\r\ndata: c\n\n"],
+];
+
+fn streams() -> impl Iterator<Item = Case> {
+    STREAMS.iter().flat_map(|events| Case::all(events))
+}
+
+/// Lets an upstream cut off a stream that can't be resumed, and checks what callers receive.
+async fn check_cut_stream(caller_version: &str, case: Case) {
+    let script = case.script();
+    let upstream = RawUpstream::start(move |_, _| script.clone()).await;
+    let front = Front::start(&upstream, 2).await;
+    let received = front.ask(caller_version, RepeatPolicy::StreamOnce, "r-1").await;
+    assert_eq!(received.complete, case.is_complete_stream(), "{case:?} {received:?}");
+    let content = case.content();
+    assert!(content.as_bytes().starts_with(&received.body), "{case:?} {received:?}");
+    if received.complete && case.framing != Framing::Close {
+        assert_eq!(received.body, content.as_bytes(), "{case:?}");
+    }
+    assert_eq!(upstream.requests().len(), 1, "{case:?}");
+}
+
+/// Lets an upstream cut off a resumable stream, and checks that the caller receives all events once.
+async fn check_resumed_stream(case: Case) {
+    let broken = case.clone();
+    let upstream = RawUpstream::start(move |earlier, request| {
+        if earlier == 0 {
+            return broken.script();
+        }
+        let after = request.last_event_id.as_ref().map_or(0, |id| id.parse().unwrap());
+        let rest = broken.parts[after..].concat();
+        Script { head: head("1.1", ""), body: rest.into_bytes(), ending: Ending::Fin }
+    })
+    .await;
+    let front = Front::start(&upstream, 2).await;
+    let received = front.ask("1.1", RepeatPolicy::Resumable, "r-1").await;
+    let cut = case.framing == Framing::Close && case.is_complete_stream();
+    let expected = if cut { case.content()[..case.sent].to_owned() } else { case.content() };
+    let expected = Received { status: 200, body: expected.into_bytes(), complete: true };
+    assert_eq!(received, expected, "{case:?}");
+    let sends = if case.is_complete_stream() { 1 } else { 2 };
+    assert_eq!(upstream.requests().len(), sends, "{case:?}");
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_stream_that_ends_inside_an_event_never_looks_complete() {
+    for case in streams().filter(|case| case.sent > 0) {
+        check_cut_stream("1.1", case).await;
+    }
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_resumable_stream_that_ends_inside_an_event_goes_on_after_its_last_whole_one() {
+    for case in streams().filter(|case| case.sent > 0) {
+        check_resumed_stream(case).await;
+    }
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_stream_that_ends_before_its_first_event_never_looks_complete() {
+    for case in streams().filter(|case| case.sent == 0) {
+        check_cut_stream("1.1", case.clone()).await;
+        check_resumed_stream(case).await;
+    }
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_stream_that_is_cut_off_never_looks_complete_to_a_caller_of_http_1_0() {
+    for case in streams() {
+        check_cut_stream("1.0", case).await;
+    }
+}
+
+#[tokio::test]
+async fn a_body_that_is_cut_off_is_never_passed_on() {
+    for case in Case::all(&["first part, ", "second part"]) {
+        let script = case.script();
+        let upstream = RawUpstream::start(move |_, _| script.clone()).await;
+        let front = Front::start(&upstream, 2).await;
+        let complete = match case.framing {
+            // The end of the connection is all that marks the end of such a body.
+            Framing::Close => case.ending == Ending::Fin,
+            Framing::Length | Framing::Chunked => case.sent == case.encoded().len(),
+        };
+        let received = front.ask("1.1", RepeatPolicy::Once, "r-1").await;
+        let passed = if complete { case.content().into_bytes() } else { Vec::new() };
+        let cut = case.framing == Framing::Close;
+        let expected = if cut && complete { &passed[..case.sent] } else { &passed[..] };
+        assert!(received.complete, "{case:?} {received:?}");
+        assert_eq!(received.status, if complete { 200 } else { 502 }, "{case:?}");
+        assert!(!complete || received.body == expected, "{case:?} {received:?}");
+        assert_eq!(upstream.requests().len(), 1, "{case:?}");
+    }
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_response_that_ends_with_its_connection_is_passed_on_once_and_its_connection_not_reused()
+{
+    for repeat in [RepeatPolicy::Safe, RepeatPolicy::Once, RepeatPolicy::Resumable] {
+        let script = Script {
+            head: head("1.1", ""),
+            body: STREAMS[0].concat().into_bytes(),
+            ending: Ending::Fin,
+        };
+        let upstream = RawUpstream::start(move |_, _| script.clone()).await;
+        let front = Front::start(&upstream, 2).await;
+        for request in 0..5 {
+            let received = front.ask("1.1", repeat, &format!("r-{request}")).await;
+            let body = STREAMS[0].concat().into_bytes();
+            assert_eq!(received, Received { status: 200, body, complete: true }, "{repeat}");
+        }
+        assert_eq!(upstream.requests().len(), 5, "{repeat}");
+        assert_eq!(front.pool.open(), 0, "{repeat}");
+    }
+}
