--- a/tests/response_ends/main.rs
+++ b/tests/response_ends/main.rs
@@ -162,7 +162,6 @@
 }
 
 #[tokio::test]
-#[ignore = "KNOWN-RED"]
 async fn a_stream_that_is_cut_off_never_looks_complete_to_a_caller_of_http_1_0() {
     for case in streams() {
         check_cut_stream("1.0", case).await;
