fix(relay): bytes of an upstream that are no response are bounded in memory and time, and count as its failure

An upstream may send bytes without end that are no response, in a head or a body, until the connection is closed. Cause, by reading and by the test: heads were bounded only by the parser's 400 kB a connection, and informational responses not at all; whole bodies by 4 MB each, without a common bound; comment lines and empty events were progress, so such a stream was passed on until its deadline; a head without end at the deadline, and a stream that isn't resumable, didn't count against the upstream. Change: 64 kB for one head and 256 kB until a head is complete; 32 MB for all whole bodies together beyond 16 kB each; 256 kB between two events; the silence limit counts events, not bytes, and holds for whole bodies of requests that may be repeated; an upstream that sends bytes but no progress when the deadline passes or the caller leaves counts as failed. Mere silence does not: it may be a long queue.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -71,7 +71,10 @@
     Head(Box<(response::Parts, Framing)>, Incoming, PooledConnection),
     Lost,
     Abandoned,
-    TimedOut,
+    TimedOut {
+        /// Number of bytes that had arrived of the head of a response.
+        head_bytes: usize,
+    },
 }
 
 impl<P: UpstreamProtocol, K: Clock> Relay<P, K> {
@@ -120,7 +123,18 @@
                     assignment.on_result(self.0.clock.now(), UpstreamResult::Failed);
                     return AttemptOutcome::Abandoned;
                 }
-                ExchangeOutcome::TimedOut => return AttemptOutcome::TimedOut,
+                ExchangeOutcome::TimedOut { head_bytes } => {
+                    // Silence may be a long queue. A head that doesn't end is a fault.
+                    if head_bytes > 0 {
+                        log::info!(
+                            "event=head_incomplete id={} upstream={} bytes={head_bytes}",
+                            attempt.buffered.inbound.id,
+                            assignment.upstream_id.instance,
+                        );
+                        assignment.on_result(self.0.clock.now(), UpstreamResult::Failed);
+                    }
+                    return AttemptOutcome::TimedOut;
+                }
             }
         }
         assignment.on_result(self.0.clock.now(), UpstreamResult::Unreachable);
@@ -164,19 +178,19 @@
         let result = {
             let mut sending = pin!(connection.send(request));
             match tokio::time::timeout(silence_limit.min(time_left), &mut sending).await {
-                Ok(result) => result,
+                Ok(result) => Some(result),
                 Err(_) if silence_limit < time_left && self.may_switch_upstream(admitted, past) => {
                     return ExchangeOutcome::Abandoned;
                 }
                 Err(_) => {
                     let time_left = admitted.deadline.since(self.0.clock.now());
-                    match tokio::time::timeout(time_left, sending).await {
-                        Ok(result) => result,
-                        Err(_) => return ExchangeOutcome::TimedOut,
-                    }
+                    tokio::time::timeout(time_left, sending).await.ok()
                 }
             }
         };
+        let Some(result) = result else {
+            return ExchangeOutcome::TimedOut { head_bytes: connection.partial_head_bytes() };
+        };
         match result {
             Ok(response) => {
                 let framing = Framing::of(&response);
@@ -286,14 +300,17 @@
     }
 }
 
+/// Longest time until the first event of a stream from an upstream in good order.
+pub(crate) fn first_event_silence(route: &Route) -> Duration {
+    (route.target_latency * STREAM_SILENCE_FACTOR).max(SILENCE_LIMIT_MIN)
+}
+
 /// How long an upstream may send nothing before a request that may be repeated is sent to another
 /// one.
 pub(crate) fn silence_limit(route: &Route) -> Duration {
     match route.repeat {
         RepeatPolicy::Safe => (route.target_latency * SAFE_SILENCE_FACTOR).max(SILENCE_LIMIT_MIN),
-        RepeatPolicy::Resumable => {
-            (route.target_latency * STREAM_SILENCE_FACTOR).max(SILENCE_LIMIT_MIN)
-        }
+        RepeatPolicy::Resumable => first_event_silence(route),
         RepeatPolicy::Once | RepeatPolicy::StreamOnce => Duration::MAX,
     }
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1 connection to an upstream, which carries one request at a time.
 
+use crate::response_stream::{ReceivedBytes, ResponseStream};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -38,6 +39,12 @@
 /// request is sent while the upstream closes it.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Size of the buffer for a response head, in bytes.
+const HEAD_BUFFER_BYTES: usize = 65_536;
+
+/// Maximum number of headers of a response.
+const HEADERS_MAX: usize = 128;
+
 /// Sets the socket options by which a dead peer is detected within a few seconds, and disables
 /// Nagle's algorithm.
 ///
@@ -69,6 +76,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    received: ReceivedBytes,
     /// When the last request ended; zero for a new connection.
     idle_since: MonotonicInstant,
     /// How long the connection may stay idle before it is no longer used.
@@ -87,7 +95,11 @@
         let stream =
             tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.map_err(timed_out)??;
         set_dead_peer_timeouts(&stream)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let received = ReceivedBytes::default();
+        let stream = ResponseStream::new(stream, received.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_BUFFER_BYTES).max_headers(HEADERS_MAX);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -98,6 +110,7 @@
         Ok(Self {
             sender,
             task,
+            received,
             idle_since: MonotonicInstant::default(),
             idle_timeout: IDLE_TIMEOUT_DEFAULT,
         })
@@ -123,7 +136,9 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        self.received.start_head();
+        let result = self.sender.try_send_request(request).await;
+        result.inspect(|_| self.received.finish_head()).map_err(|mut error| {
             match error.take_message() {
                 Some(_) => SendError::Unsent,
                 None => SendError::Lost(error.into_error()),
@@ -131,6 +146,16 @@
         })
     }
 
+    /// Number of bytes that have arrived of a response head that is not complete.
+    pub fn partial_head_bytes(&self) -> usize {
+        self.received.partial_head()
+    }
+
+    /// Number of all bytes that have arrived on the connection.
+    pub fn received_bytes(&self) -> usize {
+        self.received.total()
+    }
+
     /// Records that the connection has become idle. `idle_timeout` is how long the upstream keeps
     /// it open, if it says so.
     pub fn mark_idle(&mut self, now: MonotonicInstant, idle_timeout: Option<Duration>) {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -6,7 +6,7 @@
 /// Maximum size of an event, in bytes. The same limit as that of the event decoder.
 const EVENT_MAX_BYTES: usize = spindle_http::event::EVENT_MAX_BYTES;
 
-/// An event exceeds the size limit.
+/// An event, or what stands between two of them, exceeds the size limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TooLarge;
 
@@ -19,6 +19,8 @@
     last_id: Option<String>,
     count: u64,
     delivered: u64,
+    /// Number of bytes since the last complete event with an id or data.
+    idle_bytes: usize,
 }
 
 /// How a line ended.
@@ -57,8 +59,10 @@
     ///
     /// # Errors
     ///
-    /// An incomplete event exceeds the size limit.
+    /// An incomplete event, or the comments and empty events between two others, exceed the size
+    /// limit.
     pub fn push(&mut self, mut data: Bytes) -> Result<Bytes, TooLarge> {
+        self.idle_bytes += data.len();
         let complete = if self.partial.is_empty() {
             let end = self.scan(&data, 0);
             let complete = data.split_to(end);
@@ -72,7 +76,7 @@
             self.partial = partial;
             self.partial.split_to(end).freeze()
         };
-        if self.partial.len() > EVENT_MAX_BYTES { Err(TooLarge) } else { Ok(complete) }
+        if self.idle_bytes > EVENT_MAX_BYTES { Err(TooLarge) } else { Ok(complete) }
     }
 
     /// Id of the last complete event.
@@ -104,6 +108,7 @@
     /// Discards an incomplete event, before the stream is resumed at another upstream.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
+        self.idle_bytes = 0;
         self.scanner = Scanner::default();
     }
 
@@ -160,7 +165,10 @@
         }
         *end = next;
         let event = std::mem::take(&mut self.scanner.event);
-        self.delivered += u64::from(event.has_data || event.id.is_some());
+        if event.has_data || event.id.is_some() {
+            self.delivered += 1;
+            self.idle_bytes = data.len() - next;
+        }
         if event.id.is_some() {
             self.last_id = event.id;
             self.count += 1;
--- a/crates/relay/src/events/tests.rs
+++ b/crates/relay/src/events/tests.rs
@@ -76,3 +76,17 @@
         }
     }
 }
+
+#[test]
+fn comments_and_empty_events_without_end_are_an_error_and_events_between_them_are_not() {
+    let comments = Bytes::from(": comment\n\n\n".repeat(1_000));
+    let mut splitter = EventSplitter::default();
+    let flooded = (0..30).map(|_| splitter.push(comments.clone())).position(|read| read.is_err());
+    assert_eq!(flooded, Some(EVENT_MAX_BYTES / comments.len()));
+    let mut splitter = EventSplitter::default();
+    for _ in 0..30 {
+        splitter.push(comments.clone()).unwrap();
+        splitter.push(Bytes::from_static(b"data: a\n\n")).unwrap();
+    }
+    assert_eq!(splitter.delivered(), 30);
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,7 +19,9 @@
 pub mod relay;
 pub mod request;
 mod request_log;
+pub mod response_body;
 pub mod response_end;
+mod response_stream;
 mod stream;
 pub mod usage;
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -126,6 +126,11 @@
         self.connection.as_mut()
     }
 
+    /// Number of all bytes that have arrived on the connection.
+    pub fn received_bytes(&self) -> usize {
+        self.connection.as_ref().map_or(0, Connection::received_bytes)
+    }
+
     /// Returns the connection to the pool for another request. `idle_timeout` is how long the
     /// upstream keeps it open while it is idle, if it says so.
     pub fn release(mut self, now: MonotonicInstant, idle_timeout: Option<std::time::Duration>) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,7 +1,7 @@
 //! The path of one request: admission, choice of an upstream, attempts and retries, and delivery of
 //! the response.
 
-use crate::attempt::{Attempt, AttemptOutcome};
+use crate::attempt::{Attempt, AttemptOutcome, silence_limit};
 use crate::balancer::{Assignment, Balancer, UpstreamResult};
 use crate::config::{ActiveConfig, Limits, Route, TeamSpec};
 use crate::metrics::METRICS;
@@ -9,6 +9,7 @@
 use crate::protocol::UpstreamProtocol;
 use crate::request::{BufferedRequest, Inbound, Refusal};
 use crate::request_log::{Outcome, RequestLog};
+use crate::response_body::{BodyMemory, PartialBody};
 use crate::response_end::{Framing, ResponseEnd};
 use crate::stream;
 use crate::usage::UsageTracker;
@@ -27,10 +28,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Largest response body that is buffered, in bytes; streams are not subject to it. Equals the
-/// largest request body of the users' example configuration.
-const RESPONSE_MAX_BYTES: usize = 4_194_304;
-
 /// A request is sent only if more than this is left until its deadline: one round trip between data
 /// centres.
 pub(crate) const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
@@ -73,6 +70,8 @@
     pub daemon_count: Arc<AtomicU32>,
     /// Set shortly before the daemon shuts down: new streams are refused from then on.
     pub refuse_streams: Arc<AtomicBool>,
+    /// Memory of the response bodies that are being read.
+    pub body_memory: BodyMemory,
 }
 
 /// The request path. Clones share all state.
@@ -291,10 +290,12 @@
             if admitted.route.repeat.is_stream() && upstream_response.head.status.is_success() {
                 return Ok(ForwardResult::Stream(Box::new(upstream_response)));
             }
-            match self.read_response(admitted, upstream_response, request_log).await {
-                Some(response) => return Ok(ForwardResult::Complete(response)),
-                None if admitted.route.repeat.allows_retry() && self.may_retry(admitted, past) => {}
-                None => return Err(Refusal::Lost),
+            match self.read_response(admitted, upstream_response, past, request_log).await {
+                Ok(response) => return Ok(ForwardResult::Complete(response)),
+                Err(ResponseEnd::Silent) => {}
+                Err(_)
+                    if admitted.route.repeat.allows_retry() && self.may_retry(admitted, past) => {}
+                Err(_) => return Err(Refusal::Lost),
             }
         }
     }
@@ -409,29 +410,40 @@
         })
     }
 
-    /// Reads a response that is not a stream to its end. Returns `None` if it breaks off, is too
-    /// large or exceeds the deadline.
+    /// Reads a response that is not a stream to its end.
+    ///
+    /// # Errors
+    ///
+    /// It breaks off, is too large or exceeds the deadline, or takes too long and a retry has been
+    /// taken from the budget.
     async fn read_response(
         &self,
         admitted: &AdmittedRequest,
         upstream_response: UpstreamResponse,
+        past: &AttemptHistory,
         request_log: &mut RequestLog<K>,
-    ) -> Option<Response<Body>> {
-        let UpstreamResponse { head, framing, body, keep_alive, reusable, pooled, mut assignment } =
-            upstream_response;
+    ) -> Result<Response<Body>, ResponseEnd> {
+        let UpstreamResponse {
+            head,
+            framing,
+            mut body,
+            keep_alive,
+            reusable,
+            pooled,
+            mut assignment,
+        } = upstream_response;
         let now = self.0.clock.now();
         assignment.on_first_byte(now);
         self.on_first_byte(admitted, request_log);
-        let left = admitted.deadline.since(now);
-        let read = read_body(body, RESPONSE_MAX_BYTES, left).await;
+        let read = self.read_whole(admitted, &mut body, past).await;
         let now = self.0.clock.now();
         let content = match read {
             Ok(content) => content,
-            Err(error) => {
-                request_log.on_response_end(framing, body_end(&error), &error.to_string());
+            Err((end, detail)) => {
+                request_log.on_response_end(framing, end, &detail);
                 request_log.cause = "answer_broke_off".to_owned();
                 assignment.on_result(now, UpstreamResult::Failed);
-                return None;
+                return Err(end);
             }
         };
         request_log.on_response_end(framing, ResponseEnd::Complete, "");
@@ -441,7 +453,32 @@
         if reusable {
             pooled.release(now, keep_alive);
         }
-        Some(Response::from_parts(response_head(head), Body::Whole(content)))
+        Ok(Response::from_parts(response_head(head), Body::Whole(content)))
+    }
+
+    /// Reads a body within the deadline, or within the silence limit if the request may be sent to
+    /// another upstream.
+    async fn read_whole(
+        &self,
+        admitted: &AdmittedRequest,
+        body: &mut Incoming,
+        past: &AttemptHistory,
+    ) -> Result<Bytes, (ResponseEnd, String)> {
+        let describe = |error: ReadError| (body_end(&error), error.to_string());
+        let left = || admitted.deadline.since(self.0.clock.now());
+        let limit = silence_limit(&admitted.route);
+        let mut partial = PartialBody::new(&self.0.body_memory);
+        let reading = partial.read_rest(body);
+        if let Ok(read) = tokio::time::timeout(limit.min(left()), reading).await {
+            return read.map_err(describe);
+        }
+        if limit < left() && self.may_switch_upstream(admitted, past) {
+            return Err((ResponseEnd::Silent, format!("body not complete within {limit:?}")));
+        }
+        match tokio::time::timeout(left(), partial.read_rest(body)).await {
+            Ok(read) => read.map_err(describe),
+            Err(_) => Err((ResponseEnd::Expired, "deadline passed".to_owned())),
+        }
     }
 
     /// Records the first byte of the response, at which the request counts as usage of its team.
--- /dev/null
+++ b/crates/relay/src/response_body.rs
@@ -0,0 +1,74 @@
+//! Reading of whole response bodies, with a limit on the memory that all of them use together.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use spindle_http::ReadError;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Largest response body that is read whole, in bytes; streams are not subject to it. Equals the
+/// largest request body of the users' example configuration.
+const BODY_MAX_BYTES: usize = 4_194_304;
+
+/// Memory that all bodies being read may use together, in bytes, beyond [`BODY_FREE_BYTES`] each.
+const BODIES_MAX_BYTES: usize = 33_554_432;
+
+/// Part of each body that doesn't count, in bytes: large bodies don't keep small ones from being
+/// read.
+const BODY_FREE_BYTES: usize = 16_384;
+
+/// Memory of the bodies that are being read. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct BodyMemory(Arc<AtomicUsize>);
+
+/// A body of which a part has been read.
+#[derive(Debug)]
+pub(crate) struct PartialBody {
+    memory: BodyMemory,
+    content: BytesMut,
+    /// What counts against the memory, in bytes.
+    counted: usize,
+}
+
+impl PartialBody {
+    pub(crate) fn new(memory: &BodyMemory) -> Self {
+        Self { memory: memory.clone(), content: BytesMut::new(), counted: 0 }
+    }
+
+    /// Reads the rest of the body. If this future is dropped, another call goes on where it stopped.
+    ///
+    /// # Errors
+    ///
+    /// The body breaks off, or is larger than one body or all together may be.
+    pub(crate) async fn read_rest(&mut self, body: &mut Incoming) -> Result<Bytes, ReadError> {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.add(&data)?;
+            }
+        }
+        Ok(self.content.split().freeze())
+    }
+
+    fn add(&mut self, data: &[u8]) -> Result<(), ReadError> {
+        let length = self.content.len() + data.len();
+        if length > BODY_MAX_BYTES {
+            return Err(ReadError::Size { max: BODY_MAX_BYTES });
+        }
+        let added = length.saturating_sub(BODY_FREE_BYTES) - self.counted;
+        self.counted += added;
+        let all = self.memory.0.fetch_add(added, Ordering::Relaxed) + added;
+        if added > 0 && all > BODIES_MAX_BYTES {
+            return Err(ReadError::Size { max: BODIES_MAX_BYTES });
+        }
+        self.content.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+impl Drop for PartialBody {
+    fn drop(&mut self) {
+        self.memory.0.fetch_sub(self.counted, Ordering::Relaxed);
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,7 +5,7 @@
 //! is cut off without a proper end, so that the caller does not take it for complete. The end of
 //! the connection completes a stream only between two events.
 
-use crate::attempt::silence_limit;
+use crate::attempt::first_event_silence;
 use crate::balancer::UpstreamResult;
 use crate::events::EventSplitter;
 use crate::metrics::METRICS;
@@ -53,6 +53,8 @@
         sender,
         splitter: EventSplitter::default(),
         detail: String::new(),
+        progress_at: MonotonicInstant::default(),
+        progress_bytes: 0,
     };
     tokio::spawn(forwarder.run(upstream_response));
     Response::from_parts(head, body)
@@ -68,6 +70,10 @@
     splitter: EventSplitter,
     /// Why the response of an upstream is not complete, for the log.
     detail: String,
+    /// When the upstream last delivered an event, or was sent the request.
+    progress_at: MonotonicInstant,
+    /// Number of bytes that had arrived on the connection by then.
+    progress_bytes: usize,
 }
 
 impl<P: UpstreamProtocol, K: Clock> StreamForwarder<P, K> {
@@ -81,10 +87,12 @@
             match end {
                 ResponseEnd::Complete => return self.finish(upstream_response, now).await,
                 ResponseEnd::CallerLeft => {
+                    self.on_interrupted(&upstream_response, now);
                     self.request_log.outcome = Outcome::CallerLeft;
                     return;
                 }
                 ResponseEnd::Expired => {
+                    self.on_interrupted(&upstream_response, now);
                     self.request_log.cause = "time_passed".to_owned();
                     return;
                 }
@@ -115,31 +123,33 @@
     /// Forwards the events of one upstream until they stop.
     async fn forward_events(&mut self, upstream_response: &mut UpstreamResponse) -> ResponseEnd {
         let mut last_data_at = self.relay.0.clock.now();
+        // When to look for another upstream is counted from here.
+        let mut waiting_since = last_data_at;
+        self.progress_at = last_data_at;
+        self.progress_bytes = upstream_response.pooled.received_bytes();
         loop {
             let now = self.relay.0.clock.now();
             if now >= self.admitted.deadline {
                 return ResponseEnd::Expired;
             }
             let silence = self.max_event_silence();
+            if now.since(waiting_since) >= silence {
+                if self.relay.may_switch_upstream(&self.admitted, &self.past) {
+                    return ResponseEnd::Silent;
+                }
+                // No other upstream or no retry is available: keeps waiting, and checks again after
+                // the same time.
+                waiting_since = now;
+            }
             let wait =
-                silence.saturating_sub(now.since(last_data_at)).max(Duration::from_millis(1));
+                silence.saturating_sub(now.since(waiting_since)).max(Duration::from_millis(1));
             let wait = wait.min(self.admitted.deadline.since(now));
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(wait, upstream_response.body.frame()) => frame,
                 () = self.sender.closed() => return ResponseEnd::CallerLeft,
             };
-            let now = self.relay.0.clock.now();
             let data = match frame {
-                Err(_) if now.since(last_data_at) >= silence => {
-                    if self.relay.may_switch_upstream(&self.admitted, &self.past) {
-                        return ResponseEnd::Silent;
-                    }
-                    // No other upstream or no retry is available: keeps waiting, and checks again
-                    // after the same time.
-                    last_data_at = now;
-                    continue;
-                }
                 Err(_) => continue,
                 Ok(None) => return self.end_of_body(upstream_response.framing),
                 Ok(Some(Err(error))) => {
@@ -149,15 +159,23 @@
                 Ok(Some(Ok(frame))) => frame.into_data(),
             };
             let Ok(data) = data else { continue };
+            let now = self.relay.0.clock.now();
             self.on_data(last_data_at, now);
             upstream_response.assignment.on_first_byte(now);
             last_data_at = now;
+            let delivered = self.splitter.delivered();
             let Ok(events) = self.splitter.push(data) else {
                 return ResponseEnd::Oversized;
             };
             if !events.is_empty() && self.sender.send(events).await.is_err() {
                 return ResponseEnd::CallerLeft;
             }
+            // Comments and parts of events are no progress.
+            if self.splitter.delivered() > delivered {
+                self.progress_at = self.relay.0.clock.now();
+                self.progress_bytes = upstream_response.pooled.received_bytes();
+                waiting_since = self.progress_at;
+            }
         }
     }
 
@@ -180,16 +198,28 @@
         self.relay.on_first_byte(&self.admitted, &mut self.request_log);
     }
 
+    /// How long to wait for the next event before the stream is moved to another upstream.
     fn max_event_silence(&self) -> Duration {
+        let moves = self.admitted.route.repeat.allows_retry();
+        if moves { self.event_silence() } else { Duration::MAX }
+    }
+
+    /// Longest time without an event from an upstream in good order.
+    fn event_silence(&self) -> Duration {
         let route = &self.admitted.route;
-        if !route.repeat.allows_retry() {
-            return Duration::MAX;
-        }
-        match route.target_event_interval {
-            Some(interval) if self.splitter.count() > 0 => {
-                (interval * EVENT_INTERVAL_FACTOR_MAX).max(EVENT_SILENCE_MIN)
-            }
-            _ => silence_limit(route).max(EVENT_SILENCE_MIN),
+        let silence = match route.target_event_interval {
+            Some(interval) if self.splitter.count() > 0 => interval * EVENT_INTERVAL_FACTOR_MAX,
+            _ => first_event_silence(route),
+        };
+        silence.max(EVENT_SILENCE_MIN)
+    }
+
+    /// Counts a failure of an upstream that was sending bytes but no events when the caller left or
+    /// the deadline passed. Mere silence may be a long queue.
+    fn on_interrupted(&self, upstream_response: &UpstreamResponse, now: MonotonicInstant) {
+        let idle = now.since(self.progress_at) >= self.event_silence();
+        if idle && upstream_response.pooled.received_bytes() > self.progress_bytes {
+            upstream_response.assignment.on_result(now, UpstreamResult::Failed);
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,7 @@
 use spindle_policy::shared_limits::{QuotaTolerance, RetryBudgetSpec};
 use spindle_relay::pool::ConnectionPool;
 use spindle_relay::relay::RelayParts;
+use spindle_relay::response_body::BodyMemory;
 use spindle_relay::usage::UsageRules;
 use spindle_relay::{ActiveConfig, Balancer, Limits, Relay, UsageTracker, caller_server};
 use spindle_types::{Clock, Incarnation};
@@ -200,6 +201,7 @@
         config_is_current,
         daemon_count,
         refuse_streams: Arc::clone(&shutdown.refuse_streams),
+        body_memory: BodyMemory::default(),
     });
     Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,7 +1,11 @@
 //! Daemons as separate processes on a stand-in of the users' platform.
 
 mod daemon;
+mod endless;
 mod limits;
+#[path = "../../platform/standin/raw.rs"]
+#[allow(unreachable_pub)]
+mod raw;
 #[path = "../../platform/standin/mod.rs"]
 #[allow(unreachable_pub)]
 mod standin;
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -9,6 +9,7 @@
 use spindle_policy::upstream_registry::{Registration, UpstreamId};
 use spindle_relay::pool::ConnectionPool;
 use spindle_relay::relay::RelayParts;
+use spindle_relay::response_body::BodyMemory;
 use spindle_relay::usage::UsageRules;
 use spindle_relay::{
     ActiveConfig, Balancer, Limits, Relay, RepeatPolicy, Route, ServiceSpec, UsageTracker,
@@ -101,6 +102,7 @@
             config_is_current: Arc::new(AtomicBool::new(true)),
             daemon_count: Arc::new(AtomicU32::new(1)),
             refuse_streams: Arc::default(),
+            body_memory: BodyMemory::default(),
         });
         let stop = DrainTrigger::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
