fix(http): cut-off answers of plain services look complete to no caller of the own interface either

Result: a_response_that_is_cut_off_resets_… (before: Ok, 0 bytes) and an_answer_has_the_version_… (before: HTTP/1.0) fail without the change and pass with it.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod event;
 pub mod read;
 pub mod reply;
+pub mod resettable;
 pub mod server;
 
 pub use body::{Body, BodySender};
@@ -13,4 +14,5 @@
 pub use event::{Event, decode_events, encode_event};
 pub use read::{ReadError, read_body, read_json};
 pub use reply::{json, text};
+pub use resettable::{ResetOnFailure, ResettableStream};
 pub use server::{Drain, DrainTrigger, Handler, ServerLimits, bind, serve};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 //! in progress.
 
 use crate::body::Body;
+use crate::resettable::{ResetOnFailure, ResettableStream};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -158,8 +159,12 @@
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(limits.header_timeout);
     builder.http2().timer(TokioTimer::new());
+    let reset = ResetOnFailure::default();
+    let stream = ResettableStream::new(stream, reset.clone());
+    let requests = reset.clone();
     let service = service_fn(move |request| {
         let handler = handler.clone();
+        requests.on_request(&request);
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
     });
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
@@ -172,5 +177,9 @@
     };
     if let Err(error) = result {
         log::debug!("event=connection_failed peer={peer} error={error:?}");
+        reset.on_failure();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -2,18 +2,16 @@
 //! the size and time of request heads.
 
 use crate::config::Limits;
-use crate::head_timeout::{HeadTimeoutStream, RequestInProgress, ResetOnDrop};
-use http::{Request, Response, Version};
+use crate::head_timeout::{HeadTimeoutStream, RequestInProgress};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use spindle_http::{Body, Drain, Handler};
+use spindle_http::{Body, Drain, Handler, ResetOnFailure, ResettableStream};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -78,15 +76,13 @@
         log::debug!("event=socket_option_failed peer={peer} error={error:?}");
     }
     let in_progress = RequestInProgress::default();
-    let reset = ResetOnDrop::default();
-    let stream =
-        HeadTimeoutStream::new(stream, in_progress.clone(), reset.clone(), limits.head_timeout);
-    // Whether the end of the connection may be all that marks the end of a response.
-    let ends_with_connection: Arc<AtomicBool> = Arc::default();
-    let close_framing = Arc::clone(&ends_with_connection);
+    let reset = ResetOnFailure::default();
+    let stream = ResettableStream::new(stream, reset.clone());
+    let stream = HeadTimeoutStream::new(stream, in_progress.clone(), limits.head_timeout);
+    let requests = reset.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (handler, in_progress) = (handler.clone(), in_progress.clone());
-        close_framing.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+        requests.on_request(&request);
         async move {
             in_progress.set(true);
             let response: Response<Body> = handler.handle(request, peer).await;
@@ -110,8 +106,6 @@
     };
     if let Err(error) = result {
         log::debug!("event=connection_failed peer={peer} error={error:?}");
-        if ends_with_connection.load(Ordering::Relaxed) {
-            reset.arm();
-        }
+        reset.on_failure();
     }
 }
--- a/crates/relay/src/head_timeout.rs
+++ b/crates/relay/src/head_timeout.rs
@@ -1,7 +1,7 @@
 //! A caller's connection with a timeout for request heads: each head must be complete within this
 //! time after its first byte. Idle connections are not affected.
 
-use socket2::SockRef;
+use spindle_http::ResettableStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,7 +9,6 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 /// Whether a request is being served on the connection; shared between the stream and the handler.
@@ -27,23 +26,10 @@
     }
 }
 
-/// Whether the connection is to be reset when it is dropped; shared between the stream and its
-/// server.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ResetOnDrop(Arc<AtomicBool>);
-
-impl ResetOnDrop {
-    /// Resets the connection when it is dropped, instead of closing it in order.
-    pub(crate) fn arm(&self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// A TCP stream whose reads fail with [`io::ErrorKind::TimedOut`] if a request head takes too long.
 pub(crate) struct HeadTimeoutStream {
-    stream: TcpStream,
+    stream: ResettableStream,
     in_progress: RequestInProgress,
-    reset: ResetOnDrop,
     head_timeout: Duration,
     /// Timer that runs while a request head is incomplete.
     head_deadline: Option<Pin<Box<Sleep>>>,
@@ -53,22 +39,11 @@
     /// Wraps a connection on which each request head must arrive within `head_timeout` of its first
     /// byte.
     pub(crate) const fn new(
-        stream: TcpStream,
+        stream: ResettableStream,
         in_progress: RequestInProgress,
-        reset: ResetOnDrop,
         head_timeout: Duration,
     ) -> Self {
-        Self { stream, in_progress, reset, head_timeout, head_deadline: None }
-    }
-}
-
-impl Drop for HeadTimeoutStream {
-    fn drop(&mut self) {
-        if self.reset.0.load(Ordering::Relaxed)
-            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
-        {
-            log::warn!("event=reset_failed error={error:?}");
-        }
+        Self { stream, in_progress, head_timeout, head_deadline: None }
     }
 }
 
--- a/crates/service/src/client.rs
+++ b/crates/service/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::headers::remove_hop_by_hop;
 use http::uri::{Authority, PathAndQuery, Scheme};
-use http::{Request, Response, Uri, header};
+use http::{Request, Response, Uri, Version, header};
 use hyper::body::Incoming;
 use spindle_http::{Body, CallError, Client};
 use spindle_types::UpstreamRefusal;
@@ -83,6 +83,9 @@
         match self.client.send(request).await {
             Ok(mut response) => {
                 remove_hop_by_hop(response.headers_mut());
+                // With the version of a service of HTTP/1.0, the caller would get no chunks, and take
+                // an answer that is cut off for complete.
+                *response.version_mut() = Version::HTTP_11;
                 CallOutcome::Answered(response)
             }
             Err(CallError::NotSent(text)) => CallOutcome::NotSent { proof: proof(), text },
@@ -96,3 +99,6 @@
     let authority = Authority::try_from(service.to_string())?;
     Uri::builder().scheme(Scheme::HTTP).authority(authority).path_and_query(path).build()
 }
+
+#[cfg(test)]
+mod tests;
