feat(relay): log the software version of upstreams and the attempt that a caller resumes

`upstream_added`, `stream_resumed` and the request's line have `version`; the request's line has `resumes`. An entry whose version is missing or no text keeps its upstream in use. No decision changes.

--- a/crates/policy/src/upstream_registry.rs
+++ b/crates/policy/src/upstream_registry.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
-use spindle_types::{DataCentre, Instance, MonotonicInstant, Service};
+use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,6 +52,9 @@
     pub address: SocketAddr,
     /// The data centre that it runs in.
     pub data_centre: DataCentre,
+    /// The version of its software; none if it states no valid one.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// How many requests it processes concurrently.
     pub slots: u32,
     /// Whether it accepts no new requests.
--- a/crates/policy/src/upstream_registry/tests.rs
+++ b/crates/policy/src/upstream_registry/tests.rs
@@ -10,6 +10,7 @@
         service: "desk".try_into().unwrap(),
         address: "127.0.0.1:80".parse().unwrap(),
         data_centre: "a".try_into().unwrap(),
+        version: "v1".try_into().ok(),
         slots: 4,
         leaving,
         reclaimable: false,
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -14,7 +14,7 @@
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, Prompt, choose};
-use spindle_types::{DataCentre, Instance, MonotonicInstant, Service};
+use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -91,6 +91,8 @@
     pub upstream_id: UpstreamId,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of the upstream's software, if it states one.
+    pub version: Option<SoftwareVersion>,
     /// When the upstream was chosen.
     pub assigned_at: MonotonicInstant,
     /// Time that processing the prompt adds to the upstream's queue until the response begins, in
@@ -237,7 +239,7 @@
         let Some(listed) = state.registry.get(key) else {
             return Err(Choice::None);
         };
-        let (upstream_id, address) = (listed.registration.id.clone(), listed.registration.address);
+        let Registration { id: upstream_id, address, version, .. } = listed.registration.clone();
         let chosen = candidates.iter().find(|found| found.key == key);
         let expected_ms = chosen.map_or(0.0, |found| {
             let found = Candidate { slowdown: 1.0, ..*found };
@@ -254,6 +256,7 @@
             key,
             upstream_id,
             address,
+            version,
             assigned_at: now,
             queued_ms,
             expected_ms,
@@ -378,11 +381,12 @@
         let mut state = self.state();
         let State { registry, upstreams, .. } = &mut *state;
         let Some(listed) = registry.get(key) else { return };
-        let Registration { id, service, address, data_centre, reclaimable, .. } =
+        let Registration { id, service, address, data_centre, version, reclaimable, .. } =
             &listed.registration;
+        let version = version.as_ref().map_or("-", SoftwareVersion::as_str);
         log::info!(
             "event={event} upstream={} born={} service={service} data_centre={data_centre} \
-             address={address} reclaimable={reclaimable} source={source}",
+             address={address} version={version} reclaimable={reclaimable} source={source}",
             id.instance,
             id.started_at_ms,
         );
--- a/crates/relay/src/limits/tests.rs
+++ b/crates/relay/src/limits/tests.rs
@@ -30,6 +30,7 @@
             service: Service::try_from("desk").unwrap(),
             address: "127.0.0.1:9".parse().unwrap(),
             data_centre: DataCentre::try_from("a-1").unwrap(),
+            version: "v1".try_into().ok(),
             slots: 8,
             reclaimable: false,
             leaving: false,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -172,6 +172,7 @@
         body: Incoming,
         request_log: &mut RequestLog<K>,
     ) -> Result<ServeResult, Refusal> {
+        request_log.resumes.clone_from(&inbound.resumes);
         let limits = self.0.config.borrow().limits;
         let body = read_request(&inbound, body, &limits).await?;
         // Read after the body: a slow upload must not be admitted under a configuration that has
@@ -323,6 +324,8 @@
             let assignment = self.assign(admitted, buffered, past, request_log)?;
             past.tried.push(assignment.key);
             request_log.upstream = assignment.upstream_id.instance.to_string();
+            request_log.version =
+                assignment.version.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string);
             request_log.limit = assignment.limit_use(self.0.clock.now());
             let sent =
                 self.send_to(assignment, Attempt { admitted, buffered, last_event_id }, past).await;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -36,6 +36,9 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Attempt that brought the first event of the stream that the caller resumes, if it names
+    /// exactly one.
+    pub resumes: Option<String>,
     /// Number of prompt tokens, and the maximum number of tokens to generate.
     pub tokens: Option<(u32, u32)>,
     /// Parts of the prompt, in order.
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -36,6 +36,10 @@
     pub(crate) service: String,
     pub(crate) config_version: u64,
     pub(crate) upstream: String,
+    /// Version of that upstream.
+    pub(crate) version: String,
+    /// Attempt whose stream the caller takes up.
+    pub(crate) resumes: Option<String>,
     /// Limit of that upstream, if it has named one.
     pub(crate) limit: Option<LimitUse>,
     pub(crate) sends: u32,
@@ -62,6 +66,8 @@
             service: "-".to_owned(),
             config_version: 0,
             upstream: "-".to_owned(),
+            version: "-".to_owned(),
+            resumes: None,
             limit: None,
             sends: 0,
             status: 0,
@@ -122,7 +128,7 @@
         write!(
             f,
             "event=request id={} outcome={outcome} status={} route={} kind={} team={} service={} \
-             upstream={} sends={} events={} config={} first_ms={} whole_ms={} cause={}",
+             upstream={} version={} sends={} events={} config={} first_ms={} whole_ms={} cause={}",
             self.id,
             self.status,
             self.route,
@@ -130,6 +136,7 @@
             self.team,
             self.service,
             self.upstream,
+            self.version,
             self.sends,
             self.events,
             self.config_version,
@@ -141,6 +148,9 @@
             let (framing, ended): (&'static str, &'static str) = (framing.into(), end.into());
             write!(f, " framing={framing} ended={ended}")?;
         }
+        if let Some(resumes) = &self.resumes {
+            write!(f, " resumes={resumes:?}")?;
+        }
         match &self.limit {
             Some(limit) => write!(f, " {limit}"),
             None => Ok(()),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -229,9 +229,10 @@
         self.splitter.drop_partial();
         let last_event_id = self.splitter.last_id().map(str::to_owned);
         log::info!(
-            "event=stream_resumed id={} upstream={} cause={} after={last_event_id:?}",
+            "event=stream_resumed id={} upstream={} version={} cause={} after={last_event_id:?}",
             self.request_log.id,
             self.request_log.upstream,
+            self.request_log.version,
             self.request_log.cause,
         );
         let (relay, admitted, buffered) =
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -188,6 +188,11 @@
     /// A key with which a caller identifies one logical call across retries.
     IdempotencyKey, check_key, "^[!-~]{1,200}$", "1 to 200 printable ASCII characters without spaces"
 );
+text_id!(
+    /// A version of the software of an upstream. What two versions write in a stream doesn't fit
+    /// together.
+    SoftwareVersion, check_key, "^[!-~]{1,200}$", "1 to 200 printable ASCII characters without spaces"
+);
 text_id!(
     /// A key by which the cloud recognises a repeated request to start an instance.
     ClientToken, check_key, "^[!-~]{1,200}$", "1 to 200 printable ASCII characters without spaces"
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,8 +15,8 @@
 pub use config::{Change, ConfigRecord, Configuration, PoolSpec, ServiceSpec, TeamSpec};
 pub use id::{
     Adapter, Attempt, ClientToken, DataCentre, Fencing, IdempotencyKey, Incarnation, Instance,
-    MachineClass, Model, Offset, Operator, Pool, Region, RequestId, Revision, Service, StreamName,
-    Team, Version,
+    MachineClass, Model, Offset, Operator, Pool, Region, RequestId, Revision, Service,
+    SoftwareVersion, StreamName, Team, Version,
 };
 pub use intent::{Intent, PricedOffer};
 pub use outcome::{NotRun, Reachability, RefusalReason, Sent, Unknown, Unsent, UpstreamRefusal};
--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -83,6 +83,7 @@
         service: "model".try_into().unwrap(),
         address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
         data_centre: "a".try_into().unwrap(),
+        version: "v1".try_into().ok(),
         slots: 16,
         leaving,
         reclaimable: false,
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -68,6 +68,7 @@
                 service: "model".try_into().unwrap(),
                 address: upstream.address,
                 data_centre: "a-1".try_into().unwrap(),
+                version: "v1".try_into().ok(),
                 slots: 200,
                 leaving: false,
                 reclaimable: false,
