--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -9,12 +9,13 @@
 use spindle_policy::breaker::{BreakerTransition, CircuitBreaker, FailureKind};
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
+use spindle_policy::stream_versions::{KnownVersions, PermittedVersions};
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, Prompt, choose};
-use spindle_types::{DataCentre, Instance, MonotonicInstant, Service};
+use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -91,6 +92,8 @@
     pub upstream_id: UpstreamId,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Version of the upstream's software, if it states one.
+    pub version: Option<SoftwareVersion>,
     /// When the upstream was chosen.
     pub assigned_at: MonotonicInstant,
     /// Time that processing the prompt adds to the upstream's queue until the response begins, in
@@ -114,12 +117,21 @@
     pub complete: bool,
 }
 
+/// Which upstreams of a service an attempt may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Restrictions<'a> {
+    /// Upstreams that have been tried.
+    pub tried: &'a [UpstreamKey],
+    /// Versions of the software that may serve the attempt.
+    pub versions: &'a PermittedVersions,
+}
+
 /// Whether an assigned request may be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendPermission {
     /// It may be sent now.
     Granted,
-    /// The upstream is shutting down or gone.
+    /// The upstream is shutting down or gone, or its entry names another version than before.
     Left,
     /// The upstream has named a limit, which permits no request of this daemon now.
     Limited,
@@ -174,6 +186,17 @@
         changes.into_iter().for_each(|change| self.log_change(change, "list"));
     }
 
+    /// Records that the whole system starts for the first time, so that no upstream can have served
+    /// before.
+    pub fn set_first_start(&self) {
+        self.state().registry.set_first_start();
+    }
+
+    /// What is known of the software versions of a service.
+    pub fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
+        self.state().registry.versions(now, service)
+    }
+
     /// Marks an upstream as shutting down or gone; it gets no new requests.
     pub fn on_leaving(
         &self,
@@ -225,11 +248,12 @@
         service: &Service,
         prompt: Option<&Prompt>,
         max_wait: Duration,
-        tried: &[UpstreamKey],
+        restrictions: Restrictions<'_>,
     ) -> Result<Assignment, Choice> {
         let mut state = self.state();
         let prefix_id = prompt.and_then(|prompt| prompt.prefix_id);
-        let candidates = state.candidates(now, service, &self.own_data_centre, (prefix_id, tried));
+        let candidates =
+            state.candidates(now, service, &self.own_data_centre, (prefix_id, restrictions));
         let choice = choose(&candidates, prompt, max_wait);
         let Choice::Upstream(key, queued_ms) = choice else {
             return Err(choice);
@@ -237,7 +261,7 @@
         let Some(listed) = state.registry.get(key) else {
             return Err(Choice::None);
         };
-        let (upstream_id, address) = (listed.registration.id.clone(), listed.registration.address);
+        let Registration { id: upstream_id, address, version, .. } = listed.registration.clone();
         let chosen = candidates.iter().find(|found| found.key == key);
         let expected_ms = chosen.map_or(0.0, |found| {
             let found = Candidate { slowdown: 1.0, ..*found };
@@ -254,6 +278,7 @@
             key,
             upstream_id,
             address,
+            version,
             assigned_at: now,
             queued_ms,
             expected_ms,
@@ -262,16 +287,16 @@
         })
     }
 
-    /// Whether a service has a usable upstream that is not in `tried`.
+    /// Whether a service has a usable upstream that has not been tried.
     pub fn has_untried(
         &self,
         now: MonotonicInstant,
         service: &Service,
-        tried: &[UpstreamKey],
+        restrictions: Restrictions<'_>,
     ) -> bool {
         let state = self.state();
         state
-            .candidates(now, service, &self.own_data_centre, (None, tried))
+            .candidates(now, service, &self.own_data_centre, (None, restrictions))
             .iter()
             .any(Candidate::is_open)
     }
@@ -378,11 +403,12 @@
         let mut state = self.state();
         let State { registry, upstreams, .. } = &mut *state;
         let Some(listed) = registry.get(key) else { return };
-        let Registration { id, service, address, data_centre, reclaimable, .. } =
+        let Registration { id, service, address, data_centre, version, reclaimable, .. } =
             &listed.registration;
+        let version = version.as_ref().map_or("-", SoftwareVersion::as_str);
         log::info!(
             "event={event} upstream={} born={} service={service} data_centre={data_centre} \
-             address={address} reclaimable={reclaimable} source={source}",
+             address={address} version={version} reclaimable={reclaimable} source={source}",
             id.instance,
             id.started_at_ms,
         );
@@ -413,12 +439,14 @@
         now: MonotonicInstant,
         service: &Service,
         own_data_centre: &DataCentre,
-        (prefix_id, tried): (Option<u64>, &[UpstreamKey]),
+        (prefix_id, restrictions): (Option<u64>, Restrictions<'_>),
     ) -> Vec<Candidate> {
-        let usable = self
-            .registry
-            .iter()
-            .filter(|(_, listed)| listed.registration.service == *service && listed.usable(now));
+        let usable = self.registry.iter().filter(|(_, listed)| {
+            let Registration { service: found, version, .. } = &listed.registration;
+            found == service
+                && listed.usable(now)
+                && restrictions.versions.permits(version.as_ref())
+        });
         let candidates = usable.filter_map(|(key, listed)| {
             let upstream = self.upstreams.get(key)?;
             Some(Candidate {
@@ -433,7 +461,7 @@
                 breaker: upstream.breaker.state_at(now),
                 limit: self.limits.state(now, key),
                 is_local: listed.registration.data_centre == *own_data_centre,
-                tried: tried.contains(&key),
+                tried: restrictions.tried.contains(&key),
             })
         });
         candidates.collect()
@@ -484,7 +512,10 @@
     /// or named a limit since it was chosen.
     pub fn may_send(&mut self, now: MonotonicInstant) -> SendPermission {
         let mut state = self.balancer.state();
-        if !state.registry.get(self.key).is_some_and(|listed| listed.usable(now)) {
+        let is_same = state.registry.get(self.key).is_some_and(|listed| {
+            listed.usable(now) && listed.registration.version == self.version
+        });
+        if !is_same {
             return SendPermission::Left;
         }
         if !self.counted {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -36,6 +36,9 @@
     pub timeout: Option<Duration>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Attempt that brought the first event of the stream that the caller resumes, if it names
+    /// exactly one.
+    pub resumes: Option<String>,
     /// Number of prompt tokens, and the maximum number of tokens to generate.
     pub tokens: Option<(u32, u32)>,
     /// Parts of the prompt, in order.
@@ -104,6 +107,11 @@
         /// Delay after which the caller may retry.
         retry_after: Duration,
     },
+    /// At which version of the software the stream began that the caller resumes is not known.
+    UnknownVersion {
+        /// Delay after which the caller may retry.
+        retry_after: Duration,
+    },
     /// The daemon is shutting down.
     Leaving {
         /// Delay after which the caller may retry.
@@ -130,6 +138,7 @@
             | Self::OverQuota { retry_after }
             | Self::Overloaded { retry_after }
             | Self::NoUpstream { retry_after }
+            | Self::UnknownVersion { retry_after }
             | Self::Leaving { retry_after } => Some(retry_after),
             _ => None,
         }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -1,11 +1,12 @@
 //! The log line and the metrics of each request, written when it ends in whatever way.
 
+use crate::balancer::Assignment;
 use crate::limits::LimitUse;
 use crate::metrics::METRICS;
 use crate::request::Refusal;
 use crate::response_end::{Framing, ResponseEnd};
 use opentelemetry::KeyValue;
-use spindle_types::{Clock, MonotonicInstant};
+use spindle_types::{Clock, MonotonicInstant, SoftwareVersion};
 use std::fmt;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -36,6 +37,12 @@
     pub(crate) service: String,
     pub(crate) config_version: u64,
     pub(crate) upstream: String,
+    /// Version of that upstream.
+    pub(crate) version: String,
+    /// Attempt whose stream the caller takes up.
+    pub(crate) resumes: Option<String>,
+    /// Where the version of that stream is known from.
+    pub(crate) version_source: &'static str,
     /// Limit of that upstream, if it has named one.
     pub(crate) limit: Option<LimitUse>,
     pub(crate) sends: u32,
@@ -62,6 +69,9 @@
             service: "-".to_owned(),
             config_version: 0,
             upstream: "-".to_owned(),
+            version: "-".to_owned(),
+            resumes: None,
+            version_source: "-",
             limit: None,
             sends: 0,
             status: 0,
@@ -74,6 +84,14 @@
         }
     }
 
+    /// Records the upstream that the request is assigned to.
+    pub(crate) fn on_assigned(&mut self, now: MonotonicInstant, assignment: &Assignment) {
+        let version = assignment.version.as_ref().map_or("-", SoftwareVersion::as_str);
+        version.clone_into(&mut self.version);
+        self.upstream = assignment.upstream_id.instance.to_string();
+        self.limit = assignment.limit_use(now);
+    }
+
     /// Records the time of the first byte of the response. Returns whether this was the first call.
     pub(crate) const fn on_first_byte(&mut self, now: MonotonicInstant) -> bool {
         let first = self.first_byte_at.is_none();
@@ -122,7 +140,7 @@
         write!(
             f,
             "event=request id={} outcome={outcome} status={} route={} kind={} team={} service={} \
-             upstream={} sends={} events={} config={} first_ms={} whole_ms={} cause={}",
+             upstream={} version={} sends={} events={} config={} first_ms={} whole_ms={} cause={}",
             self.id,
             self.status,
             self.route,
@@ -130,6 +148,7 @@
             self.team,
             self.service,
             self.upstream,
+            self.version,
             self.sends,
             self.events,
             self.config_version,
@@ -141,6 +160,9 @@
             let (framing, ended): (&'static str, &'static str) = (framing.into(), end.into());
             write!(f, " framing={framing} ended={ended}")?;
         }
+        if let Some(resumes) = &self.resumes {
+            write!(f, " resumes={resumes:?} version_source={}", self.version_source)?;
+        }
         match &self.limit {
             Some(limit) => write!(f, " {limit}"),
             None => Ok(()),
