test(platform): streams of suspended, restarted and all other daemons are taken up at their version

Four daemons, three of them killed; one suspended; one killed and another restarted before it is asked.

--- a/crates/policy/src/stream_versions/tests.rs
+++ b/crates/policy/src/stream_versions/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 fn version(text: &str) -> Option<SoftwareVersion> {
     text.try_into().ok()
@@ -151,3 +153,47 @@
     assert!(chosen.iter().all(|keeper| with_places().any(|found| found == (keeper, &far))));
     assert_eq!(keepers((&own, &near), with_places().take(ALL_KEEP_MAX)).len(), ALL_KEEP_MAX);
 }
+
+#[test]
+fn attempts_of_two_teams_with_the_same_id_are_two_streams() {
+    let team = |name: &str| Team::try_from(name).unwrap();
+    let keys = BTreeSet::from([
+        StreamKey::new(None, "a"),
+        StreamKey::new(Some(&team("cava")), "a"),
+        StreamKey::new(Some(&team("tinto")), "a"),
+        StreamKey::new(Some(&team("cava")), "b"),
+    ]);
+    assert_eq!(keys.len(), 4);
+}
+
+/// Bytes a second that a daemon may send and receive for control, by the design target.
+const CONTROL_BYTES_MAX: f64 = 4_000.0;
+
+#[test]
+fn what_a_daemon_tells_of_its_streams_stays_small_at_the_target_size() {
+    // 1,700 requests a second at 370 daemons, all of them streams, while two versions serve.
+    let (daemons, streams_per_second, ticks_per_second, seconds) = (370.0, 1_700.0, 20, 60);
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let mut versions = StreamVersions::default();
+    let (mut bytes, mut messages, mut stream) = (0, 0, 0);
+    for tick in 0..seconds * ticks_per_second {
+        let now = at(tick * 1_000 / ticks_per_second);
+        let mean: f64 = streams_per_second / daemons / ticks_per_second as f64;
+        // At most four streams begin in a tick, with this mean number.
+        for _ in 0..4 {
+            if random.random::<f64>() < mean / 4.0 {
+                stream += 1;
+                let name = if stream % 2 == 0 { "v1.1" } else { "v1.2" };
+                versions.on_sent(now, &service(), key(stream), &version(name).unwrap());
+            }
+        }
+        let told = versions.take_untold(now, |_| false);
+        if !told.is_empty() {
+            messages += KEEPERS;
+            bytes += KEEPERS * serde_json::to_vec(&told).unwrap().len();
+        }
+    }
+    let per_second = |total: usize| total as f64 / seconds as f64;
+    assert!(per_second(messages) < 20.0, "{messages}");
+    assert!(per_second(bytes) < CONTROL_BYTES_MAX, "{bytes}");
+}
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use nix::sys::signal::Signal;
 use spindle_http::Body;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 const SECOND_VERSION: &str = "v1.1";
@@ -90,12 +91,17 @@
     }
 }
 
-/// Starts streams at the first daemon, kills it, and takes them up at the others.
-async fn take_up_after_death(daemons: &mut Vec<Daemon>) -> Vec<(String, Response<Incoming>)> {
+/// Starts streams at the first `lost` daemons, signals these, and takes the streams up at the others.
+/// Returns what had arrived of each stream, and the response that goes on with it.
+async fn take_up_after(
+    daemons: &mut Vec<Daemon>,
+    lost: usize,
+    signal: Signal,
+) -> Vec<(String, Response<Incoming>)> {
     let mut streams = Vec::new();
     for stream in 0..STREAMS {
         let id = format!("s-{stream}");
-        let response = start_stream(daemons[0].caller, &id, &[]).await;
+        let response = start_stream(daemons[stream % lost].caller, &id, &[]).await;
         streams.push((id, response));
     }
     let mut begun = Vec::new();
@@ -103,43 +109,84 @@
         let (text, _) = read_events(&mut response, 5).await;
         begun.push((id, text, response));
     }
-    let mut killed = daemons.remove(0);
-    killed.signal(Signal::SIGKILL);
-    killed.exit().await;
+    let others = daemons.split_off(lost);
+    for daemon in daemons.iter_mut() {
+        daemon.signal(signal);
+        if signal == Signal::SIGKILL {
+            daemon.exit().await;
+        }
+    }
     let mut resumed = Vec::new();
     for (index, (id, text, _)) in begun.into_iter().enumerate() {
-        let daemon = daemons[index % daemons.len()].caller;
+        let daemon = others[index % others.len()].caller;
         let after = last_id(&text).to_string();
         let headers = [("resumes", id.as_str()), ("last-event-id", after.as_str())];
         resumed.push((text, start_stream(daemon, &format!("{id}-2"), &headers).await));
     }
+    daemons.extend(others);
     resumed
 }
 
-#[tokio::test]
-async fn a_stream_taken_up_at_another_daemon_goes_on_at_the_version_that_began_it() {
-    let (_platform, _upstreams, mut daemons) = start_versions(4).await;
-    let mut versions = Vec::new();
-    for (begun, mut response) in take_up_after_death(&mut daemons).await {
+/// Checks that streams go on to their end at the version that began them. Returns the versions.
+async fn check_versions(resumed: Vec<(String, Response<Incoming>)>) -> BTreeSet<&'static str> {
+    let mut versions = BTreeSet::new();
+    for (begun, mut response) in resumed {
         assert_eq!(response.status(), 200);
         let (rest, complete) = read_events(&mut response, usize::MAX).await;
-        let version = version_of(&begun);
         assert!(complete, "{rest}");
-        assert_eq!(rest, events(version, last_id(&begun)), "{begun}");
-        versions.push(version);
+        assert_eq!(rest, events(version_of(&begun), last_id(&begun)), "{begun}");
+        versions.insert(version_of(&begun));
     }
-    assert!(versions.contains(&FIRST_VERSION) && versions.contains(&SECOND_VERSION));
+    versions
+}
+
+#[tokio::test]
+async fn a_stream_taken_up_at_another_daemon_goes_on_at_the_version_that_began_it() {
+    let (_platform, _upstreams, mut daemons) = start_versions(4).await;
+    let resumed = take_up_after(&mut daemons, 1, Signal::SIGKILL).await;
+    assert_eq!(check_versions(resumed).await.len(), 2);
+}
+
+#[tokio::test]
+async fn the_last_daemon_left_goes_on_with_the_streams_of_all_others() {
+    let (_platform, _upstreams, mut daemons) = start_versions(4).await;
+    let resumed = take_up_after(&mut daemons, 3, Signal::SIGKILL).await;
+    assert_eq!(check_versions(resumed).await.len(), 2);
+}
+
+#[tokio::test]
+async fn a_stream_of_a_suspended_daemon_goes_on_at_the_version_that_began_it() {
+    let (_platform, _upstreams, mut daemons) = start_versions(3).await;
+    let resumed = take_up_after(&mut daemons, 1, Signal::SIGSTOP).await;
+    assert_eq!(check_versions(resumed).await.len(), 2);
+}
+
+#[tokio::test]
+async fn a_restarted_daemon_goes_on_with_streams_that_others_have_on_record() {
+    let (platform, _upstreams, mut daemons) = start_versions(3).await;
+    let restarted = daemons.pop().unwrap();
+    let addresses = [restarted.caller, restarted.ready, restarted.peer, restarted.directory];
+    let (name, seed) = (restarted.name.clone(), daemons[0].peer);
+    let id = "s-0";
+    let mut begun = start_stream(daemons[0].caller, id, &[]).await;
+    let (text, _) = read_events(&mut begun, 3).await;
+    drop(restarted);
+    drop(daemons.remove(0));
+    let daemon = Daemon::start(&platform, &name, addresses, seed);
+    daemon.wait_for_server().await;
+    daemon.wait_for("/read/x", 200).await;
+    daemon.wait_for_addresses(2).await;
+    let after = last_id(&text).to_string();
+    let headers = [("resumes", id), ("last-event-id", after.as_str())];
+    let response = start_stream(daemon.caller, "s-0-2", &headers).await;
+    check_versions(vec![(text, response)]).await;
 }
 
 #[tokio::test]
 async fn a_stream_taken_up_at_another_daemon_goes_on_while_there_is_one_version() {
     let (_platform, _upstreams, mut daemons) = start_deployment(3).await;
-    for (begun, mut response) in take_up_after_death(&mut daemons).await {
-        assert_eq!(response.status(), 200);
-        let (rest, complete) = read_events(&mut response, usize::MAX).await;
-        assert!(complete, "{rest}");
-        assert_eq!(rest, events(FIRST_VERSION, last_id(&begun)));
-    }
+    let resumed = take_up_after(&mut daemons, 1, Signal::SIGKILL).await;
+    assert_eq!(check_versions(resumed).await, BTreeSet::from([FIRST_VERSION]));
 }
 
 #[tokio::test]
