--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -222,3 +222,26 @@
     assert_eq!(response.status(), 503);
     assert!(platform.executions("s-gone").is_empty());
 }
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_stream_of_a_split_route_goes_on_at_the_service_that_began_it() {
+    let (platform, _upstreams, mut daemons) = start_deployment(3).await;
+    let _other = Upstream::start_version(&platform, "i-5", "other", SECOND_VERSION).await;
+    let mut split = standin::configuration(7);
+    split["services"].as_array_mut().unwrap().push(serde_json::json!({"name": "other"}));
+    let halves = serde_json::json!([
+        {"service": "model", "weight": 1}, {"service": "other", "weight": 1},
+    ]);
+    split["routes"][2].as_object_mut().unwrap().remove("service");
+    split["routes"][2]["traffic-split"] = halves;
+    platform.configure(&split);
+    for daemon in &daemons {
+        let in_force = || daemon.log().contains("event=configuration_in_force version=7");
+        while !in_force() || !daemon.log().contains("event=upstream_added upstream=i-5") {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+    let resumed = take_up_after(&mut daemons, 1, Signal::SIGKILL).await;
+    assert_eq!(check_versions(resumed).await.len(), 2);
+}
