fix(node): a daemon that may have missed upstreams does not take a service's one known version for the only one

By reading, not seen: a daemon that is cut off from the store and its peers, but not from callers, would send a stream that began elsewhere to the version it knew, whatever had started since. Change: the only version of a service counts at a daemon whose last read of the store is at most 6 s old, longer than the longest interval between reads (5 s); beyond that the daemon also tells others of its streams, and depends on records or on the word of a daemon that does read. During an outage of the store all do so.

--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -17,6 +17,10 @@
 /// time. Twice the time that the users' callers wait for a stream.
 pub const STREAM_LIFETIME_MAX: Duration = Duration::from_secs(30);
 
+/// Longest time for which a daemon may have missed registrations and still know that a service has
+/// one version. Longer than the longest time between two reads of the store while it answers.
+const SOLE_AGE_MAX: Duration = Duration::from_secs(6);
+
 /// Maximum number of streams that a daemon records.
 const RECORDS_MAX: usize = 65_536;
 
@@ -216,6 +220,15 @@
     pub seen: BTreeSet<Option<SoftwareVersion>>,
 }
 
+impl KnownVersions {
+    /// What remains known if the daemon may have missed registrations for the time `age`; none if it
+    /// has never read them.
+    pub fn at_age(self, age: Option<Duration>) -> Self {
+        let is_recent = age.is_some_and(|age| age <= SOLE_AGE_MAX);
+        Self { sole: self.sole.filter(|_| is_recent), ..self }
+    }
+}
+
 /// Decides at which version a stream began that this daemon has no record of, from what it and the
 /// other daemons know.
 pub fn decide(
--- a/crates/policy/src/stream_versions/tests.rs
+++ b/crates/policy/src/stream_versions/tests.rs
@@ -197,3 +197,16 @@
     assert!(per_second(messages) < 20.0, "{messages}");
     assert!(per_second(bytes) < CONTROL_BYTES_MAX, "{bytes}");
 }
+
+#[test]
+fn a_daemon_that_may_have_missed_registrations_does_not_know_of_one_version() {
+    let known = KnownVersions { sole: version("v1"), seen: BTreeSet::from([version("v1")]) };
+    let sole = |age| known.clone().at_age(age).sole;
+    assert_eq!(sole(Some(SOLE_AGE_MAX)), version("v1"));
+    assert_eq!(sole(Some(SOLE_AGE_MAX + Duration::from_millis(1))), None);
+    assert_eq!(sole(None), None);
+    let outdated = known.clone().at_age(None);
+    assert_eq!(decide(&outdated, &[]), (None, VersionSource::Unknown));
+    let recent = StreamAnswer { version: None, sole: version("v1") };
+    assert_eq!(decide(&outdated, &[recent]), (version("v1"), VersionSource::Sole));
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -232,7 +232,6 @@
         (settings.instance.clone(), settings.data_centre.clone()),
         components.clock,
         keeper,
-        components.balancer.clone(),
         components.statuses.clone(),
     );
     tokio::spawn(exchange.run(questions));
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -17,7 +17,7 @@
     ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
-use spindle_policy::stream_versions::{StreamAnswer, StreamQuestion, StreamRecords};
+use spindle_policy::stream_versions::{KnownVersions, StreamAnswer, StreamQuestion, StreamRecords};
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{Registration, UpstreamId};
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
@@ -432,6 +432,13 @@
         self.connection(peer)?.exchange(message).await
     }
 
+    /// What is known of the software versions of a service.
+    pub(super) fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
+        // What peers tell of leaving upstreams says nothing of new ones.
+        let age = self.parts.registrations.last_success().map(|at| now.since(at));
+        self.parts.balancer.versions(now, service).at_age(age)
+    }
+
     /// The other daemons that this one hears.
     pub(super) fn live_peers(&self, now: MonotonicInstant) -> Vec<Peer> {
         let state = self.state();
@@ -629,6 +636,6 @@
     async fn stream_version(&self, question: StreamQuestion) -> RpcResult<StreamAnswer> {
         let now = self.statuses.parts.clock.now();
         let version = self.keeper.version(now, question.stream);
-        Ok(StreamAnswer { version, sole: self.balancer.versions(now, &question.service).sole })
+        Ok(StreamAnswer { version, sole: self.statuses.versions(now, &question.service).sole })
     }
 }
--- a/src/node/stream_versions.rs
+++ b/src/node/stream_versions.rs
@@ -9,7 +9,6 @@
 use spindle_policy::stream_versions::{
     KnownVersions, StreamAnswer, StreamQuestion, StreamRecords, VersionSource, decide, keepers,
 };
-use spindle_relay::Balancer;
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
 use spindle_types::{Clock, DataCentre, Instance, SoftwareVersion};
 use std::collections::HashMap;
@@ -47,7 +46,6 @@
     own: (Instance, DataCentre),
     clock: BootClock,
     keeper: StreamKeeper,
-    balancer: Balancer,
     statuses: PeerStatuses,
     /// Messages to each daemon, which are sent one after the other.
     outboxes: HashMap<SocketAddr, mpsc::Sender<Vec<StreamRecords>>>,
@@ -59,10 +57,9 @@
         own: (Instance, DataCentre),
         clock: BootClock,
         keeper: StreamKeeper,
-        balancer: Balancer,
         statuses: PeerStatuses,
     ) -> Self {
-        Self { own, clock, keeper, balancer, statuses, outboxes: HashMap::new() }
+        Self { own, clock, keeper, statuses, outboxes: HashMap::new() }
     }
 
     /// Answers the relay's questions and tells other daemons of streams, until the process exits.
@@ -84,7 +81,7 @@
         let now = self.clock.now();
         let records = self
             .keeper
-            .take_untold(now, |service| self.balancer.versions(now, service).sole.is_some());
+            .take_untold(now, |service| self.statuses.versions(now, service).sole.is_some());
         if records.is_empty() {
             return;
         }
@@ -112,7 +109,7 @@
     fn ask(&self, pending: PendingQuestion) {
         let PendingQuestion { question, reply } = pending;
         let now = self.clock.now();
-        let known = self.balancer.versions(now, &question.service);
+        let known = self.statuses.versions(now, &question.service);
         let peers = self.statuses.live_peers(now);
         let connections: Vec<PeerConnection> =
             peers.iter().filter_map(|peer| self.statuses.connection(peer.address).ok()).collect();
