--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -4,9 +4,10 @@
 use crate::metrics::METRICS;
 use crate::pool::ConnectionPool;
 use crate::protocol::{NamedLimit, ReportedLoad};
+use crate::tracked_upstream::TrackedUpstream;
 use opentelemetry::KeyValue;
 use slotmap::SecondaryMap;
-use spindle_policy::breaker::{BreakerTransition, CircuitBreaker, FailureKind};
+use spindle_policy::breaker::{BreakerTransition, FailureKind};
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
 use spindle_policy::stream_versions::{KnownVersions, PermittedVersions};
@@ -16,23 +17,12 @@
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long the load that an upstream has reported in a response is used. Requests of the sizes
-/// served start and end within a few of these intervals.
-const REPORTED_LOAD_MAX_AGE: Duration = Duration::from_millis(250);
-
-/// How long an engine is assumed to keep a prompt prefix in its cache after this daemon has sent it
-/// there. Within this time, computing the prefix again is billed.
-const PREFIX_CACHE_LIFETIME: Duration = Duration::from_secs(10);
-
-/// Maximum number of prompt prefixes remembered for one upstream.
-const RECENT_PREFIXES_MAX: usize = 256;
-
 /// Weight of the newest response in the moving average of an upstream's slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.2;
 
@@ -43,30 +33,6 @@
 /// and the estimated time so that short requests don't distort their ratio.
 const FIXED_LATENCY_MS: f64 = 30.0;
 
-/// Time constant with which a measured slowdown decays towards 1: its excess falls to 1/e. Slow
-/// upstreams are tried again by then.
-const SLOWDOWN_DECAY: Duration = Duration::from_secs(4);
-
-/// What this daemon has observed of one upstream, beside its registration.
-#[derive(Debug, Default)]
-struct TrackedUpstream {
-    /// Hash of the instance and its start time, the same at every daemon.
-    identity: u64,
-    breaker: CircuitBreaker,
-    /// This daemon's requests there.
-    running: u32,
-    /// Prompt processing that this daemon's requests have queued there, in milliseconds.
-    queued_ms: f64,
-    /// The other daemons' requests there, and their queued prompt processing in milliseconds.
-    peer_load: (u32, u32),
-    /// Number of requests that the upstream reported last, and when.
-    reported_load: Option<(MonotonicInstant, u32)>,
-    /// Prompt prefixes sent there, and when last.
-    recent_prefixes: HashMap<u64, MonotonicInstant>,
-    /// Smoothed ratio of measured to estimated latency, and when it was updated.
-    slowdown: Option<(MonotonicInstant, f64)>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     registry: UpstreamRegistry,
@@ -468,37 +434,6 @@
     }
 }
 
-impl TrackedUpstream {
-    fn requests(&self, now: MonotonicInstant) -> u32 {
-        let reported = self.reported_load.filter(|(at, _)| now.since(*at) <= REPORTED_LOAD_MAX_AGE);
-        let counted = self.running + self.peer_load.0;
-        reported.map_or(counted, |(_, requests)| counted.max(requests))
-    }
-
-    /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated.
-    fn slowdown(&self, now: MonotonicInstant) -> f64 {
-        let Some((at, slowdown)) = self.slowdown else { return 1.0 };
-        let remaining = (-now.since(at).as_secs_f64() / SLOWDOWN_DECAY.as_secs_f64()).exp();
-        1.0 + (slowdown - 1.0) * remaining
-    }
-
-    fn has_recent_prefix(&self, now: MonotonicInstant, prefix_id: u64) -> bool {
-        self.recent_prefixes
-            .get(&prefix_id)
-            .is_some_and(|at| now.since(*at) <= PREFIX_CACHE_LIFETIME)
-    }
-
-    fn on_prefix_sent(&mut self, now: MonotonicInstant, prefix_id: Option<u64>) {
-        let Some(prefix_id) = prefix_id else { return };
-        if self.recent_prefixes.len() >= RECENT_PREFIXES_MAX {
-            self.recent_prefixes.retain(|_, at| now.since(*at) <= PREFIX_CACHE_LIFETIME);
-        }
-        if self.recent_prefixes.len() < RECENT_PREFIXES_MAX {
-            self.recent_prefixes.insert(prefix_id, now);
-        }
-    }
-}
-
 impl Assignment {
     /// Records the load that the upstream has reported in a response.
     pub fn on_load(&self, now: MonotonicInstant, reported_load: Option<ReportedLoad>) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,8 @@
 mod response_stream;
 mod stream;
 pub mod stream_keeper;
+mod stream_origin;
+mod tracked_upstream;
 pub mod usage;
 
 pub use balancer::Balancer;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::attempt::{Attempt, AttemptOutcome, silence_limit};
 use crate::balancer::{Assignment, Balancer, Restrictions, UpstreamResult};
-use crate::config::{ActiveConfig, Limits, RepeatPolicy, Route, TeamSpec};
+use crate::config::{ActiveConfig, Limits, Route, TeamSpec};
 use crate::metrics::METRICS;
 use crate::pool::PooledConnection;
 use crate::protocol::UpstreamProtocol;
@@ -13,6 +13,7 @@
 use crate::response_end::{Framing, ResponseEnd};
 use crate::stream;
 use crate::stream_keeper::StreamKeeper;
+use crate::stream_origin::choose_service;
 use crate::usage::UsageTracker;
 use bytes::Bytes;
 use http::{Response, Version, header, response};
@@ -20,7 +21,7 @@
 use opentelemetry::KeyValue;
 use rand::RngExt;
 use spindle_http::{Body, ReadError, read_body};
-use spindle_policy::stream_versions::{PermittedVersions, StreamKey, StreamQuestion};
+use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_registry::UpstreamKey;
 use spindle_policy::upstream_selection::Choice;
 use spindle_service::headers::remove_hop_by_hop;
@@ -29,7 +30,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// A request is sent only if more than this is left until its deadline: one round trip between data
 /// centres.
@@ -120,7 +120,7 @@
     /// Versions of the upstreams' software that may serve the next attempt.
     pub(crate) versions: PermittedVersions,
     /// Version that the stream was last sent to.
-    recorded_version: Option<SoftwareVersion>,
+    pub(crate) recorded_version: Option<SoftwareVersion>,
 }
 
 impl AttemptHistory {
@@ -221,56 +221,6 @@
         }
     }
 
-    /// At which versions a stream may be served: a caller that has received events of it can only go
-    /// on at the version that wrote them.
-    ///
-    /// # Errors
-    ///
-    /// That version is not known.
-    async fn permitted_versions(
-        &self,
-        admitted: &AdmittedRequest,
-        inbound: &Inbound,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<PermittedVersions, Refusal> {
-        if admitted.route.repeat != RepeatPolicy::Resumable || inbound.last_event_id.is_none() {
-            return Ok(PermittedVersions::Any);
-        }
-        let stream =
-            StreamKey::new(admitted.team.as_ref(), inbound.resumes.as_deref().unwrap_or_default());
-        let question = StreamQuestion { service: admitted.service.clone(), stream };
-        let (version, source) = self.0.keeper.find(self.0.clock.now(), question).await;
-        request_log.version_source = source.into();
-        METRICS.resumed_streams.add(1, &[KeyValue::new("source", <&'static str>::from(source))]);
-        match version {
-            Some(version) => Ok(PermittedVersions::Only(Some(version))),
-            None => Err(Refusal::UnknownVersion { retry_after: backoff() }),
-        }
-    }
-
-    /// Records the version that a stream is sent to, for callers that take it up elsewhere.
-    fn record_version(
-        &self,
-        admitted: &AdmittedRequest,
-        inbound: &Inbound,
-        past: &mut AttemptHistory,
-        version: Option<&SoftwareVersion>,
-    ) {
-        let Some(version) = version else { return };
-        if admitted.route.repeat != RepeatPolicy::Resumable
-            || past.recorded_version.as_ref() == Some(version)
-        {
-            return;
-        }
-        past.recorded_version = Some(version.clone());
-        let resumed = inbound.resumes.as_deref().filter(|_| inbound.last_event_id.is_some());
-        let ids = [Some(inbound.id.as_str()), resumed].into_iter().flatten();
-        for id in ids.filter(|id| !id.is_empty()) {
-            let stream = StreamKey::new(admitted.team.as_ref(), id);
-            self.0.keeper.on_sent(self.0.clock.now(), &admitted.service, stream, version);
-        }
-    }
-
     /// Checks a request against one configuration and charges the quota of its team.
     fn admit(
         &self,
@@ -620,31 +570,10 @@
 }
 
 /// Delay after which a refused request may be retried, with jitter.
-fn backoff() -> Duration {
+pub(crate) fn backoff() -> Duration {
     RETRY_AFTER_MIN + RETRY_AFTER_JITTER.mul_f64(rand::rng().random::<f64>())
 }
 
-/// Chooses a service of a split route by the attempt that began the stream, or by the request's own
-/// id: whichever daemon a caller takes a stream up at, it chooses the same service.
-fn choose_service(route: &Route, inbound: &Inbound) -> Service {
-    let resumed = inbound.resumes.as_deref().filter(|_| inbound.last_event_id.is_some());
-    let hash = match resumed.unwrap_or(&inbound.id) {
-        "" => rand::rng().random(),
-        id => xxh3_64(id.as_bytes()),
-    };
-    let total_weight: u32 = route.services.iter().map(|(_, weight)| weight).sum();
-    let mut remaining = hash % u64::from(total_weight.max(1));
-    for (service, weight) in &route.services {
-        if remaining < u64::from(*weight) {
-            return service.clone();
-        }
-        remaining -= u64::from(*weight);
-    }
-    // A validated route has at least one service, and the weights add up to the divisor, so the loop
-    // returns unless all weights are 0.
-    route.services[0].0.clone()
-}
-
 async fn read_request(
     inbound: &Inbound,
     body: Incoming,
--- /dev/null
+++ b/crates/relay/src/tracked_upstream.rs
@@ -0,0 +1,72 @@
+//! What a daemon has observed of one upstream.
+
+use spindle_policy::breaker::CircuitBreaker;
+use spindle_types::MonotonicInstant;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long the load that an upstream has reported in a response is used. Requests of the sizes
+/// served start and end within a few of these intervals.
+const REPORTED_LOAD_MAX_AGE: Duration = Duration::from_millis(250);
+
+/// How long an engine is assumed to keep a prompt prefix in its cache after this daemon has sent it
+/// there. Within this time, computing the prefix again is billed.
+const PREFIX_CACHE_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Maximum number of prompt prefixes remembered for one upstream.
+const RECENT_PREFIXES_MAX: usize = 256;
+
+/// Time constant with which a measured slowdown decays towards 1: its excess falls to 1/e. Slow
+/// upstreams are tried again by then.
+const SLOWDOWN_DECAY: Duration = Duration::from_secs(4);
+
+/// What this daemon has observed of one upstream, beside its registration.
+#[derive(Debug, Default)]
+pub(crate) struct TrackedUpstream {
+    /// Hash of the instance and its start time, the same at every daemon.
+    pub(crate) identity: u64,
+    pub(crate) breaker: CircuitBreaker,
+    /// This daemon's requests there.
+    pub(crate) running: u32,
+    /// Prompt processing that this daemon's requests have queued there, in milliseconds.
+    pub(crate) queued_ms: f64,
+    /// The other daemons' requests there, and their queued prompt processing in milliseconds.
+    pub(crate) peer_load: (u32, u32),
+    /// Number of requests that the upstream reported last, and when.
+    pub(crate) reported_load: Option<(MonotonicInstant, u32)>,
+    /// Prompt prefixes sent there, and when last.
+    pub(crate) recent_prefixes: HashMap<u64, MonotonicInstant>,
+    /// Smoothed ratio of measured to estimated latency, and when it was updated.
+    pub(crate) slowdown: Option<(MonotonicInstant, f64)>,
+}
+
+impl TrackedUpstream {
+    pub(crate) fn requests(&self, now: MonotonicInstant) -> u32 {
+        let reported = self.reported_load.filter(|(at, _)| now.since(*at) <= REPORTED_LOAD_MAX_AGE);
+        let counted = self.running + self.peer_load.0;
+        reported.map_or(counted, |(_, requests)| counted.max(requests))
+    }
+
+    /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated.
+    pub(crate) fn slowdown(&self, now: MonotonicInstant) -> f64 {
+        let Some((at, slowdown)) = self.slowdown else { return 1.0 };
+        let remaining = (-now.since(at).as_secs_f64() / SLOWDOWN_DECAY.as_secs_f64()).exp();
+        1.0 + (slowdown - 1.0) * remaining
+    }
+
+    pub(crate) fn has_recent_prefix(&self, now: MonotonicInstant, prefix_id: u64) -> bool {
+        self.recent_prefixes
+            .get(&prefix_id)
+            .is_some_and(|at| now.since(*at) <= PREFIX_CACHE_LIFETIME)
+    }
+
+    pub(crate) fn on_prefix_sent(&mut self, now: MonotonicInstant, prefix_id: Option<u64>) {
+        let Some(prefix_id) = prefix_id else { return };
+        if self.recent_prefixes.len() >= RECENT_PREFIXES_MAX {
+            self.recent_prefixes.retain(|_, at| now.since(*at) <= PREFIX_CACHE_LIFETIME);
+        }
+        if self.recent_prefixes.len() < RECENT_PREFIXES_MAX {
+            self.recent_prefixes.insert(prefix_id, now);
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 pub mod leader;
 pub mod registrations;
 pub mod status_exchange;
+pub mod status_service;
 pub mod stream_versions;
 
 use self::boot_clock::BootClock;
@@ -21,7 +22,8 @@
 use self::discovery::NodeDiscovery;
 use self::leader::Leader;
 use self::registrations::RegistrationFollower;
-use self::status_exchange::{PeerStatuses, StatusService};
+use self::status_exchange::PeerStatuses;
+use self::status_service::StatusService;
 use self::stream_versions::StreamVersionExchange;
 use crate::metrics;
 use eyre::WrapErr;
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -4,10 +4,8 @@
 use super::configuration::ConfigurationFollower;
 use super::registrations::RegistrationFollower;
 use super::stream_versions::Peer;
-use jsonrpsee::core::{ClientError, RpcResult, async_trait};
-use spindle_daemon::{
-    ConfigDocument, Dialer, PeerConnection, StatusExchangeClient, StatusExchangeServer,
-};
+use jsonrpsee::core::ClientError;
+use spindle_daemon::{Dialer, PeerConnection, StatusExchangeClient};
 use spindle_http::Drain;
 use spindle_platform::settings::NodeSettings;
 use spindle_platform::store::PlatformStore;
@@ -17,13 +15,12 @@
     ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
-use spindle_policy::stream_versions::{KnownVersions, StreamAnswer, StreamQuestion, StreamRecords};
+use spindle_policy::stream_versions::KnownVersions;
 use spindle_policy::upstream_limit::LimitReport;
-use spindle_policy::upstream_registry::{Registration, UpstreamId};
+use spindle_policy::upstream_registry::UpstreamId;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
 use spindle_relay::balancer::LeavingUpstreams;
-use spindle_relay::stream_keeper::StreamKeeper;
 use spindle_relay::{ActiveConfig, Balancer, UsageTracker};
 use spindle_types::{
     Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
@@ -65,7 +62,7 @@
 /// have gone on without it.
 const SUSPENDED_AFTER: Duration = Duration::from_secs(1);
 
-type Follower = ConfigurationFollower<PlatformStore, BootClock>;
+pub(super) type Follower = ConfigurationFollower<PlatformStore, BootClock>;
 
 /// The dependencies of [`PeerStatuses`].
 #[derive(Debug)]
@@ -467,7 +464,7 @@
     }
 
     /// Applies a message from a peer and returns the reply.
-    fn on_message(&self, message: &Message) -> Message {
+    pub(super) fn on_message(&self, message: &Message) -> Message {
         self.apply_message(message);
         let now = self.parts.clock.now();
         let mut state = self.state();
@@ -595,52 +592,3 @@
 fn count<T>(items: impl Iterator<Item = T>) -> u32 {
     u32::try_from(items.count()).unwrap_or(u32::MAX)
 }
-
-/// Answers the calls of other daemons.
-#[derive(Debug)]
-pub struct StatusService {
-    statuses: PeerStatuses,
-    follower: Follower,
-    balancer: Balancer,
-    keeper: StreamKeeper,
-}
-
-impl StatusService {
-    /// Creates a service that answers from the statuses, configuration, upstreams and streams of this
-    /// daemon.
-    pub const fn new(
-        statuses: PeerStatuses,
-        follower: Follower,
-        balancer: Balancer,
-        keeper: StreamKeeper,
-    ) -> Self {
-        Self { statuses, follower, balancer, keeper }
-    }
-}
-
-#[async_trait]
-impl StatusExchangeServer for StatusService {
-    async fn exchange(&self, message: Message) -> RpcResult<Message> {
-        Ok(self.statuses.on_message(&message))
-    }
-
-    async fn document(&self) -> RpcResult<Option<ConfigDocument>> {
-        Ok(self.follower.document())
-    }
-
-    async fn registrations(&self) -> RpcResult<Vec<Registration>> {
-        Ok(self.balancer.usable_registrations(self.statuses.parts.clock.now()))
-    }
-
-    async fn keep_streams(&self, records: Vec<StreamRecords>) -> RpcResult<()> {
-        let now = self.statuses.parts.clock.now();
-        records.iter().for_each(|told| self.keeper.on_records(now, told));
-        Ok(())
-    }
-
-    async fn stream_version(&self, question: StreamQuestion) -> RpcResult<StreamAnswer> {
-        let now = self.statuses.parts.clock.now();
-        let version = self.keeper.version(now, question.stream);
-        Ok(StreamAnswer { version, sole: self.statuses.versions(now, &question.service).sole })
-    }
-}
--- /dev/null
+++ b/src/node/status_service.rs
@@ -0,0 +1,61 @@
+//! Serves the calls of other daemons.
+
+use super::boot_clock::BootClock;
+use super::status_exchange::{Follower, PeerStatuses};
+use jsonrpsee::core::{RpcResult, async_trait};
+use spindle_daemon::{ConfigDocument, StatusExchangeServer};
+use spindle_policy::presence::Message;
+use spindle_policy::stream_versions::{StreamAnswer, StreamQuestion, StreamRecords};
+use spindle_policy::upstream_registry::Registration;
+use spindle_relay::Balancer;
+use spindle_relay::stream_keeper::StreamKeeper;
+use spindle_types::Clock;
+
+/// Answers the calls of other daemons.
+#[derive(Debug)]
+pub struct StatusService {
+    statuses: PeerStatuses,
+    follower: Follower,
+    balancer: Balancer,
+    keeper: StreamKeeper,
+}
+
+impl StatusService {
+    /// Creates a service that answers from the statuses, configuration, upstreams and streams of this
+    /// daemon.
+    pub const fn new(
+        statuses: PeerStatuses,
+        follower: Follower,
+        balancer: Balancer,
+        keeper: StreamKeeper,
+    ) -> Self {
+        Self { statuses, follower, balancer, keeper }
+    }
+}
+
+#[async_trait]
+impl StatusExchangeServer for StatusService {
+    async fn exchange(&self, message: Message) -> RpcResult<Message> {
+        Ok(self.statuses.on_message(&message))
+    }
+
+    async fn document(&self) -> RpcResult<Option<ConfigDocument>> {
+        Ok(self.follower.document())
+    }
+
+    async fn registrations(&self) -> RpcResult<Vec<Registration>> {
+        Ok(self.balancer.usable_registrations(BootClock.now()))
+    }
+
+    async fn keep_streams(&self, records: Vec<StreamRecords>) -> RpcResult<()> {
+        let now = BootClock.now();
+        records.iter().for_each(|told| self.keeper.on_records(now, told));
+        Ok(())
+    }
+
+    async fn stream_version(&self, question: StreamQuestion) -> RpcResult<StreamAnswer> {
+        let now = BootClock.now();
+        let version = self.keeper.version(now, question.stream);
+        Ok(StreamAnswer { version, sole: self.statuses.versions(now, &question.service).sole })
+    }
+}
