--- a/crates/relay/src/stream_keeper.rs
+++ b/crates/relay/src/stream_keeper.rs
@@ -14,6 +14,8 @@
 /// A question to the other daemons, and where the answer goes.
 #[derive(Debug)]
 pub struct PendingQuestion {
+    /// Id of the caller's attempt, for the log.
+    pub id: String,
     /// The question.
     pub question: StreamQuestion,
     /// Receives the version, and where it is known from.
@@ -74,19 +76,21 @@
         self.len() == 0
     }
 
-    /// Finds out at which version a stream began.
+    /// Finds out at which version a stream began that the attempt `id` takes up.
     pub async fn find(
         &self,
         now: MonotonicInstant,
         question: StreamQuestion,
+        id: &str,
     ) -> (Option<SoftwareVersion>, VersionSource) {
         if let Some(version) = self.version(now, question.stream) {
             return (Some(version), VersionSource::Own);
         }
         let (reply, answer) = oneshot::channel();
         let unknown = (None, VersionSource::Unknown);
-        if let Err(error) = self.questions.try_send(PendingQuestion { question, reply }) {
-            log::warn!("event=stream_question_dropped error={error}");
+        let pending = PendingQuestion { id: id.to_owned(), question, reply };
+        if let Err(error) = self.questions.try_send(pending) {
+            log::warn!("event=stream_question_dropped id={id} error={error}");
             return unknown;
         }
         answer.await.unwrap_or(unknown)
--- a/crates/relay/src/stream_origin.rs
+++ b/crates/relay/src/stream_origin.rs
@@ -32,7 +32,7 @@
         let stream =
             StreamKey::new(admitted.team.as_ref(), inbound.resumes.as_deref().unwrap_or_default());
         let question = StreamQuestion { service: admitted.service.clone(), stream };
-        let (version, source) = self.0.keeper.find(self.0.clock.now(), question).await;
+        let (version, source) = self.0.keeper.find(self.0.clock.now(), question, &inbound.id).await;
         request_log.version_source = source.into();
         METRICS.resumed_streams.add(1, &[KeyValue::new("source", <&'static str>::from(source))]);
         match version {
--- a/src/node/stream_versions.rs
+++ b/src/node/stream_versions.rs
@@ -107,7 +107,7 @@
     }
 
     fn ask(&self, pending: PendingQuestion) {
-        let PendingQuestion { question, reply } = pending;
+        let PendingQuestion { id, question, reply } = pending;
         let now = self.clock.now();
         let known = self.statuses.versions(now, &question.service);
         let peers = self.statuses.live_peers(now);
@@ -117,7 +117,7 @@
             let asked = connections.len();
             let (version, source) = collect_answers(&known, connections, &question).await;
             log::info!(
-                "event=stream_version service={} version={} source={source} asked={asked} \
+                "event=stream_version id={id} service={} version={} source={source} asked={asked} \
                  seen={}",
                 question.service,
                 version.as_ref().map_or("-", SoftwareVersion::as_str),
