fix(node): a restarted daemon adopts from another one which versions there were before it

Change: while a daemon knows the versions for less than 30 s, it asks another one twice a second, and adopts what that one knew, if it has read the store after this daemon's own first list, so that nothing is missing in between. Result: a_restarted_daemon_learns_from_others_that_there_was_one_version; the policy test with the gaps and bounds.

--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -7,7 +7,9 @@
 use serde_with::base64::Base64;
 use serde_with::serde_as;
 use spindle_policy::presence::Message;
-use spindle_policy::stream_versions::{StreamAnswer, StreamQuestion, StreamRecords};
+use spindle_policy::stream_versions::{
+    StreamAnswer, StreamQuestion, StreamRecords, VersionHistory,
+};
 use spindle_policy::upstream_registry::Registration;
 
 /// An encoded configuration, as read from the store.
@@ -43,6 +45,10 @@
     #[method(name = "registrations")]
     async fn registrations(&self) -> RpcResult<Vec<Registration>>;
 
+    /// Returns what is known of the versions of all services; none before the first read.
+    #[method(name = "version_history")]
+    async fn version_history(&self) -> RpcResult<Option<VersionHistory>>;
+
     /// Records the versions of the caller's streams.
     #[method(name = "keep_streams")]
     async fn keep_streams(&self, records: Vec<StreamRecords>) -> RpcResult<()>;
--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -220,6 +220,18 @@
     pub seen: BTreeSet<Option<SoftwareVersion>>,
 }
 
+/// What a daemon knows of the versions of all services, for one that started lately.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionHistory {
+    /// For how long the daemon has known all registrations, in milliseconds, at most
+    /// [`STREAM_LIFETIME_MAX`].
+    pub complete_ms: u64,
+    /// Time since its last read of the store, in milliseconds.
+    pub age_ms: u64,
+    /// Versions of the upstreams of that time.
+    pub seen: Vec<(Service, Option<SoftwareVersion>)>,
+}
+
 impl KnownVersions {
     /// What remains known if the daemon may have missed registrations for the time `age`; none if it
     /// has never read them.
--- a/crates/policy/src/upstream_registry.rs
+++ b/crates/policy/src/upstream_registry.rs
@@ -4,7 +4,7 @@
 //! Leaving is final. A registration that lapses around an outage of the store keeps its upstream in
 //! use for a short grace period, because upstreams that are still running register again.
 
-use crate::stream_versions::{KnownVersions, STREAM_LIFETIME_MAX};
+use crate::stream_versions::{KnownVersions, STREAM_LIFETIME_MAX, VersionHistory};
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
@@ -136,6 +136,13 @@
     Always,
     /// Since a complete list was read.
     List(MonotonicInstant),
+    /// Since a time before that at which another daemon was asked, which knew them.
+    Adopted {
+        /// When it was asked.
+        at: MonotonicInstant,
+        /// For how long before it had known them.
+        before: Duration,
+    },
 }
 
 impl UpstreamRegistry {
@@ -149,6 +156,49 @@
         self.first_start = true;
     }
 
+    /// For how long all registrations have been known, at most [`STREAM_LIFETIME_MAX`].
+    pub fn complete_for(&self, now: MonotonicInstant) -> Duration {
+        match self.complete_since {
+            None => Duration::ZERO,
+            Some(CompleteSince::Always) => STREAM_LIFETIME_MAX,
+            Some(CompleteSince::List(at)) => now.since(at).min(STREAM_LIFETIME_MAX),
+            Some(CompleteSince::Adopted { at, before }) => {
+                before.saturating_add(now.since(at)).min(STREAM_LIFETIME_MAX)
+            }
+        }
+    }
+
+    /// The versions of all upstreams, those that left lately included.
+    pub fn all_versions(&self) -> BTreeSet<(Service, Option<SoftwareVersion>)> {
+        let listed = self.upstreams.values().map(|known| &known.registration);
+        let listed = listed.map(|found| (found.service.clone(), found.version.clone()));
+        let replaced = self.replaced.iter();
+        let replaced = replaced.map(|(service, version, _)| (service.clone(), version.clone()));
+        listed.chain(replaced).collect()
+    }
+
+    /// Adopts what another daemon knew when it answered a call that was sent at `sent`. Without
+    /// effect unless it had read the store after this daemon's complete list, so that no
+    /// registration can be missing between both.
+    pub fn adopt_history(
+        &mut self,
+        now: MonotonicInstant,
+        sent: MonotonicInstant,
+        history: &VersionHistory,
+    ) -> bool {
+        let Some(CompleteSince::List(listed)) = self.complete_since else { return false };
+        let age = Duration::from_millis(history.age_ms);
+        let complete = Duration::from_millis(history.complete_ms);
+        if sent.since(listed) <= age || complete <= now.since(listed) {
+            return false;
+        }
+        // Counted from the sending on, so that it is never more than the other daemon's.
+        self.complete_since = Some(CompleteSince::Adopted { at: sent, before: complete });
+        let seen = history.seen.iter().cloned();
+        self.replaced.extend(seen.map(|(service, version)| (service, version, now)));
+        true
+    }
+
     /// What is known of the versions of a service.
     pub fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
         let of_service = self.upstreams.values().map(|known| &known.registration);
@@ -157,11 +207,7 @@
         let replaced = self.replaced.iter().filter(|(replaced, ..)| replaced == service);
         let seen: BTreeSet<_> =
             listed.chain(replaced.map(|(_, version, _)| version.clone())).collect();
-        let complete = match self.complete_since {
-            None => false,
-            Some(CompleteSince::Always) => true,
-            Some(CompleteSince::List(at)) => now.since(at) >= STREAM_LIFETIME_MAX,
-        };
+        let complete = self.complete_for(now) == STREAM_LIFETIME_MAX;
         let sole = seen.first().filter(|_| complete && seen.len() == 1).cloned().flatten();
         KnownVersions { sole, seen }
     }
--- a/crates/policy/src/upstream_registry/tests.rs
+++ b/crates/policy/src/upstream_registry/tests.rs
@@ -165,3 +165,38 @@
     registry.on_registration(now, with_version("i-2", 1, "", false));
     assert_eq!(registry.versions(now, &service).sole, None);
 }
+
+#[test]
+fn a_restarted_daemon_adopts_the_versions_of_a_daemon_that_has_read_the_store_after_it() {
+    let service = registration("i-1", 1, false).service;
+    let at = |millis| MonotonicInstant::default() + Duration::from_millis(millis);
+    let restarted = || {
+        let mut registry = UpstreamRegistry::default();
+        registry.on_registration(at(1_000), with_version("i-1", 1, "v1", false));
+        registry.on_complete_list(at(1_000), &["i-1".try_into().unwrap()]);
+        registry
+    };
+    let history = |complete_ms, age_ms, version: &str| VersionHistory {
+        complete_ms,
+        age_ms,
+        seen: vec![(service.clone(), version.try_into().ok())],
+    };
+    let sole = |registry: &UpstreamRegistry, millis| {
+        registry.versions(at(millis), &service).sole.map(String::from)
+    };
+    let mut registry = restarted();
+    assert!(registry.adopt_history(at(2_010), at(2_000), &history(30_000, 999, "v1")));
+    assert_eq!(sole(&registry, 2_010).as_deref(), Some("v1"));
+    let mut registry = restarted();
+    assert!(!registry.adopt_history(at(2_010), at(2_000), &history(30_000, 1_000, "v1")));
+    assert_eq!(sole(&registry, 2_010), None);
+    // Another version served there before this daemon started.
+    let mut registry = restarted();
+    assert!(registry.adopt_history(at(2_010), at(2_000), &history(30_000, 500, "v0")));
+    assert_eq!(sole(&registry, 2_010), None);
+    // The other daemon has not known for long either.
+    let mut registry = restarted();
+    assert!(registry.adopt_history(at(2_010), at(2_000), &history(20_000, 500, "v1")));
+    assert_eq!(sole(&registry, 11_999), None);
+    assert_eq!(sole(&registry, 12_000).as_deref(), Some("v1"));
+}
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -10,7 +10,9 @@
 use spindle_policy::breaker::{BreakerTransition, FailureKind};
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
-use spindle_policy::stream_versions::{KnownVersions, PermittedVersions};
+use spindle_policy::stream_versions::{
+    KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
+};
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
@@ -158,6 +160,41 @@
         self.state().registry.set_first_start();
     }
 
+    /// What another daemon that started lately needs to know of versions; `age` is the time since
+    /// the last read of the store.
+    pub fn version_history(&self, now: MonotonicInstant, age: Duration) -> VersionHistory {
+        let state = self.state();
+        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        VersionHistory {
+            complete_ms: millis(state.registry.complete_for(now)),
+            // Rounded up, so that it is never less than the age.
+            age_ms: millis(age) + 1,
+            seen: state.registry.all_versions().into_iter().collect(),
+        }
+    }
+
+    /// Whether all versions are known that streams can have begun at.
+    pub fn knows_versions(&self, now: MonotonicInstant) -> bool {
+        self.state().registry.complete_for(now) == STREAM_LIFETIME_MAX
+    }
+
+    /// Adopts what another daemon knew when it answered a call that was sent at `sent`.
+    pub fn adopt_history(
+        &self,
+        now: MonotonicInstant,
+        sent: MonotonicInstant,
+        history: &VersionHistory,
+    ) {
+        if self.state().registry.adopt_history(now, sent, history) {
+            log::info!(
+                "event=versions_adopted complete_ms={} age_ms={} versions={}",
+                history.complete_ms,
+                history.age_ms,
+                history.seen.len(),
+            );
+        }
+    }
+
     /// What is known of the software versions of a service.
     pub fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
         self.state().registry.versions(now, service)
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -431,9 +431,31 @@
 
     /// What is known of the software versions of a service.
     pub(super) fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
-        // What peers tell of leaving upstreams says nothing of new ones.
-        let age = self.parts.registrations.last_success().map(|at| now.since(at));
-        self.parts.balancer.versions(now, service).at_age(age)
+        self.parts.balancer.versions(now, service).at_age(self.read_age(now))
+    }
+
+    /// Time since this daemon's last read of the upstreams from the store. What peers tell of leaving
+    /// upstreams doesn't count here, as it says nothing of new ones.
+    pub(super) fn read_age(&self, now: MonotonicInstant) -> Option<Duration> {
+        self.parts.registrations.last_success().map(|at| now.since(at))
+    }
+
+    /// Adopts what another daemon knows of the versions before this one started.
+    pub(super) async fn adopt_history(self, peer: SocketAddr) {
+        let sent = self.parts.clock.now();
+        let Ok(connection) = self.connection(peer) else { return };
+        match connection.version_history().await {
+            Ok(Some(history)) => {
+                self.parts.balancer.adopt_history(self.parts.clock.now(), sent, &history);
+            }
+            Ok(None) => {}
+            Err(error) => log::debug!("event=history_call_failed peer={peer} error={error:?}"),
+        }
+    }
+
+    /// Whether this daemon knows all versions that streams can have begun at.
+    pub(super) fn knows_versions(&self, now: MonotonicInstant) -> bool {
+        self.parts.balancer.knows_versions(now)
     }
 
     /// The other daemons that this one hears.
--- a/src/node/status_service.rs
+++ b/src/node/status_service.rs
@@ -5,7 +5,9 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use spindle_daemon::{ConfigDocument, StatusExchangeServer};
 use spindle_policy::presence::Message;
-use spindle_policy::stream_versions::{StreamAnswer, StreamQuestion, StreamRecords};
+use spindle_policy::stream_versions::{
+    StreamAnswer, StreamQuestion, StreamRecords, VersionHistory,
+};
 use spindle_policy::upstream_registry::Registration;
 use spindle_relay::Balancer;
 use spindle_relay::stream_keeper::StreamKeeper;
@@ -47,6 +49,12 @@
         Ok(self.balancer.usable_registrations(BootClock.now()))
     }
 
+    async fn version_history(&self) -> RpcResult<Option<VersionHistory>> {
+        let now = BootClock.now();
+        let age = self.statuses.read_age(now);
+        Ok(age.map(|age| self.balancer.version_history(now, age)))
+    }
+
     async fn keep_streams(&self, records: Vec<StreamRecords>) -> RpcResult<()> {
         let now = BootClock.now();
         records.iter().for_each(|told| self.keeper.on_records(now, told));
--- a/src/node/stream_versions.rs
+++ b/src/node/stream_versions.rs
@@ -5,6 +5,7 @@
 use super::status_exchange::PeerStatuses;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
 use spindle_daemon::{PeerConnection, StatusExchangeClient};
 use spindle_policy::stream_versions::{
     KnownVersions, StreamAnswer, StreamQuestion, StreamRecords, VersionSource, decide, keepers,
@@ -26,6 +27,10 @@
 /// The same if all that this daemon knows says which version it is.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Interval at which a daemon that started lately asks another one for the versions of the time
+/// before.
+const HISTORY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Messages that may wait for one daemon.
 const OUTBOX_MAX: usize = 64;
 
@@ -66,8 +71,11 @@
     pub async fn run(mut self, mut questions: mpsc::Receiver<PendingQuestion>) {
         let mut ticks = tokio::time::interval(TELL_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut history_ticks = tokio::time::interval(HISTORY_INTERVAL);
+        history_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                _ = history_ticks.tick() => self.ask_history(),
                 _ = ticks.tick() => self.tell(),
                 question = questions.recv() => match question {
                     Some(question) => self.ask(question),
@@ -77,6 +85,17 @@
         }
     }
 
+    /// Asks another daemon for the versions of the time before this one started, while that matters.
+    fn ask_history(&self) {
+        let now = self.clock.now();
+        if self.statuses.knows_versions(now) {
+            return;
+        }
+        if let Some(peer) = self.statuses.live_peers(now).choose(&mut rand::rng()) {
+            tokio::spawn(self.statuses.clone().adopt_history(peer.address));
+        }
+    }
+
     fn tell(&mut self) {
         let now = self.clock.now();
         let records = self
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -182,6 +182,23 @@
     check_versions(vec![(text, response)]).await;
 }
 
+#[tokio::test]
+async fn a_restarted_daemon_learns_from_others_that_there_was_one_version() {
+    let (platform, _upstreams, mut daemons) = start_deployment(3).await;
+    platform.end_first_start();
+    let restarted = daemons.pop().unwrap();
+    let addresses = [restarted.caller, restarted.ready, restarted.peer, restarted.directory];
+    let (name, seed) = (restarted.name.clone(), daemons[0].peer);
+    drop(restarted);
+    let daemon = Daemon::start(&platform, &name, addresses, seed);
+    while !daemon.log().contains("event=versions_adopted") {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    daemons.push(daemon);
+    let resumed = take_up_after(&mut daemons, 2, Signal::SIGKILL).await;
+    assert_eq!(check_versions(resumed).await, BTreeSet::from([FIRST_VERSION]));
+}
+
 #[tokio::test]
 async fn a_stream_taken_up_at_another_daemon_goes_on_while_there_is_one_version() {
     let (_platform, _upstreams, mut daemons) = start_deployment(3).await;
