--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -14,6 +14,9 @@
 /// Requests that may still reach upstreams later.
 const LATE_MAX: usize = 3;
 
+/// The same for a request that is repeated.
+const CRASHES_OF_REPEAT_KNOWN: usize = 3;
+
 /// Most requests sent until that many upstreams have crashed.
 const REQUESTS_MAX: usize = 40;
 
@@ -32,11 +35,14 @@
     parts.iter().map(|part| format!("{part}:20")).collect::<Vec<_>>().join(",")
 }
 
-/// Starts daemons, and four upstreams of the model service.
-async fn start_models(daemons: usize) -> (Platform, Vec<Upstream>, Vec<Daemon>) {
+/// Starts daemons, and four upstreams of a service. Those of the service are the last ones.
+async fn start_four(daemons: usize, service: &str) -> (Platform, Vec<Upstream>, Vec<Daemon>) {
     let (platform, mut upstreams, daemons) = start_deployment(daemons).await;
+    if service == "desk" {
+        upstreams.rotate_left(2);
+    }
     for name in ["i-5", "i-6"] {
-        upstreams.push(Upstream::start(&platform, name, "model").await);
+        upstreams.push(Upstream::start(&platform, name, service).await);
     }
     for daemon in &daemons {
         while daemon.log().matches("event=upstream_added upstream=").count() < 6 {
@@ -54,7 +60,7 @@
 
 #[tokio::test]
 async fn requests_with_a_part_that_crashes_upstreams_stop_reaching_them_from_all_daemons() {
-    let (platform, upstreams, daemons) = start_models(3).await;
+    let (platform, upstreams, daemons) = start_four(3, "model").await;
     for upstream in &upstreams[2..] {
         upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
     }
@@ -79,3 +85,46 @@
     assert!(late <= LATE_MAX, "{late} requests reached upstreams after {CRASHES_KNOWN} crashes");
     assert!(served * 10 >= REQUESTS_MAX * 9, "{served} of {REQUESTS_MAX} sound requests began");
 }
+
+/// Repeats a request that crashes upstreams, at all daemons, among sound ones of the same caller and
+/// route. Returns how many repeats reached upstreams after it was known, and how many sound requests
+/// were answered.
+async fn repeat(bad: (&'static str, &'static str, &'static str), sound: &str) -> (usize, usize) {
+    let (platform, upstreams, daemons) = start_four(3, "desk").await;
+    let (method, path, body) = bad;
+    for upstream in &upstreams[2..] {
+        upstream.set_crash_cause(Some(CrashCause::Request { path, body }));
+    }
+    for number in 0..REQUESTS_MAX {
+        if platform.crashes() >= CRASHES_OF_REPEAT_KNOWN {
+            break;
+        }
+        daemons[number % daemons.len()].send(&format!("bad-{number}"), method, path).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    tokio::time::sleep(CONTACT_TIME).await;
+    let mut served = 0;
+    for number in 0..REQUESTS_MAX {
+        let daemon = &daemons[number % daemons.len()];
+        daemon.send(&format!("late-{number}"), method, path).await;
+        let response = daemon.send(&format!("ok-{number}"), method, sound).await;
+        served += usize::from(response.status() == 200);
+        tokio::time::sleep(PAUSE).await;
+    }
+    (platform.executions_of("late-"), served)
+}
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_repeated_request_that_crashes_upstreams_stops_reaching_them_from_all_daemons() {
+    for (bad, sound) in
+        [(("GET", "/read/x?bad", ""), "/read/x"), (("POST", "/book/x?bad", "content"), "/book/x")]
+    {
+        let (late, served) = repeat(bad, sound).await;
+        assert!(
+            late <= LATE_MAX,
+            "{bad:?}: {late} repeats after {CRASHES_OF_REPEAT_KNOWN} crashes"
+        );
+        assert!(served * 10 >= REQUESTS_MAX * 9, "{served} of {REQUESTS_MAX} sound requests");
+    }
+}
