fix(relay): a repeated request that crashes upstreams is refused at all daemons

One attempt sent the request on to a second instance 0.08 s later, and the next daemon knew nothing of either.

Change: a request is blamed and acquitted as a whole too, by a hash of team, host, method, target, prompt and body. Crashes 20 ms apart count against it, as it is sent again only after the one before, so the third one convicts it and ends its retries. Other requests of the caller, path or body have other hashes.

--- a/crates/policy/src/crash_ledger.rs
+++ b/crates/policy/src/crash_ledger.rs
@@ -1,4 +1,4 @@
-//! Which parts of prompts crash the upstreams that process them.
+//! Which parts of prompts, and which requests, crash the upstreams that process them.
 //!
 //! A crash blames the requests whose responses were just beginning at the upstream, as far as any
 //! daemon knows. What crashes *each* upstream never gets further, so one response that goes on
@@ -11,7 +11,7 @@
 
 use crate::upstream_registry::UpstreamId;
 use serde::{Deserialize, Serialize};
-use spindle_types::{Instance, MonotonicInstant, Service};
+use spindle_types::{Instance, MonotonicInstant, Service, Team};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::time::Duration;
@@ -21,9 +21,12 @@
 /// Number of crashes in a row for which something is blamed before it is convicted.
 pub const CONVICTING_CRASHES: usize = 3;
 
-/// Crashes that are closer together than this count once: many upstreams may be killed at the same
-/// time for another reason, and acquittals take some time to arrive.
-const BLAME_INTERVAL: Duration = Duration::from_millis(200);
+/// Crashes that are closer together than this count once against a part: many upstreams may be
+/// killed at the same time for another reason, and acquittals take some time to arrive.
+const PART_BLAME_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The same for a request, which is sent again only after the crash before.
+const REQUEST_BLAME_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time from the latest blame until the first probe.
 const FIRST_PROBE_AFTER: Duration = Duration::from_secs(3);
@@ -61,6 +64,9 @@
         /// Id of the part.
         id: u64,
     },
+    /// A request of a team: hash of its host, method, target, prompt parts and body.
+    #[serde(rename = "r")]
+    Request(u64),
 }
 
 impl WorkKey {
@@ -70,14 +76,38 @@
         Self::Part { service, id }
     }
 
+    /// The key of a request of a team, from its host, method and target, its prompt parts and its
+    /// body. Repeats of it have the same key.
+    pub fn request(
+        team: Option<&Team>,
+        head: [&str; 3],
+        parts: impl Iterator<Item = u64>,
+        body: &[u8],
+    ) -> Self {
+        let team = team.map_or(0, |team| xxh3_64(team.as_str().as_bytes()));
+        let head = head.iter().fold(team, |seed, text| xxh3_64_with_seed(text.as_bytes(), seed));
+        let prompt = parts.fold(head, |seed, id| xxh3_64_with_seed(&id.to_le_bytes(), seed));
+        Self::Request(xxh3_64_with_seed(body, prompt))
+    }
+
+    /// Minimum time between two crashes that both count against the key.
+    const fn blame_interval(self) -> Duration {
+        match self {
+            Self::Part { .. } => PART_BLAME_INTERVAL,
+            Self::Request(_) => REQUEST_BLAME_INTERVAL,
+        }
+    }
+
     /// Whether this daemon sends the probes of the key, out of those that may be running.
     pub fn probed_by<'a>(
         self,
         own: &'a Instance,
         others: impl Iterator<Item = &'a Instance>,
     ) -> bool {
-        let Self::Part { service, id } = self;
-        let seed = id ^ (u64::from(service) << 32);
+        let seed = match self {
+            Self::Part { service, id } => id ^ (u64::from(service) << 32),
+            Self::Request(hash) => hash,
+        };
         let rank = |instance: &'a Instance| {
             (xxh3_64_with_seed(instance.as_str().as_bytes(), seed), instance)
         };
@@ -89,6 +119,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Part { service, id } => write!(f, "part:{id:x}@{service:x}"),
+            Self::Request(hash) => write!(f, "request:{hash:x}"),
         }
     }
 }
@@ -182,14 +213,14 @@
 }
 
 impl Suspect {
-    /// Number of crashes that count: those at least [`BLAME_INTERVAL`] after the one before.
-    fn count(&self) -> usize {
+    /// Number of crashes that count: those at least `interval` after the one before.
+    fn count(&self, interval: Duration) -> usize {
         let mut times: Vec<MonotonicInstant> = self.blames.values().copied().collect();
         times.sort();
         let mut counted: Option<MonotonicInstant> = None;
         let mut count = 0;
         for at in times {
-            if counted.is_none_or(|last| at.since(last) >= BLAME_INTERVAL) {
+            if counted.is_none_or(|last| at.since(last) >= interval) {
                 counted = Some(at);
                 count += 1;
             }
@@ -294,8 +325,10 @@
         let convicted = |key: &WorkKey| {
             self.suspects.get(key).filter(|suspect| suspect.convicted).map(|found| (*key, found))
         };
-        let (key, suspect) =
-            keys.iter().filter_map(convicted).max_by_key(|(key, found)| (found.count(), *key))?;
+        let (key, suspect) = keys
+            .iter()
+            .filter_map(convicted)
+            .max_by_key(|(key, found)| (found.count(key.blame_interval()), *key))?;
         let has_other_cause = self.suspects.iter().any(|(other, found)| {
             found.convicted && !keys.contains(other) && found.explains(suspect)
         });
@@ -303,7 +336,8 @@
         let probe_at = suspect.probe_at(first);
         if now < probe_at || !is_prober(key) {
             let probe_in = probe_at.since(now).max(first);
-            return Some(Verdict { key, blames: suspect.count(), probe_in });
+            let blames = suspect.count(key.blame_interval());
+            return Some(Verdict { key, blames, probe_in });
         }
         if let Some(suspect) = self.suspects.get_mut(&key) {
             suspect.probed_at = now;
@@ -412,7 +446,7 @@
             }
             suspect.blames.insert(upstream.clone(), at);
             suspect.touched_at = now;
-            let blames = suspect.count();
+            let blames = suspect.count(key.blame_interval());
             let event = if !suspect.convicted && blames >= CONVICTING_CRASHES {
                 suspect.convicted = true;
                 LedgerEvent::Convicted
@@ -443,7 +477,7 @@
         if suspect.blames.len() == before {
             return None;
         }
-        let blames = suspect.count();
+        let blames = suspect.count(key.blame_interval());
         let released = suspect.convicted && blames < CONVICTING_CRASHES;
         if released {
             suspect.convicted = false;
--- a/crates/policy/src/crash_ledger/tests.rs
+++ b/crates/policy/src/crash_ledger/tests.rs
@@ -150,6 +150,46 @@
     assert_eq!(crashes, CONVICTING_CRASHES as u64 + 2);
 }
 
+#[test]
+fn a_request_is_told_from_others_by_team_host_method_target_prompt_and_body() {
+    let (team, other) = ("cava".try_into().unwrap(), "rioja".try_into().unwrap());
+    let head = ["h.example", "POST", "/book/x?y"];
+    let key = |team: &Team, head, parts: &[u64], body: &str| {
+        WorkKey::request(Some(team), head, parts.iter().copied(), body.as_bytes())
+    };
+    let keys = [
+        key(&team, head, &[1, 2], "content"),
+        key(&other, head, &[1, 2], "content"),
+        WorkKey::request(None, head, [1, 2].into_iter(), b"content"),
+        key(&team, ["g.example", "POST", "/book/x?y"], &[1, 2], "content"),
+        key(&team, ["h.example", "PUT", "/book/x?y"], &[1, 2], "content"),
+        key(&team, ["h.example", "POST", "/book/x"], &[1, 2], "content"),
+        key(&team, head, &[1, 3], "content"),
+        key(&team, head, &[], "content"),
+        key(&team, head, &[1, 2], ""),
+    ];
+    assert_eq!(key(&team, head, &[1, 2], "content"), keys[0]);
+    assert_eq!(BTreeSet::from(keys).len(), keys.len());
+}
+
+#[test]
+fn a_request_that_crashes_three_upstreams_in_a_row_is_not_sent_to_a_fourth() {
+    let mut ledger = CrashLedger::default();
+    let request = [WorkKey::Request(BAD)];
+    let mut crashes = 0;
+    // Two attempts each of repeats 300 ms apart.
+    for repeat in 0..5 {
+        for attempt in 0..2 {
+            let now = at(300 * repeat + 80 * attempt);
+            if ledger.verdict(now, &request, |_| true).is_none() {
+                ledger.on_crash(now + Duration::from_millis(60), &upstream(crashes), &request);
+                crashes += 1;
+            }
+        }
+    }
+    assert_eq!(crashes, CONVICTING_CRASHES as u64);
+}
+
 #[test]
 fn one_daemon_sends_the_probes_of_a_key() {
     let daemons: Vec<Instance> =
--- a/crates/policy/src/crash_ledger/tests/simulation.rs
+++ b/crates/policy/src/crash_ledger/tests/simulation.rs
@@ -6,7 +6,13 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// How long after the fifth crash requests that still reach upstreams count.
+/// Upstreams that a request may be sent to.
+const ATTEMPTS: usize = 2;
+
+/// Time from sending a request that crashes upstreams until the crash.
+const CRASH_MS: u64 = 80;
+
+/// How long after the last crash that is needed to know the cause requests that still reach upstreams count.
 const CONTACT_MS: u64 = 3_000;
 
 /// Interval at which a daemon tells the others.
@@ -26,6 +32,8 @@
 
 #[derive(Clone, Copy)]
 struct Case {
+    /// Whether one request is repeated, in place of different ones with the same part.
+    repeats: bool,
     daemons: usize,
     late_ms: u64,
     lost: f64,
@@ -35,7 +43,7 @@
 #[derive(Debug, Default)]
 struct Outcome {
     crashes: usize,
-    /// Bad requests that reached upstreams later than [`CONTACT_MS`] after the fifth crash.
+    /// Bad requests that reached upstreams later than [`CONTACT_MS`] after the cause was to be known.
     late: usize,
     sound: usize,
     refused: usize,
@@ -52,7 +60,8 @@
     sent: Vec<CrashNews>,
     /// Sound responses: when they have gone on, at which daemon, and their rare part.
     responses: BinaryHeap<Reverse<(u64, usize, u64)>>,
-    fifth_at: Option<u64>,
+    /// When the cause was to be known.
+    known_at: Option<u64>,
     outcome: Outcome,
 }
 
@@ -65,7 +74,7 @@
             under_way: BinaryHeap::new(),
             sent: Vec::new(),
             responses: BinaryHeap::new(),
-            fifth_at: None,
+            known_at: None,
             outcome: Outcome::default(),
             case,
         }
@@ -132,22 +141,38 @@
 
     fn send_bad(&mut self, now: u64) {
         let daemon = self.draw_daemon();
+        if self.case.repeats {
+            let request = [WorkKey::Request(BAD)];
+            for attempt in 0..ATTEMPTS as u64 {
+                if self.is_refused(now, daemon, &request) {
+                    return;
+                }
+                self.crash(now + CRASH_MS * attempt, daemon, &request);
+            }
+            return;
+        }
         let keys = [part(POPULAR), part(BAD), part(self.draw_rare_part())];
         if self.is_refused(now, daemon, &keys) {
             return;
         }
-        self.outcome.late += usize::from(self.fifth_at.is_some_and(|at| now > at + CONTACT_MS));
-        let crashed = upstream(self.outcome.crashes as u64);
-        self.outcome.crashes += 1;
-        if self.outcome.crashes == 5 {
-            self.fifth_at = Some(now);
-        }
-        self.daemons[daemon].on_crash(at(now), &crashed, &keys);
+        let crashed = self.crash(now, daemon, &keys);
         // A sound request was beginning there too, sent by another daemon.
         let (other, innocent) = (self.draw_daemon(), self.draw_rare_part());
         self.daemons[other].on_crash(at(now), &crashed, &[part(POPULAR), part(innocent)]);
     }
 
+    /// Sends a request to an upstream, which it crashes.
+    fn crash(&mut self, now: u64, daemon: usize, keys: &[WorkKey]) -> UpstreamId {
+        self.outcome.late += usize::from(self.known_at.is_some_and(|at| now > at + CONTACT_MS));
+        let crashed = upstream(self.outcome.crashes as u64);
+        self.outcome.crashes += 1;
+        if self.outcome.crashes == if self.case.repeats { 3 } else { 5 } {
+            self.known_at = Some(now);
+        }
+        self.daemons[daemon].on_crash(at(now), &crashed, keys);
+        crashed
+    }
+
     fn tell(&mut self, now: u64) {
         let Case { daemons, late_ms, lost, .. } = self.case;
         for from in 0..daemons {
@@ -177,8 +202,7 @@
     }
 }
 
-#[test]
-fn few_requests_with_a_bad_part_reach_upstreams_and_sound_ones_are_sent_at_any_number_of_daemons() {
+fn check(repeats: bool) {
     for (daemons, late_ms, lost) in [
         (1, 1, 0.0),
         (6, 100, 0.1),
@@ -192,11 +216,20 @@
         (400, 100, 0.1),
     ] {
         for seed in 0..3 {
-            let case = Case { daemons, late_ms, lost, seed };
-            let outcome = Simulation::new(case).run();
-            println!("{daemons} daemons, {late_ms} ms, {lost} lost: {outcome:?}");
+            let outcome = Simulation::new(Case { repeats, daemons, late_ms, lost, seed }).run();
+            println!("repeats={repeats} {daemons} daemons, {late_ms} ms, {lost} lost: {outcome:?}");
             assert!(outcome.late <= 3, "{daemons} daemons, {late_ms} ms: {outcome:?}");
             assert!(outcome.refused * 10 <= outcome.sound, "{daemons}, {late_ms}: {outcome:?}");
         }
     }
 }
+
+#[test]
+fn few_requests_with_a_bad_part_reach_upstreams_and_sound_ones_are_sent_at_any_number_of_daemons() {
+    check(false);
+}
+
+#[test]
+fn few_repeats_of_a_bad_request_reach_upstreams_at_any_number_of_daemons() {
+    check(true);
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,7 +32,7 @@
     pub crash_changes: Counter<u64>,
     /// Number of requests that were not sent because of something that crashes upstreams.
     pub crash_refusals: Counter<u64>,
-    /// Number of prompt parts that are known to crash upstreams.
+    /// Number of prompt parts and requests that are known to crash upstreams.
     pub crash_convicted: Gauge<u64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
     pub first_byte_seconds: Histogram<f64>,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -200,8 +200,10 @@
         // Read after the body: a slow upload must not be admitted under a configuration that has
         // been replaced meanwhile.
         let config = self.0.config.borrow().clone();
-        let admitted = self.admit(&inbound, config, request_log)?;
+        let mut admitted = self.admit(&inbound, config, request_log)?;
         let buffered = BufferedRequest { inbound, body };
+        let work_keys = buffered.work_keys(&admitted.service, admitted.team.as_ref());
+        admitted.work_keys = work_keys.into();
         let mut past = AttemptHistory::default();
         let result = match self.permitted_versions(&admitted, &buffered.inbound, request_log).await
         {
@@ -269,7 +271,7 @@
             team: spec.map(|spec| spec.team.clone()),
             engine_priority: has_engine.then_some(priority.min(ENGINE_PRIORITY_MAX)),
             deadline: inbound.received_at + timeout,
-            work_keys: inbound.work_keys(&service).into(),
+            work_keys: Arc::default(),
             config,
             route,
             service,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,10 +1,11 @@
 //! A caller's request, and the reasons for which it can be refused.
 
 use bytes::Bytes;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri};
 use spindle_policy::crash_ledger::WorkKey;
 use spindle_policy::upstream_selection::Prompt;
-use spindle_types::{MonotonicInstant, Service};
+use spindle_types::{MonotonicInstant, Service, Team};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -62,14 +63,6 @@
             prefix_id: shared.last().map(|part| part.id),
         })
     }
-
-    /// What the request holds that may crash an upstream of a service: the parts of its prompt but
-    /// for the last one, which is specific to the request.
-    pub fn work_keys(&self, service: &Service) -> Vec<WorkKey> {
-        let shared = &self.parts[..self.parts.len().saturating_sub(1)];
-        let ids: BTreeSet<u64> = shared.iter().map(|part| part.id).collect();
-        ids.into_iter().map(|id| WorkKey::part(service, id)).collect()
-    }
 }
 
 /// A request whose body has been read completely, so that it can be sent more than once.
@@ -81,6 +74,22 @@
     pub body: Bytes,
 }
 
+impl BufferedRequest {
+    /// What the request holds that may crash an upstream of a service: the parts of its prompt but
+    /// for the last one, which is specific to the request, and the request as a whole.
+    pub fn work_keys(&self, service: &Service, team: Option<&Team>) -> Vec<WorkKey> {
+        let Inbound { parts, method, host, target, .. } = &self.inbound;
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let ids: BTreeSet<u64> = shared.iter().map(|part| part.id).collect();
+        let target = target.path_and_query().map_or("/", PathAndQuery::as_str);
+        let all_ids = parts.iter().map(|part| part.id);
+        let head = [host, method.as_str(), target];
+        let request = WorkKey::request(team, head, all_ids, &self.body);
+        let parts = ids.into_iter().map(|id| WorkKey::part(service, id));
+        parts.chain([request]).collect()
+    }
+}
+
 /// Why a request is refused, or its response lost. The names of the variants are sent to callers
 /// and appear in logs and metrics.
 #[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -115,7 +115,6 @@
 }
 
 #[tokio::test]
-#[ignore = "KNOWN-RED"]
 async fn a_repeated_request_that_crashes_upstreams_stops_reaching_them_from_all_daemons() {
     for (bad, sound) in
         [(("GET", "/read/x?bad", ""), "/read/x"), (("POST", "/book/x?bad", "content"), "/book/x")]
