--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -23,6 +23,9 @@
 /// The time between two requests.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The time between two crashes from which on both count.
+const CRASHES_APART: Duration = Duration::from_millis(200);
+
 const BAD_PART: &str = "bad0";
 
 /// The prompts of requests that hold the part, in each place that it can have, and of sound ones.
@@ -114,6 +117,71 @@
     (platform.executions_of("late-"), served)
 }
 
+/// Sends requests that hold the bad part until a daemon has convicted it.
+async fn convict(daemons: &[Daemon]) {
+    for number in 0..REQUESTS_MAX {
+        if daemons[0].log().contains(&format!("event=crash_convicted key=part:{BAD_PART}")) {
+            return;
+        }
+        let daemon = &daemons[number % daemons.len()];
+        begins(daemon, &format!("bad-{number}"), &prompt(number, Some(BAD_PART))).await;
+        begins(daemon, &format!("early-{number}"), &prompt(number, None)).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("the part was not convicted");
+}
+
+#[tokio::test]
+async fn a_restarted_daemon_learns_from_others_what_crashes_upstreams() {
+    let (platform, upstreams, mut daemons) = start_four(3, "model").await;
+    platform.end_first_start();
+    for upstream in &upstreams[2..] {
+        upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
+    }
+    convict(&daemons).await;
+    let restarted = daemons.pop().unwrap();
+    let addresses = [restarted.caller, restarted.ready, restarted.peer, restarted.directory];
+    let (name, seed) = (restarted.name.clone(), daemons[0].peer);
+    drop(restarted);
+    let daemon = Daemon::start(&platform, &name, addresses, seed);
+    daemon.wait_for_server().await;
+    daemon.wait_for("/read/x", 200).await;
+    tokio::time::sleep(CONTACT_TIME).await;
+    for number in 0..REQUESTS_MAX {
+        begins(&daemon, &format!("late-{number}"), &prompt(number, Some(BAD_PART))).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let late = platform.executions_of("late-");
+    assert!(late <= LATE_MAX, "{late} requests reached upstreams");
+}
+
+#[tokio::test]
+async fn sound_requests_are_served_after_upstreams_were_killed_in_series() {
+    let (_platform, upstreams, daemons) = start_four(3, "model").await;
+    let kill_all = async {
+        for _ in 0..2 {
+            for upstream in &upstreams[2..] {
+                tokio::time::sleep(2 * CRASHES_APART).await;
+                upstream.kill("model");
+            }
+        }
+    };
+    let send = async {
+        for number in 0..REQUESTS_MAX {
+            let daemon = &daemons[number % daemons.len()];
+            begins(daemon, &format!("early-{number}"), &prompt(number, None)).await;
+        }
+    };
+    tokio::join!(kill_all, send);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let mut served = 0;
+    for number in 0..REQUESTS_MAX {
+        let daemon = &daemons[number % daemons.len()];
+        served += usize::from(begins(daemon, &format!("ok-{number}"), &prompt(number, None)).await);
+    }
+    assert!(served * 10 >= REQUESTS_MAX * 9, "{served} of {REQUESTS_MAX} sound requests began");
+}
+
 #[tokio::test]
 async fn a_repeated_request_that_crashes_upstreams_stops_reaching_them_from_all_daemons() {
     for (bad, sound) in
--- a/tests/survival.rs
+++ b/tests/survival.rs
@@ -202,3 +202,38 @@
     }
     assert!(engine.counts().generated < u64::from(length(&prompt)));
 }
+
+/// Engines that one request may end before it is no longer sent to others.
+const ENGINES_ENDED_MAX: usize = 3;
+
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_request_that_crashes_the_engines_that_run_it_ends_few_of_them() {
+    let cluster = Cluster::start(ENGINE).await;
+    let prompt = prompt(1);
+    let crash = async {
+        let mut ended = 0;
+        loop {
+            let busy = cluster.busy_engine().await;
+            let engines = cluster.engines().into_iter();
+            for (_, engine) in engines.filter(|(instance, _)| *instance == busy) {
+                engine.kill();
+                cluster.deployment.platform.fail(&busy);
+                ended += 1;
+            }
+            if ended > ENGINES_ENDED_MAX {
+                return ended;
+            }
+        }
+    };
+    let caller = CallerClient::new(TEAM_KEY);
+    let answered = async {
+        let mut stream = caller.chat(cluster.address(), MODEL, &prompt, TOKENS).await.unwrap();
+        // How it ends is not checked here.
+        let _ = stream.read_to_end().await;
+    };
+    tokio::select! {
+        ended = crash => panic!("one request ended {ended} engines"),
+        () = answered => {}
+    }
+}
