--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -155,6 +155,29 @@
     assert!(late <= LATE_MAX, "{late} requests reached upstreams");
 }
 
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn daemons_that_were_all_killed_together_still_know_what_crashes_upstreams() {
+    let (platform, upstreams, daemons) = start_four(3, "model").await;
+    platform.end_first_start();
+    for upstream in &upstreams[2..] {
+        upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
+    }
+    convict(&daemons).await;
+    drop(daemons);
+    let daemons = Daemon::start_all(&platform, 3).await;
+    daemons[0].wait_for("/read/x", 200).await;
+    tokio::time::sleep(CONTACT_TIME).await;
+    for number in 0..REQUESTS_MAX {
+        let daemon = &daemons[number % daemons.len()];
+        begins(daemon, &format!("late-{number}"), &prompt(number, Some(BAD_PART))).await;
+        begins(daemon, &format!("ok-{number}"), &prompt(number, None)).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let late = platform.executions_of("late-");
+    assert!(late <= LATE_MAX, "{late} requests reached upstreams");
+}
+
 #[tokio::test]
 async fn sound_requests_are_served_after_upstreams_were_killed_in_series() {
     let (_platform, upstreams, daemons) = start_four(3, "model").await;
