fix(node): what crashes upstreams is known after all daemons were killed together

What callers would see: after all daemons died, three more crashes for each part or request that had been convicted.

Cause: convictions lived in the daemons only; a daemon that starts learns them from others, if there is one.

Change: the daemon that sends a key's probes also stores its conviction, and removes it on release. Each daemon reads what is stored once at its start. One write a conviction, one read a start.

--- a/crates/policy/src/crash_ledger.rs
+++ b/crates/policy/src/crash_ledger.rs
@@ -43,6 +43,13 @@
 /// How long a blame or an acquittal is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
+/// Maximum number of crashes that are stored as the evidence of a conviction.
+const STORED_CRASHES_MAX: usize = 8;
+
+/// Time between two crashes of a stored conviction, in milliseconds. When they happened is not stored, as the clocks
+/// of daemons have different origins.
+const STORED_INTERVAL_MS: u64 = 1_000;
+
 /// How long a conviction is remembered after the latest blame. Longer than two probes.
 const CONVICTION_RETENTION: Duration = Duration::from_secs(3_600);
 
@@ -187,6 +194,13 @@
     Released,
 }
 
+impl LedgerEvent {
+    /// Whether requests are refused from now on that were not, or the reverse.
+    pub const fn is_verdict(self) -> bool {
+        matches!(self, Self::Convicted | Self::Released)
+    }
+}
+
 /// Why a request is not sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Verdict {
@@ -380,6 +394,19 @@
         CrashNews { crashes: crashes.collect(), acquittals }
     }
 
+    /// The evidence against a key in the form in which it is stored, for daemons that start after
+    /// all have died; none if it is not convicted.
+    pub fn stored_conviction(&self, key: WorkKey) -> Option<CrashNews> {
+        let suspect = self.suspects.get(&key).filter(|suspect| suspect.convicted)?;
+        let upstreams = suspect.blames.keys().take(STORED_CRASHES_MAX);
+        let crashes = (0..).zip(upstreams).map(|(place, upstream)| CrashReport {
+            upstream: upstream.clone(),
+            age_ms: place * STORED_INTERVAL_MS,
+            keys: vec![key],
+        });
+        Some(CrashNews { crashes: crashes.collect(), acquittals: Vec::new() })
+    }
+
     /// Equal for two daemons that blame the same keys for the same crashes.
     pub fn digest(&self) -> u64 {
         let blames = self.suspects.iter().flat_map(|(key, suspect)| {
--- a/crates/policy/src/crash_ledger/tests.rs
+++ b/crates/policy/src/crash_ledger/tests.rs
@@ -238,6 +238,24 @@
     assert!(refused(&mut second, 3_000, &[BAD]) && !refused(&mut second, 3_000, &[POPULAR]));
 }
 
+#[test]
+fn a_stored_conviction_convicts_at_a_daemon_that_knows_nothing_and_not_after_an_acquittal() {
+    let mut first = CrashLedger::default();
+    for crash in 0..20 {
+        first.on_crash(at(1_000 * crash), &upstream(crash), &[part(POPULAR), part(BAD)]);
+        first.on_sound(at(1_000 * crash + 1), &[part(POPULAR)]);
+    }
+    assert_eq!(first.stored_conviction(part(POPULAR)), None);
+    let stored = first.stored_conviction(part(BAD)).unwrap();
+    let mut second = CrashLedger::default();
+    second.on_news(at(60_000), &stored);
+    assert!(refused(&mut second, 60_001, &[BAD]) && !refused(&mut second, 60_001, &[POPULAR]));
+    first.on_sound(at(30_000), &[part(BAD)]);
+    assert_eq!(first.stored_conviction(part(BAD)), None);
+    first.on_news(at(60_000), &stored);
+    assert!(!refused(&mut first, 60_001, &[BAD]), "it knows when these crashes were");
+}
+
 #[test]
 fn memory_is_bounded_against_a_million_distinct_parts_and_keeps_convictions() {
     let mut ledger = CrashLedger::default();
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -3,6 +3,7 @@
 
 use crate::config::ActiveConfig;
 use bytes::Bytes;
+use spindle_policy::crash_ledger::CrashNews;
 use spindle_policy::upstream_registry::Registration;
 use spindle_policy::usage_windows::RequestCounts;
 use spindle_types::{DataCentre, Fencing, Instance, Service};
@@ -154,6 +155,16 @@
     /// run.
     fn peer_addresses(&self) -> impl Future<Output = Result<Vec<SocketAddr>, StoreError>> + Send;
 
+    /// Stores what convicts something that crashes upstreams, under its key, or removes it.
+    fn publish_crash_cause(
+        &self,
+        key: &str,
+        evidence: Option<&CrashNews>,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads what daemons have stored of this.
+    fn crash_causes(&self) -> impl Future<Output = Result<Vec<CrashNews>, StoreError>> + Send;
+
     /// Decodes a configuration document that another daemon has read from the store.
     ///
     /// # Errors
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -9,6 +9,7 @@
 };
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_types::{Clock, Instance, MonotonicInstant};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +30,8 @@
     own: Instance,
     /// Other daemons that may be running.
     others: Vec<Instance>,
+    /// Keys whose conviction or release this daemon is to store.
+    unsaved: BTreeSet<WorkKey>,
 }
 
 /// A response that was lost while it was beginning.
@@ -52,7 +55,12 @@
 impl CrashKeeper {
     /// Creates the keeper of the daemon on an instance.
     pub fn new(own: Instance) -> Self {
-        let state = State { ledger: CrashLedger::default(), own, others: Vec::new() };
+        let state = State {
+            ledger: CrashLedger::default(),
+            own,
+            others: Vec::new(),
+            unsaved: BTreeSet::new(),
+        };
         Self { state: Arc::new(Mutex::new(state)), news: Arc::default() }
     }
 
@@ -135,7 +143,7 @@
             return None;
         }
         let mut state = self.state();
-        let State { ledger, own, others } = &mut *state;
+        let State { ledger, own, others, .. } = &mut *state;
         let verdict = ledger.verdict(now, keys, |key| {
             let is_prober = key.probed_by(own, others.iter());
             if is_prober {
@@ -153,6 +161,25 @@
         let changes = self.state().ledger.on_news(now, news);
         let upstream = news.crashes.first().map_or("-", |crash| crash.upstream.instance.as_str());
         self.report(&changes, "daemon", upstream);
+        if changes.iter().any(|change| change.event.is_verdict()) {
+            self.news.notify_one();
+        }
+    }
+
+    /// Records a conviction that was stored before this daemon started.
+    pub fn on_stored(&self, now: MonotonicInstant, evidence: &CrashNews) {
+        let changes = self.state().ledger.on_news(now, evidence);
+        self.report(&changes, "store", "-");
+    }
+
+    /// Takes the keys that this daemon is to store, or to remove if they are no longer convicted.
+    pub fn take_unsaved(&self) -> BTreeSet<WorkKey> {
+        std::mem::take(&mut self.state().unsaved)
+    }
+
+    /// What convicts a key, in the form in which it is stored; none if it is not convicted.
+    pub fn stored_conviction(&self, key: WorkKey) -> Option<CrashNews> {
+        self.state().ledger.stored_conviction(key)
     }
 
     /// Waits until there may be something to tell the other daemons.
@@ -198,7 +225,13 @@
                      source={source}"
                 ),
                 LedgerEvent::Convicted | LedgerEvent::Released => {
-                    let evidence = self.state().ledger.evidence(*key);
+                    let mut state = self.state();
+                    let State { ledger, own, others, unsaved } = &mut *state;
+                    let evidence = ledger.evidence(*key);
+                    if source != "store" && key.probed_by(own, others.iter()) {
+                        unsaved.insert(*key);
+                    }
+                    drop(state);
                     log::warn!(
                         "event=crash_{name} key={key} blames={blames} upstreams={evidence} \
                          source={source}"
--- a/src/node.rs
+++ b/src/node.rs
@@ -146,7 +146,8 @@
     tokio::spawn(components.statuses.clone().discover_peers());
     tokio::spawn(components.statuses.clone().run());
     start_stream_versions(&settings, &components, keeper, questions);
-    tokio::spawn(CrashExchange::new(crashes, components.statuses.clone()).run());
+    let (statuses, store) = (components.statuses.clone(), components.store.clone());
+    tokio::spawn(CrashExchange::new(crashes, statuses, store).run());
     let leader_task = start_leader(&settings, incarnation, &components, &shutdown);
     log::info!("event=started incarnation={incarnation}");
     loop {
--- a/src/node/crash_exchange.rs
+++ b/src/node/crash_exchange.rs
@@ -1,11 +1,12 @@
 //! Tells the other daemons of crashes of upstreams and of what is acquitted, and learns from them
-//! what this daemon has missed.
+//! what this daemon has missed. What convicts is stored too, for the case that all daemons die.
 
 use super::boot_clock::BootClock;
 use super::status_exchange::PeerStatuses;
 use rand::seq::IndexedRandom;
 use spindle_daemon::StatusExchangeClient;
-use spindle_policy::crash_ledger::CrashNews;
+use spindle_policy::crash_ledger::{CrashNews, WorkKey};
+use spindle_relay::backends::Store;
 use spindle_relay::crash_keeper::CrashKeeper;
 use spindle_types::Clock;
 use std::net::SocketAddr;
@@ -21,27 +22,38 @@
 /// Delays after which a message that failed is sent again.
 const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
+/// Delay after which a call to the store that failed is made again.
+const STORE_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Maximum number of calls to store one conviction.
+const STORE_CALLS_MAX: u32 = 5;
+
 /// Tells and asks other daemons.
 #[derive(Debug)]
-pub struct CrashExchange {
+pub struct CrashExchange<S> {
     crashes: CrashKeeper,
     statuses: PeerStatuses,
+    store: S,
 }
 
-impl CrashExchange {
+impl<S: Store> CrashExchange<S> {
     /// Creates an exchange of what a daemon knows of crashes.
-    pub const fn new(crashes: CrashKeeper, statuses: PeerStatuses) -> Self {
-        Self { crashes, statuses }
+    pub const fn new(crashes: CrashKeeper, statuses: PeerStatuses, store: S) -> Self {
+        Self { crashes, statuses, store }
     }
 
     /// Tells and asks other daemons, until the process exits.
     pub async fn run(self) {
+        tokio::spawn(load(self.crashes.clone(), self.store.clone()));
         let mut ticks = tokio::time::interval(COMPARE_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 () = self.crashes.wait_for_news() => {
                     self.tell();
+                    for key in self.crashes.take_unsaved() {
+                        tokio::spawn(save(self.crashes.clone(), self.store.clone(), key));
+                    }
                     tokio::time::sleep(TELL_INTERVAL).await;
                 }
                 _ = ticks.tick() => self.compare(),
@@ -76,6 +88,35 @@
     }
 }
 
+/// Reads what was stored before this daemon started.
+async fn load<S: Store>(crashes: CrashKeeper, store: S) {
+    loop {
+        match store.crash_causes().await {
+            Ok(causes) => {
+                log::info!("event=crash_causes_read count={}", causes.len());
+                causes.iter().for_each(|cause| crashes.on_stored(BootClock.now(), cause));
+                return;
+            }
+            Err(error) => log::debug!("event=crash_causes_unread error={error:?}"),
+        }
+        tokio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
+/// Stores the evidence against a key, or removes it.
+async fn save<S: Store>(crashes: CrashKeeper, store: S, key: WorkKey) {
+    for _ in 0..STORE_CALLS_MAX {
+        let evidence = crashes.stored_conviction(key);
+        let result = store.publish_crash_cause(&key.to_string(), evidence.as_ref()).await;
+        let convicted = evidence.is_some();
+        log::info!("event=crash_cause_stored key={key} convicted={convicted} result={result:?}");
+        if result.is_ok() {
+            return;
+        }
+        tokio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
 /// Sends news to a daemon, again if that fails.
 async fn send(statuses: PeerStatuses, peer: SocketAddr, news: CrashNews) {
     let mut delays = REPEAT_DELAYS.iter();
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -1,6 +1,7 @@
 //! An in-memory store for tests of the followers.
 
 use bytes::Bytes;
+use spindle_policy::crash_ledger::CrashNews;
 use spindle_relay::backends::{
     Appended, Feed, FeedBatch, FeedRecord, Store, StoreError, Topic, TopicRecords,
 };
@@ -109,6 +110,18 @@
         Err(StoreError::Refused("not supported by the fake store".to_owned()))
     }
 
+    async fn publish_crash_cause(
+        &self,
+        _key: &str,
+        _evidence: Option<&CrashNews>,
+    ) -> Result<(), StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
+    async fn crash_causes(&self) -> Result<Vec<CrashNews>, StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
     fn decode_configuration(&self, _document: &[u8]) -> Result<ActiveConfig, String> {
         Err("not supported by the fake store".to_owned())
     }
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -156,7 +156,6 @@
 }
 
 #[tokio::test]
-#[ignore = "KNOWN-RED"]
 async fn daemons_that_were_all_killed_together_still_know_what_crashes_upstreams() {
     let (platform, upstreams, daemons) = start_four(3, "model").await;
     platform.end_first_start();
