fix(relay): lines on blame name the upstream that crashed, and lost connections have a test

News of several crashes were logged with the first upstream only. A connection that ends while the upstream still takes new ones blames nothing (process test).

--- a/crates/policy/src/crash_ledger.rs
+++ b/crates/policy/src/crash_ledger.rs
@@ -170,7 +170,7 @@
 }
 
 /// What has changed in the ledger, for the log and the metrics.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LedgerChange {
     /// What is concerned.
     pub key: WorkKey,
@@ -178,6 +178,8 @@
     pub event: LedgerEvent,
     /// Number of crashes since the latest acquittal that count against the key.
     pub blames: usize,
+    /// The upstream that crashed; none for an acquittal.
+    pub upstream: Option<Instance>,
 }
 
 /// A change of what is known of one key. The names are written to logs and metrics.
@@ -480,7 +482,8 @@
             } else {
                 LedgerEvent::Blamed
             };
-            changes.push(LedgerChange { key: *key, event, blames });
+            let upstream = Some(upstream.instance.clone());
+            changes.push(LedgerChange { key: *key, event, blames, upstream });
         }
         self.evict();
         changes
@@ -511,7 +514,7 @@
             suspect.probes = 0;
         }
         let event = if released { LedgerEvent::Released } else { LedgerEvent::Acquitted };
-        Some(LedgerChange { key, event, blames })
+        Some(LedgerChange { key, event, blames, upstream: None })
     }
 
     /// Keeps the number of keys within its limit: those that have not been convicted and were
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -116,7 +116,7 @@
             keys.len(),
         );
         let changes = self.state().ledger.on_crash(now, upstream, keys);
-        self.report(&changes, "own", upstream.instance.as_str());
+        self.report(&changes, "own");
         self.news.notify_one();
     }
 
@@ -127,7 +127,7 @@
         }
         let changes = self.state().ledger.on_sound(now, keys);
         if !changes.is_empty() {
-            self.report(&changes, "own", "-");
+            self.report(&changes, "own");
             self.news.notify_one();
         }
     }
@@ -159,8 +159,7 @@
     /// Records what another daemon tells.
     pub fn on_news(&self, now: MonotonicInstant, news: &CrashNews) {
         let changes = self.state().ledger.on_news(now, news);
-        let upstream = news.crashes.first().map_or("-", |crash| crash.upstream.instance.as_str());
-        self.report(&changes, "daemon", upstream);
+        self.report(&changes, "daemon");
         if changes.iter().any(|change| change.event.is_verdict()) {
             self.news.notify_one();
         }
@@ -169,7 +168,7 @@
     /// Records a conviction that was stored before this daemon started.
     pub fn on_stored(&self, now: MonotonicInstant, evidence: &CrashNews) {
         let changes = self.state().ledger.on_news(now, evidence);
-        self.report(&changes, "store", "-");
+        self.report(&changes, "store");
     }
 
     /// Takes the keys that this daemon is to store, or to remove if they are no longer convicted.
@@ -214,9 +213,10 @@
         METRICS.crash_convicted.record(u64::try_from(convicted).unwrap_or(u64::MAX), &[]);
     }
 
-    /// Logs changes. `upstream` is the first one that crashed.
-    fn report(&self, changes: &[LedgerChange], source: &'static str, upstream: &str) {
-        for LedgerChange { key, event, blames } in changes {
+    /// Logs changes, and notes the verdicts that this daemon is to store.
+    fn report(&self, changes: &[LedgerChange], source: &'static str) {
+        for LedgerChange { key, event, blames, upstream } in changes {
+            let upstream = upstream.as_ref().map_or("-", Instance::as_str);
             let name: &'static str = (*event).into();
             METRICS.crash_changes.add(1, &[KeyValue::new("event", name)]);
             match event {
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the upstreams that run them.
 
 use crate::daemon::{Daemon, POLL_INTERVAL, start_deployment};
-use crate::standin::{CrashCause, Platform, Upstream};
+use crate::standin::{CrashCause, Platform, Upstream, UpstreamBehaviour};
 use crate::versions::{read_events, start_stream};
 use std::time::Duration;
 
@@ -177,6 +177,23 @@
     assert!(late <= LATE_MAX, "{late} requests reached upstreams");
 }
 
+#[tokio::test]
+async fn connections_that_end_while_the_upstream_lives_blame_nothing() {
+    let (_platform, upstreams, daemons) = start_deployment(1).await;
+    for upstream in &upstreams[..2] {
+        upstream.set_behaviour(UpstreamBehaviour::DropsAnswers);
+    }
+    let lost_lines = || daemons[0].log().matches("event=no_crash").count();
+    let mut sent = 0;
+    while lost_lines() < 2 * CRASHES_KNOWN {
+        assert!(sent < REQUESTS_MAX, "{} of {sent} requests were tested", lost_lines());
+        assert_eq!(daemons[0].send(&format!("r-{sent}"), "GET", "/read/x").await.status(), 502);
+        tokio::time::sleep(2 * CRASHES_APART).await;
+        sent += 1;
+    }
+    assert!(!daemons[0].log().contains("event=crash_blamed"), "something was blamed");
+}
+
 #[tokio::test]
 async fn sound_requests_are_served_after_upstreams_were_killed_in_series() {
     let (_platform, upstreams, daemons) = start_four(3, "model").await;
