--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -142,18 +142,6 @@
         AttemptOutcome::Unreached
     }
 
-    /// Records that the connection was lost before the response went on, which may be because of
-    /// what the request holds.
-    pub(crate) async fn on_lost_beginning(
-        &self,
-        assignment: &Assignment,
-        admitted: &AdmittedRequest,
-        buffered: &BufferedRequest,
-    ) {
-        let id = &buffered.inbound.id;
-        self.0.crashes.on_lost(&self.0.clock, id, assignment, &admitted.work_keys).await;
-    }
-
     async fn lease(
         &self,
         assignment: &Assignment,
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -3,6 +3,10 @@
 
 use crate::balancer::Assignment;
 use crate::metrics::METRICS;
+use crate::protocol::UpstreamProtocol;
+use crate::relay::{AdmittedRequest, AttemptHistory, Relay, refuse};
+use crate::request::{BufferedRequest, Refusal};
+use crate::request_log::RequestLog;
 use opentelemetry::KeyValue;
 use spindle_policy::crash_ledger::{
     CrashLedger, CrashNews, LedgerChange, LedgerEvent, Verdict, WorkKey,
@@ -247,6 +251,35 @@
     }
 }
 
+impl<P: UpstreamProtocol, K: Clock> Relay<P, K> {
+    /// Refuses a request that holds something that crashes upstreams.
+    pub(crate) fn check_crash_causes(
+        &self,
+        admitted: &AdmittedRequest,
+        buffered: &BufferedRequest,
+        past: &AttemptHistory,
+        request_log: &mut RequestLog<K>,
+    ) -> Result<(), Refusal> {
+        let now = self.0.clock.now();
+        let verdict = self.0.crashes.verdict(now, &buffered.inbound.id, &admitted.work_keys);
+        let Some(verdict) = verdict else { return Ok(()) };
+        request_log.cause = format!("crashes_upstreams:{}", verdict.key);
+        Err(refuse(past, Refusal::CrashesUpstreams { retry_after: verdict.probe_in }))
+    }
+
+    /// Records that the connection was lost before the response went on, which may be because of
+    /// what the request holds.
+    pub(crate) async fn on_lost_beginning(
+        &self,
+        assignment: &Assignment,
+        admitted: &AdmittedRequest,
+        buffered: &BufferedRequest,
+    ) {
+        let id = &buffered.inbound.id;
+        self.0.crashes.on_lost(&self.0.clock, id, assignment, &admitted.work_keys).await;
+    }
+}
+
 /// Whether nothing listens at an address. One that doesn't answer may be cut off.
 async fn is_refused(address: SocketAddr) -> bool {
     match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -412,21 +412,6 @@
         }
     }
 
-    /// Refuses a request that holds something that crashes upstreams.
-    fn check_crash_causes(
-        &self,
-        admitted: &AdmittedRequest,
-        buffered: &BufferedRequest,
-        past: &AttemptHistory,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<(), Refusal> {
-        let now = self.0.clock.now();
-        let verdict = self.0.crashes.verdict(now, &buffered.inbound.id, &admitted.work_keys);
-        let Some(verdict) = verdict else { return Ok(()) };
-        request_log.cause = format!("crashes_upstreams:{}", verdict.key);
-        Err(refuse(past, Refusal::CrashesUpstreams { retry_after: verdict.probe_in }))
-    }
-
     fn assign(
         &self,
         admitted: &AdmittedRequest,
@@ -591,7 +576,7 @@
 }
 
 /// Turns `refusal` into one that does not claim that the request has not run, if it may have run.
-fn refuse(past: &AttemptHistory, refusal: Refusal) -> Refusal {
+pub(crate) fn refuse(past: &AttemptHistory, refusal: Refusal) -> Refusal {
     match (past.may_have_run, refusal) {
         (false, refusal) => refusal,
         (true, Refusal::Expired) => Refusal::TimedOut,
