perf(presence): a daemon's exchange copies and sends what its receiver lacks, and calls two peers a round at most

Cause: for each call to another daemon the statuses of all daemons were copied, and all but the own one dropped again; a daemon called one more peer a round for each 64 daemons, and the concurrent replies brought the same statuses several times. Merging copied the whole status of the sender. possibly_running, prune and retain_daemons compared each daemon with each other one. Five in six calls left the data centre. Change: a call copies only the own status; two calls a round at most, half a round apart; statuses are merged in place; five in six calls of a large deployment stay in the data centre. Updates reach 61, 195 and 400 daemons within ten rounds, as before.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -15,7 +15,7 @@
 use spindle_types::{
     DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -32,10 +32,17 @@
 /// in time.
 const HEARTBEAT_ROUNDS_MAX: usize = 5;
 
-/// A daemon calls one peer per round, and one more for each of this many live daemons. In the
-/// tests, which go up to 58 daemons, an update then reaches all of them within ten rounds.
+/// From this number of live daemons on, a daemon calls [`CALLS_MAX`] peers per round in place of
+/// one. An update then reaches 400 daemons within ten rounds.
 pub const DAEMONS_PER_CALL: usize = 64;
 
+/// The maximum number of peers that a daemon calls in a round.
+pub const CALLS_MAX: usize = 2;
+
+/// In a large deployment one call in this many goes to another data centre, the others stay in the
+/// daemon's own, because traffic between data centres is charged.
+const REMOTE_CALL_INTERVAL: u32 = 6;
+
 /// From this number of live daemons on, a caller sends only its own status and fetches the others
 /// that it lacks: forwarded unasked, most of them would be known to the receiver already.
 const PULL_ONLY_MIN: usize = 8;
@@ -185,16 +192,22 @@
         }
     }
 
-    /// This status, completed by the entries of an older one that it leaves out.
-    fn merged_with(&self, older: &Self) -> Self {
-        let (mut charged, mut windows) = (older.charged.clone(), older.windows.clone());
-        let (mut leaving, mut limits) = (older.leaving.clone(), older.limits.clone());
-        charged.merge(&self.charged, TEAMS_MAX);
-        windows.merge(&self.windows, WINDOWS_KEPT);
-        leaving.merge(&self.leaving, LEAVING_MAX);
-        limits.merge(&self.limits, LIMITS_MAX);
-        let identity = older.identity.clone();
-        Self { identity, charged, windows, leaving, limits, ..self.clone() }
+    /// Replaces this status by a newer one, and keeps the entries that the newer one leaves out.
+    fn update(&mut self, newer: &Self) {
+        self.charged.merge(&newer.charged, TEAMS_MAX);
+        self.windows.merge(&newer.windows, WINDOWS_KEPT);
+        self.leaving.merge(&newer.leaving, LEAVING_MAX);
+        self.limits.merge(&newer.limits, LIMITS_MAX);
+        *self = Self {
+            identity: self.identity.take(),
+            charged: std::mem::take(&mut self.charged),
+            windows: std::mem::take(&mut self.windows),
+            leaving: std::mem::take(&mut self.leaving),
+            limits: std::mem::take(&mut self.limits),
+            running: newer.running.clone(),
+            arrived: newer.arrived.clone(),
+            ..*newer
+        };
     }
 }
 
@@ -245,9 +258,17 @@
     /// The number of live daemons in the latest round. Dead ones don't count, so that they don't
     /// slow down the heartbeats.
     live: usize,
+    /// The data centre of this daemon, in which it prefers to call others.
+    data_centre: Option<DataCentre>,
 }
 
 impl Presence {
+    /// Creates the presence of a daemon that knows no other one and prefers those of its own data
+    /// centre.
+    pub fn in_data_centre(data_centre: DataCentre) -> Self {
+        Self { data_centre: Some(data_centre), ..Self::default() }
+    }
+
     /// Merges the statuses of a message and returns the daemons with a newer status. A forwarded
     /// status is as old as the message says, so that a daemon that died long ago doesn't count as
     /// live again.
@@ -262,16 +283,19 @@
             if status.incarnation == own {
                 continue;
             }
-            let known = self.known.get(&status.incarnation);
-            if known.is_some_and(|known| known.status.beat >= status.beat) {
-                continue;
-            }
             let at = now - Duration::from_millis(*silent);
-            let status =
-                known.map_or_else(|| status.clone(), |known| status.merged_with(&known.status));
-            let Some(identity) = status.identity.clone() else { continue };
+            if let Some(known) = self.known.get_mut(&status.incarnation) {
+                if known.status.beat >= status.beat {
+                    continue;
+                }
+                known.status.update(status);
+                known.at = at;
+            } else {
+                let Some(identity) = status.identity.clone() else { continue };
+                let daemon = KnownDaemon { status: status.clone(), identity, at };
+                self.known.insert(status.incarnation, daemon);
+            }
             updated.push(status.incarnation);
-            self.known.insert(status.incarnation, KnownDaemon { status, identity, at });
         }
         updated
     }
@@ -283,22 +307,8 @@
         own: &Status,
         known: &BTreeMap<Incarnation, u64>,
     ) -> Message {
-        let mut heartbeats: BTreeMap<_, _> = self
-            .known
-            .iter()
-            .map(|(incarnation, daemon)| (*incarnation, daemon.status.beat))
-            .collect();
-        heartbeats.insert(own.incarnation, own.beat);
-        let silent = |daemon: &KnownDaemon| {
-            u64::try_from(now.since(daemon.at).as_millis()).unwrap_or(u64::MAX)
-        };
-        let others = self.known.values().map(|daemon| (silent(daemon), &daemon.status));
-        let statuses = others.chain([(0, own)]).filter_map(|(silent, status)| {
-            let beat = known.get(&status.incarnation).copied();
-            let newer = beat.is_none_or(|beat| beat < status.beat);
-            newer.then(|| (silent, status.changed_since(beat.unwrap_or_default())))
-        });
-        Message { statuses: statuses.collect(), known: heartbeats, coverage: None }
+        let statuses = self.statuses_since(now, own, known);
+        Message { statuses, known: self.heartbeats(own), coverage: None }
     }
 
     /// The message for the daemon at an address, given what it last said to know. In a large
@@ -306,20 +316,41 @@
     /// lacks.
     pub fn message_to(&self, now: MonotonicInstant, own: &Status, peer: SocketAddr) -> Message {
         let none = BTreeMap::new();
-        let mut message = self.message(now, own, self.known_to_peer.get(&peer).unwrap_or(&none));
-        if self.live >= PULL_ONLY_MIN {
-            message.statuses.retain(|(_, status)| status.incarnation == own.incarnation);
+        let known = self.known_to_peer.get(&peer).unwrap_or(&none);
+        if self.live < PULL_ONLY_MIN {
+            return self.message(now, own, known);
         }
-        message
+        let statuses = changes_since(known, 0, own).into_iter().collect();
+        Message { statuses, known: self.heartbeats(own), coverage: None }
     }
 
     /// The reply to another daemon's message.
     pub fn reply(&self, now: MonotonicInstant, own: &Status, message: &Message) -> Message {
-        let mut reply = self.message(now, own, &message.known);
-        if self.live >= PULL_ONLY_MIN {
-            reply.known.clear();
-        }
-        reply
+        let is_large = self.live >= PULL_ONLY_MIN;
+        let known = if is_large { BTreeMap::new() } else { self.heartbeats(own) };
+        let statuses = self.statuses_since(now, own, &message.known);
+        Message { statuses, known, coverage: None }
+    }
+
+    /// The newest heartbeat number of each known daemon and of this one.
+    fn heartbeats(&self, own: &Status) -> BTreeMap<Incarnation, u64> {
+        let others = self.known.iter().map(|(other, daemon)| (*other, daemon.status.beat));
+        others.chain([(own.incarnation, own.beat)]).collect()
+    }
+
+    /// The statuses that a daemon with the heartbeats in `known` lacks.
+    fn statuses_since(
+        &self,
+        now: MonotonicInstant,
+        own: &Status,
+        known: &BTreeMap<Incarnation, u64>,
+    ) -> Vec<(u64, Status)> {
+        let silent = |daemon: &KnownDaemon| {
+            u64::try_from(now.since(daemon.at).as_millis()).unwrap_or(u64::MAX)
+        };
+        let others = self.known.values().map(|daemon| (silent(daemon), &daemon.status));
+        let all = others.chain([(0, own)]);
+        all.filter_map(|(silent, status)| changes_since(known, silent, status)).collect()
     }
 
     /// What the responses to a daemon said of the limits of upstreams.
@@ -369,19 +400,33 @@
     ) -> Vec<SocketAddr> {
         self.round += 1;
         let mut live: Vec<SocketAddr> = Vec::new();
+        let mut remote: Vec<SocketAddr> = Vec::new();
         let mut silent: Vec<SocketAddr> = Vec::new();
         for daemon in self.known.values().filter(|daemon| daemon.status.phase != Phase::Leaving) {
             let is_silent = now.since(daemon.at) > self.silent_after();
-            if is_silent { &mut silent } else { &mut live }.push(daemon.identity.peer);
+            let is_remote = self.data_centre.as_ref() != Some(&daemon.identity.data_centre);
+            let group = match (is_silent, is_remote) {
+                (true, _) => &mut silent,
+                (false, true) => &mut remote,
+                (false, false) => &mut live,
+            };
+            group.push(daemon.identity.peer);
         }
         silent.extend(seeds);
-        silent.retain(|peer| *peer != own && !live.contains(peer));
+        silent.retain(|peer| *peer != own && !live.contains(peer) && !remote.contains(peer));
         live.retain(|peer| *peer != own);
-        self.live = live.len();
-        let calls = 1 + live.len() / DAEMONS_PER_CALL;
-        let mut targets = draw(&mut live, calls, generator);
+        remote.retain(|peer| *peer != own);
+        self.live = live.len() + remote.len();
+        let calls = (1 + self.live / DAEMONS_PER_CALL).min(CALLS_MAX);
+        let mut targets = Vec::new();
+        for _ in 0..calls {
+            let is_large = self.live >= DAEMONS_PER_CALL;
+            let leaves = !is_large || generator.random_ratio(1, REMOTE_CALL_INTERVAL);
+            let peer = draw(&mut live, &mut remote, leaves, generator);
+            targets.extend(peer);
+        }
         if targets.is_empty() || self.round.is_multiple_of(SILENT_CONTACT_INTERVAL_ROUNDS) {
-            targets.extend(draw(&mut silent, 1, generator));
+            targets.extend(draw_one(&mut silent, generator));
         }
         targets
     }
@@ -391,6 +436,11 @@
         self.known.values()
     }
 
+    /// Whether a daemon is known, live or not.
+    pub fn knows(&self, daemon: Incarnation) -> bool {
+        self.known.contains_key(&daemon)
+    }
+
     /// The daemons heard from recently enough to count as live.
     pub fn live(&self, now: MonotonicInstant) -> impl Iterator<Item = &KnownDaemon> {
         let silent = self.silent_after();
@@ -400,13 +450,15 @@
     /// The daemons that may still be running, silent ones included. Of each instance only the
     /// newest incarnation counts; leaving daemons don't.
     pub fn possibly_running(&self, now: MonotonicInstant) -> impl Iterator<Item = &KnownDaemon> {
+        let mut newest: BTreeMap<&Instance, MonotonicInstant> = BTreeMap::new();
+        for daemon in self.known.values() {
+            let at = newest.entry(&daemon.identity.instance).or_insert(daemon.at);
+            *at = daemon.at.max(*at);
+        }
         self.known.values().filter(move |daemon| {
-            let replaced = |other: &KnownDaemon| {
-                other.identity.instance == daemon.identity.instance && other.at > daemon.at
-            };
             now.since(daemon.at) <= DEAD_AFTER
                 && daemon.status.phase != Phase::Leaving
-                && !self.known.values().any(replaced)
+                && newest.get(&daemon.identity.instance).is_none_or(|at| *at <= daemon.at)
         })
     }
 
@@ -446,20 +498,43 @@
     /// Forgets daemons that have been silent for a long time.
     pub fn prune(&mut self, now: MonotonicInstant) {
         self.known.retain(|_, daemon| now.since(daemon.at) < FORGET_AFTER);
-        let peers: Vec<SocketAddr> =
+        let peers: HashSet<SocketAddr> =
             self.known.values().map(|daemon| daemon.identity.peer).collect();
         self.known_to_peer.retain(|peer, _| peers.contains(peer));
     }
 }
 
-/// Removes up to `count` random addresses and returns them.
-fn draw(from: &mut Vec<SocketAddr>, count: usize, generator: &mut impl Rng) -> Vec<SocketAddr> {
-    let mut drawn = Vec::new();
-    while drawn.len() < count && !from.is_empty() {
-        let index = generator.random_range(0..from.len());
-        drawn.push(from.swap_remove(index));
+/// The status for a daemon with the heartbeats in `known`; none if it has the newest one.
+fn changes_since(
+    known: &BTreeMap<Incarnation, u64>,
+    silent: u64,
+    status: &Status,
+) -> Option<(u64, Status)> {
+    let beat = known.get(&status.incarnation).copied();
+    let is_newer = beat.is_none_or(|beat| beat < status.beat);
+    is_newer.then(|| (silent, status.changed_since(beat.unwrap_or_default())))
+}
+
+/// Removes a random address and returns it: one of `near`, unless there is none or `leaves` is set
+/// and the draw among all addresses falls on one of `far`.
+fn draw(
+    near: &mut Vec<SocketAddr>,
+    far: &mut Vec<SocketAddr>,
+    leaves: bool,
+    generator: &mut impl Rng,
+) -> Option<SocketAddr> {
+    let all = near.len() + if leaves || near.is_empty() { far.len() } else { 0 };
+    if all == 0 {
+        return None;
     }
-    drawn
+    let index = generator.random_range(0..all);
+    let is_near = index < near.len();
+    Some(if is_near { near.swap_remove(index) } else { far.swap_remove(index - near.len()) })
+}
+
+/// Removes a random address and returns it.
+fn draw_one(from: &mut Vec<SocketAddr>, generator: &mut impl Rng) -> Option<SocketAddr> {
+    (!from.is_empty()).then(|| from.swap_remove(generator.random_range(0..from.len())))
 }
 
 #[cfg(test)]
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -27,15 +27,41 @@
     daemons: Vec<(Status, Presence)>,
     random: ChaCha8Rng,
     bytes: u64,
+    /// The part of `bytes` that was sent between data centres.
+    remote_bytes: u64,
+    calls: u64,
     rounds: u64,
     load: Option<Load>,
+    /// Whether the bytes of messages are counted.
+    measures: bool,
 }
 
 impl Deployment {
     fn new(count: u64) -> Self {
         let daemons =
             (0..count).map(|incarnation| (status(incarnation), Presence::default())).collect();
-        Self { daemons, random: ChaCha8Rng::seed_from_u64(7), bytes: 0, rounds: 0, load: None }
+        Self {
+            daemons,
+            random: ChaCha8Rng::seed_from_u64(7),
+            bytes: 0,
+            remote_bytes: 0,
+            calls: 0,
+            rounds: 0,
+            load: None,
+            measures: false,
+        }
+    }
+
+    /// Daemons that are spread over six data centres.
+    fn in_data_centres(count: u64, seed: u64) -> Self {
+        let daemon = |incarnation: u64| {
+            let mut own = status(incarnation);
+            let data_centre = DataCentre::try_from(format!("dc-{}", incarnation % 6)).unwrap();
+            own.identity.as_mut().unwrap().data_centre = data_centre.clone();
+            (own, Presence::in_data_centre(data_centre))
+        };
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        Self { daemons: (0..count).map(daemon).collect(), random, ..Self::new(0) }
     }
 
     fn round(&mut self, now: MonotonicInstant, reach: impl Fn(usize, usize) -> bool) {
@@ -64,7 +90,12 @@
                 presence.on_message(now, other.incarnation, &message);
                 let reply = presence.reply(now, other, &message);
                 let size = |message| serde_json::to_vec(message).unwrap().len() as u64;
-                self.bytes += size(&message) + size(&reply);
+                let bytes = if self.measures { size(&message) + size(&reply) } else { 0 };
+                let data_centre = |status: &Status| status.identity.clone().unwrap().data_centre;
+                let is_remote = data_centre(other) != data_centre(&own);
+                self.bytes += bytes;
+                self.remote_bytes += if is_remote { bytes } else { 0 };
+                self.calls += 1;
                 let presence = &mut self.daemons[from].1;
                 presence.on_message(now, own.incarnation, &reply);
                 presence.on_known_heartbeats(target, reply.known);
@@ -214,7 +245,7 @@
     let random = ChaCha8Rng::seed_from_u64(5);
     deployment.load = Some(Load { random, windows: BTreeMap::new() });
     deployment.rounds(0, 20, |_, _| true);
-    deployment.bytes = 0;
+    deployment.measures = true;
     deployment.rounds(4_000, 20, |_, _| true);
     deployment.bytes / 4 / count
 }
@@ -305,3 +336,54 @@
         .collect();
     assert_eq!(found, [("d-1", 0), ("d-3", 500)]);
 }
+
+fn large_deployment(count: u64, seed: u64) -> Deployment {
+    let mut deployment = Deployment::in_data_centres(count, seed);
+    deployment.rounds(0, 20, |_, _| true);
+    deployment
+}
+
+/// In an earlier version a daemon called one more peer per round for each 64 daemons, and most of
+/// the bytes crossed data centres.
+#[test]
+fn a_daemon_calls_no_more_peers_at_400_daemons_than_at_100() {
+    for count in [100, 195, 400] {
+        let mut deployment = large_deployment(count, 1);
+        (deployment.calls, deployment.measures) = (0, true);
+        deployment.rounds(4_000, 5, |_, _| true);
+        let calls = deployment.calls * 100 / (5 * count);
+        let remote_percent = deployment.remote_bytes * 100 / deployment.bytes;
+        println!("{count} daemons: {calls} calls in 100 rounds, {remote_percent}% remote bytes");
+        // A seed may be called beside them in every fifth round.
+        assert!(calls <= 220, "{count} daemons: {calls} calls in 100 rounds");
+        assert!(remote_percent <= 20, "{count} daemons: {remote_percent}%");
+    }
+}
+
+#[test]
+fn updates_reach_hundreds_of_daemons_within_the_time_for_configuration() {
+    for (count, seed) in [(61, 1), (195, 2), (195, 3), (400, 4)] {
+        let mut deployment = large_deployment(count, seed);
+        for (_, presence) in &deployment.daemons {
+            assert_eq!(presence.live(at(4_000)).count() as u64, count - 1, "{count}, {seed}");
+        }
+        deployment.daemons[3].0.config = 2;
+        deployment.daemons[3].0.beat += 1;
+        deployment.rounds(4_000, 10, |_, _| true);
+        let knows = |presence: &Presence| presence.iter().any(|daemon| daemon.status.config == 2);
+        let informed = deployment.daemons.iter().filter(|(_, presence)| knows(presence)).count();
+        assert_eq!(informed as u64, count - 1, "{count}, seed {seed}");
+    }
+}
+
+#[test]
+fn a_silent_daemon_among_hundreds_is_detected_in_time() {
+    for (count, seed) in [(195, 1), (400, 2)] {
+        let mut deployment = large_deployment(count, seed);
+        deployment.rounds(4_000, 13, |from, to| from != 5 && to != 5);
+        let others = deployment.daemons.iter().enumerate().filter(|(index, _)| *index != 5);
+        for (index, (_, presence)) in others {
+            assert_eq!(presence.live(at(6_600)).count() as u64, count - 2, "{count}, at {index}");
+        }
+    }
+}
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -134,7 +134,7 @@
         };
         let own = Status::new(parts.incarnation, identity, parts.clock.utc());
         let state = State {
-            presence: Presence::default(),
+            presence: Presence::in_data_centre(settings.data_centre.clone()),
             own,
             fencing: None,
             started_at: parts.clock.now(),
@@ -187,9 +187,7 @@
         loop {
             ticks.tick().await;
             let targets = self.start_round();
-            for target in targets {
-                tokio::spawn(self.clone().exchange_with(target));
-            }
+            tokio::spawn(self.clone().exchange_with_all(targets));
         }
     }
 
@@ -396,9 +394,19 @@
                 min_age.map(|age| age.as_millis()),
             );
         }
-        let incarnations: Vec<Incarnation> =
-            state.presence.iter().map(|daemon| daemon.status.incarnation).collect();
-        parts.usage.retain_daemons(|other| incarnations.contains(&other));
+        parts.usage.retain_daemons(|other| state.presence.knows(other));
+    }
+
+    /// Starts the exchanges of a round, spread over it: what one peer has answered needn't be
+    /// fetched from the next one.
+    async fn exchange_with_all(self, peers: Vec<SocketAddr>) {
+        let gap = ROUND_INTERVAL / u32::try_from(peers.len().max(1)).unwrap_or(1);
+        for (index, peer) in peers.into_iter().enumerate() {
+            if index > 0 {
+                tokio::time::sleep(gap).await;
+            }
+            tokio::spawn(self.clone().exchange_with(peer));
+        }
     }
 
     async fn exchange_with(self, peer: SocketAddr) {
