fix(presence): a daemon that starts while many upstreams leave hears the others

Cause: each status lists the leaving upstreams that its daemon knows, and a reply carried the lists of all daemons; for a daemon that has just started that is daemons x upstreams. Over some 500 KB the reply takes longer than the 0.4 s of the call, and the next call asks for all of it again. Change: forwarded statuses in replies don't repeat the leaving upstreams, which the sender's own status lists in full; a reply forwards 128 statuses at most, the rest with the next calls.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -71,6 +71,10 @@
 /// The maximum number of upstreams whose limits a daemon reports in its status, to bound memory.
 pub const LIMITS_MAX: usize = 256;
 
+/// The maximum number of other daemons' statuses in a reply. A caller that lacks more of them gets
+/// the rest from its next calls; a reply with all of them might not arrive within the timeout.
+const FORWARDED_MAX: usize = 128;
+
 /// A daemon that is silent is contacted every this many rounds.
 const SILENT_CONTACT_INTERVAL_ROUNDS: u64 = 5;
 
@@ -307,7 +311,8 @@
         own: &Status,
         known: &BTreeMap<Incarnation, u64>,
     ) -> Message {
-        let statuses = self.statuses_since(now, own, known);
+        let mut statuses = self.newer_statuses(now, known);
+        statuses.extend(changes_since(known, 0, own));
         Message { statuses, known: self.heartbeats(own), coverage: None }
     }
 
@@ -324,11 +329,24 @@
         Message { statuses, known: self.heartbeats(own), coverage: None }
     }
 
-    /// The reply to another daemon's message.
+    /// The reply to another daemon's message. `own` has to list all leaving upstreams that this
+    /// daemon knows: forwarded statuses don't repeat them, because hundreds of daemons list the
+    /// same ones.
     pub fn reply(&self, now: MonotonicInstant, own: &Status, message: &Message) -> Message {
         let is_large = self.live >= PULL_ONLY_MIN;
         let known = if is_large { BTreeMap::new() } else { self.heartbeats(own) };
-        let statuses = self.statuses_since(now, own, &message.known);
+        let mut statuses = self.newer_statuses(now, &message.known);
+        if statuses.len() > FORWARDED_MAX {
+            // Starts at a different daemon each time, so that none is always left out.
+            let first = xxh3_64(&(self.round ^ own.beat ^ own.incarnation.0).to_le_bytes());
+            let first = usize::try_from(first).unwrap_or_default() % statuses.len();
+            statuses.rotate_left(first);
+            statuses.truncate(FORWARDED_MAX);
+        }
+        if own.leaving.len() < LEAVING_MAX {
+            statuses.iter_mut().for_each(|(_, status)| status.leaving = VersionedMap::default());
+        }
+        statuses.extend(changes_since(&message.known, 0, own));
         Message { statuses, known, coverage: None }
     }
 
@@ -338,19 +356,17 @@
         others.chain([(own.incarnation, own.beat)]).collect()
     }
 
-    /// The statuses that a daemon with the heartbeats in `known` lacks.
-    fn statuses_since(
+    /// The statuses of other daemons that a daemon with the heartbeats in `known` lacks.
+    fn newer_statuses(
         &self,
         now: MonotonicInstant,
-        own: &Status,
         known: &BTreeMap<Incarnation, u64>,
     ) -> Vec<(u64, Status)> {
         let silent = |daemon: &KnownDaemon| {
             u64::try_from(now.since(daemon.at).as_millis()).unwrap_or(u64::MAX)
         };
-        let others = self.known.values().map(|daemon| (silent(daemon), &daemon.status));
-        let all = others.chain([(0, own)]);
-        all.filter_map(|(silent, status)| changes_since(known, silent, status)).collect()
+        let others = self.known.values();
+        others.filter_map(|other| changes_since(known, silent(other), &other.status)).collect()
     }
 
     /// What the responses to a daemon said of the limits of upstreams.
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -34,6 +34,8 @@
     load: Option<Load>,
     /// Whether the bytes of messages are counted.
     measures: bool,
+    /// The largest reply that reaches the newest daemon before its call times out, in bytes.
+    reply_max: Option<u64>,
 }
 
 impl Deployment {
@@ -49,6 +51,7 @@
             rounds: 0,
             load: None,
             measures: false,
+            reply_max: None,
         }
     }
 
@@ -96,6 +99,11 @@
                 self.bytes += bytes;
                 self.remote_bytes += if is_remote { bytes } else { 0 };
                 self.calls += 1;
+                let is_newest = from + 1 == self.daemons.len();
+                if self.reply_max.is_some_and(|max| is_newest && size(&reply) > max) {
+                    self.daemons[from].1.on_missed(target);
+                    continue;
+                }
                 let presence = &mut self.daemons[from].1;
                 presence.on_message(now, own.incarnation, &reply);
                 presence.on_known_heartbeats(target, reply.known);
@@ -387,3 +395,40 @@
         }
     }
 }
+
+/// Guards against a daemon that starts in a large deployment and hears of few others for ten
+/// seconds: each status listed all upstreams that had left, so that a reply with all statuses took
+/// longer than the timeout of the call. Found on scale-1 of trapeza-langar-grown, where restarted
+/// daemons heard 7 of 61.
+#[test]
+fn a_daemon_that_starts_while_many_upstreams_leave_hears_the_others_within_two_seconds() {
+    let mut missed = Vec::new();
+    for count in [9, 61, 195, 400] {
+        let mut deployment = large_deployment(count, count);
+        let leaving: Vec<_> = (0..100)
+            .map(|index| {
+                let instance = format!("i-{index:010x}").as_str().try_into().unwrap();
+                (UpstreamId { instance, started_at_ms: 1_764_806_400_000 }, ())
+            })
+            .collect();
+        for (own, _) in &mut deployment.daemons {
+            own.beat += 1;
+            own.leaving.set(own.beat, leaving.clone());
+        }
+        deployment.rounds(4_000, 10, |_, _| true);
+        let mut started = status(1_000);
+        let data_centre = DataCentre::try_from("dc-0").unwrap();
+        started.identity.as_mut().unwrap().data_centre = data_centre.clone();
+        // What the link of the smallest instances carries within the timeout: 10 Mbit/s, 400 ms.
+        deployment.reply_max = Some(500_000);
+        deployment.daemons.push((started, Presence::in_data_centre(data_centre)));
+        deployment.rounds(6_000, 10, |_, _| true);
+        let (_, presence) = deployment.daemons.last().unwrap();
+        let heard = presence.live(at(7_800)).count() as u64;
+        println!("a daemon that starts among {count} hears {heard}");
+        if heard < count {
+            missed.push((count, heard));
+        }
+    }
+    assert_eq!(missed, []);
+}
--- a/crates/policy/src/versioned_map.rs
+++ b/crates/policy/src/versioned_map.rs
@@ -30,6 +30,11 @@
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
+
+    /// The number of entries.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
 }
 
 impl<K: Clone + Ord, V: Clone + PartialEq> VersionedMap<K, V> {
