perf(configuration): the reads of the configuration stop growing with the daemons

Change: on average 24 daemons wait at the store, drawn anew every 5 s; the others hear of a new version from them, as they do already. A daemon that hears 24 daemons or fewer always reads.

--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -19,6 +19,10 @@
 /// Maximum mean interval between two reads by one daemon, so that it soon uses new upstreams.
 const READ_INTERVAL_MAX: Duration = Duration::from_secs(4);
 
+/// Mean number of daemons that wait for a configuration change at the store at the same time. The
+/// others hear of it from them.
+const CONFIG_READERS: u32 = 24;
+
 /// Range of the factor by which an interval is varied at random, so that the reads of different
 /// daemons drift apart.
 const INTERVAL_FACTOR: RangeInclusive<f64> = 0.75..=1.25;
@@ -122,6 +126,15 @@
     }
 }
 
+/// How long one of `daemon_count` live daemons rests between two reads of the configuration, each of
+/// which waits for a change for up to `wait`. `draw` is a random number from 0 to 1: a daemon rests
+/// for as long as a read takes, or not at all, so that the same share of the daemons waits at the
+/// store even if all started together. With few daemons each one always does.
+pub fn config_rest(daemon_count: u32, wait: Duration, draw: f64) -> Duration {
+    let reads = draw * f64::from(daemon_count) < f64::from(CONFIG_READERS);
+    if reads { Duration::ZERO } else { wait }
+}
+
 /// The mean interval between two reads by one of `daemon_count` live daemons.
 fn read_interval(daemon_count: u32) -> Duration {
     (READ_INTERVAL * daemon_count.max(1)).min(READ_INTERVAL_MAX)
--- a/src/node.rs
+++ b/src/node.rs
@@ -194,6 +194,7 @@
         usage.clone(),
         senders,
         registrations.outages(),
+        Arc::clone(&daemon_count),
     );
     let statuses = PeerStatuses::new(status_exchange::Parts {
         incarnation,
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -2,10 +2,13 @@
 
 use super::feed_position::{Continuation, FeedPosition};
 use bytes::Bytes;
+use rand::RngExt;
 use spindle_daemon::ConfigDocument;
+use spindle_policy::read_schedule::config_rest;
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
 use spindle_relay::{ActiveConfig, Limits, UsageTracker};
 use spindle_types::{Clock, MonotonicInstant};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -15,6 +18,9 @@
 /// short one.
 const READ_WAIT: Duration = Duration::from_secs(5);
 
+/// Interval at which a resting daemon checks whether enough others are left.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Delay before a failed read is retried. With it, all daemons together stay far below the rate
 /// limits of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -36,21 +42,24 @@
     usage: UsageTracker,
     senders: Arc<Senders>,
     outages: watch::Receiver<u64>,
+    daemon_count: Arc<AtomicU32>,
     state: Arc<Mutex<State>>,
 }
 
 impl<S: Store, K: Clock> ConfigurationFollower<S, K> {
     /// Creates a follower that has no configuration yet. `outages` changes whenever another reader
     /// of the store loses or regains its connection; the read in progress is then restarted.
+    /// `daemon_count` is the number of live daemons, among which the reads are divided.
     pub fn new(
         store: S,
         clock: K,
         usage: UsageTracker,
         senders: Senders,
         outages: watch::Receiver<u64>,
+        daemon_count: Arc<AtomicU32>,
     ) -> Self {
-        let state = Arc::default();
-        Self { store, clock, usage, senders: Arc::new(senders), outages, state }
+        let (senders, state) = (Arc::new(senders), Arc::default());
+        Self { store, clock, usage, senders, outages, daemon_count, state }
     }
 
     /// The time of the last successful read from the store.
@@ -111,7 +120,12 @@
                     }
                     store_lost = false;
                     self.state().last_success = Some(self.clock.now());
+                    let is_unchanged = batch.items.is_empty();
                     self.apply_batch(batch);
+                    // After a change, the next read starts at once: another one may follow.
+                    if is_unchanged {
+                        self.rest(&mut outages).await;
+                    }
                 }
                 Err(StoreError::Expired(_)) => position.on_expired(),
                 Err(error) => {
@@ -125,6 +139,29 @@
         }
     }
 
+    /// Leaves the waiting at the store to other daemons for a while. Ends early if fewer of them are
+    /// heard, or if another reader of the store reports an outage.
+    async fn rest(&self, outages: &mut watch::Receiver<u64>) {
+        let mut started = self.clock.now();
+        let mut draw = rand::rng().random();
+        loop {
+            let daemon_count = self.daemon_count.load(Ordering::Relaxed);
+            let rest = config_rest(daemon_count, READ_WAIT, draw);
+            if rest.is_zero() {
+                return;
+            }
+            let left = rest.saturating_sub(self.clock.now().since(started));
+            if left.is_zero() {
+                (started, draw) = (self.clock.now(), rand::rng().random());
+                continue;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(left.min(CHECK_INTERVAL)) => {}
+                Ok(()) = outages.changed() => return,
+            }
+        }
+    }
+
     fn apply_batch(&self, batch: FeedBatch) {
         for item in batch.items {
             match item {
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -15,6 +15,11 @@
 fn follow() -> TestFollower {
     let store = FakeStore::default();
     store.set(1);
+    follow_among(store, &Arc::new(AtomicU32::new(1)))
+}
+
+/// Starts a follower that is one of `daemon_count` daemons.
+fn follow_among(store: FakeStore, daemon_count: &Arc<AtomicU32>) -> TestFollower {
     let usage = UsageTracker::new(
         UsageRules {
             retries: RetryBudgetSpec { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) },
@@ -27,8 +32,14 @@
     let senders = (sender, watch::Sender::new(Limits::default()));
     let outages = watch::Sender::new(0);
     let clock = SystemClock::new();
-    let follower =
-        ConfigurationFollower::new(store.clone(), clock, usage, senders, outages.subscribe());
+    let follower = ConfigurationFollower::new(
+        store.clone(),
+        clock,
+        usage,
+        senders,
+        outages.subscribe(),
+        Arc::clone(daemon_count),
+    );
     tokio::spawn(follower.run());
     TestFollower { store, config, outages }
 }
@@ -87,3 +98,59 @@
     sleep_ms(5_000).await;
     assert_eq!(config.borrow().version, 5);
 }
+
+/// Followers of one store, one for each of `count` daemons that start within 0.3 s.
+async fn follow_together(count: u32) -> (FakeStore, Arc<AtomicU32>, Vec<TestFollower>) {
+    let store = FakeStore::default();
+    store.set(1);
+    let daemon_count = Arc::new(AtomicU32::new(count));
+    let mut followers = Vec::new();
+    for _ in 0..count {
+        followers.push(follow_among(store.clone(), &daemon_count));
+        tokio::time::sleep(Duration::from_millis(300) / count).await;
+    }
+    (store, daemon_count, followers)
+}
+
+/// In an earlier version each daemon always waited at the store: 0.2 reads a second each, and one
+/// more at each change.
+#[tokio::test(start_paused = true)]
+async fn reads_of_the_configuration_stop_growing_with_the_daemons() {
+    for count in [1, 9, 61, 195, 400] {
+        let (store, _, _followers) = follow_together(count).await;
+        let before = store.calls.load(Ordering::Relaxed);
+        sleep_ms(60_000).await;
+        let rate = (store.calls.load(Ordering::Relaxed) - before) as f64 / 60.0;
+        println!("{count} daemons: {rate:.2} reads a second");
+        assert!(rate <= 6.0, "{count} daemons: {rate}");
+    }
+}
+
+/// Few informed daemons are enough: the others hear of the version within ten rounds.
+#[tokio::test(start_paused = true)]
+async fn a_change_reaches_some_of_many_daemons_at_any_moment() {
+    for count in [1, 9, 61, 195, 400] {
+        let (store, _, followers) = follow_together(count).await;
+        for version in 2..12 {
+            sleep_ms(3_000 + 700 * version).await;
+            store.set(version);
+            sleep_ms(100).await;
+            let informed =
+                followers.iter().filter(|found| found.config.borrow().version == version);
+            let informed = informed.count();
+            assert!(informed >= count.min(5) as usize, "{informed} of {count}, version {version}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_no_longer_hears_the_others_reads_the_configuration_itself() {
+    let (store, daemon_count, followers) = follow_together(195).await;
+    sleep_ms(20_000).await;
+    daemon_count.store(1, Ordering::Relaxed);
+    sleep_ms(300).await;
+    store.set(2);
+    sleep_ms(100).await;
+    let informed = followers.iter().filter(|found| found.config.borrow().version == 2).count();
+    assert_eq!(informed, 195);
+}
