--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -511,3 +511,50 @@
         "{mistakes}"
     );
 }
+
+/// The late copy arrives on a connection that is in use by the next request, at upstreams whose
+/// responses have different statuses.
+#[tokio::test]
+async fn a_late_second_copy_of_an_answer_never_reaches_another_caller() {
+    for status in ["200 OK", "404 Not Found", "500 Internal Server Error"] {
+        let (platform, upstreams, daemons) = start_deployment(1).await;
+        let head = format!(
+            "HTTP/1.1 {status}\r\nx-request-id: {{id}}\r\nx-response-signature: s\r\n\
+             content-length: 8\r\n\r\n"
+        );
+        let script = Script { head, body: b"{id}".to_vec(), ending: Ending::SecondCopy };
+        let upstream = RawUpstream::start(move |_, _| script.clone()).await;
+        let entry = serde_json::json!({
+            "service": "desk", "address": upstream.address, "zone": "a-1",
+            "version": FIRST_VERSION, "state": "ready", "born": 1_700_000_000_000_u64,
+        });
+        platform.put("keyed.servers", "i-copy", Some(&entry));
+        upstreams[..2].iter().for_each(|upstream| upstream.leave("desk"));
+        let (mut own, mut failed) = (0, 0);
+        for attempt in 0..40 {
+            let id = format!("{attempt:08}");
+            let (method, path) =
+                if attempt % 2 == 0 { ("GET", "/read/x") } else { ("POST", "/book/x") };
+            let response = daemons[0].send(&id, method, path).await;
+            let from_upstream = response.headers().contains_key("x-response-signature");
+            match body(response).await {
+                Ok(content) if from_upstream && content.len() == 8 => {
+                    assert_eq!(content, id, "{status}");
+                    own += 1;
+                }
+                _ => failed += 1,
+            }
+            tokio::time::sleep(POLL_INTERVAL / 4).await;
+        }
+        println!("{status}: {own} own answers, {failed} without one");
+        let reused = upstream.requests().len();
+        assert!(reused > 0 && own > 0, "{status}: {own} own answers, {reused} requests");
+        // A request that may have run is sent once.
+        let mut posts: Vec<_> = upstream.requests().into_iter().map(|found| found.id).collect();
+        posts.retain(|id| id.parse::<u32>().is_ok_and(|id| id % 2 == 1));
+        let sent = posts.len();
+        posts.sort();
+        posts.dedup();
+        assert_eq!(posts.len(), sent, "{status}");
+    }
+}
