fix(relay): a caller that pauses its reading keeps its response

Cause: connections of callers drop data that is unacknowledged for 1.5 s (TCP_USER_TIMEOUT), and Linux counts the time of a closed window too. A caller that read nothing for 2 s was reset. Change: once 16 KiB of a response have been sent, so that the window may be closed, the limit is 15 s, the longest time of a route; with the caller's next request it is 1.5 s again. A host that is gone with at most that much under way is noticed as soon as before, with more only after up to 15 s. Whole bodies count against the 32 MB of response bodies until they are sent, not only until they are read. Tests first: of 4 callers each with pauses of 0, 1, 2, 3 and 5 s, 3 MB, 4, 4, 0, 0, 0 got it whole, plain and stream; now all. Not covered: planned stops, 200 readers at once, 8 s, hosts that are gone.

--- a/crates/http/src/resettable.rs
+++ b/crates/http/src/resettable.rs
@@ -50,6 +50,11 @@
     pub const fn new(stream: TcpStream, reset: ResetOnFailure) -> Self {
         Self { stream, reset }
     }
+
+    /// The socket, for setting its options.
+    pub fn socket(&self) -> SockRef<'_> {
+        SockRef::from(&self.stream)
+    }
 }
 
 impl Drop for ResettableStream {
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -21,7 +21,7 @@
 
 /// How long sent data may stay unacknowledged before the connection is dropped
 /// (`TCP_USER_TIMEOUT`). Longer than one packet loss and its retransmission.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
+pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
 
 /// Time without traffic after which the first keepalive probe is sent.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
--- a/crates/relay/src/head_timeout.rs
+++ b/crates/relay/src/head_timeout.rs
@@ -1,6 +1,7 @@
 //! A caller's connection with a timeout for request heads: each head must be complete within this
 //! time after its first byte. Idle connections are not affected.
 
+use crate::unacknowledged::UnacknowledgedLimit;
 use spindle_http::ResettableStream;
 use std::io;
 use std::pin::Pin;
@@ -33,17 +34,28 @@
     head_timeout: Duration,
     /// Timer that runs while a request head is incomplete.
     head_deadline: Option<Pin<Box<Sleep>>>,
+    unacknowledged: UnacknowledgedLimit,
 }
 
 impl HeadTimeoutStream {
     /// Wraps a connection on which each request head must arrive within `head_timeout` of its first
     /// byte.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         stream: ResettableStream,
         in_progress: RequestInProgress,
         head_timeout: Duration,
     ) -> Self {
-        Self { stream, in_progress, head_timeout, head_deadline: None }
+        let unacknowledged = UnacknowledgedLimit::default();
+        Self { stream, in_progress, head_timeout, head_deadline: None, unacknowledged }
+    }
+}
+
+impl HeadTimeoutStream {
+    fn on_written(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &result {
+            self.unacknowledged.on_sent(self.stream.socket(), *bytes);
+        }
+        result
     }
 }
 
@@ -61,6 +73,8 @@
                 } else if self.head_deadline.is_none() && buffer.filled().len() > before {
                     let deadline = tokio::time::sleep(self.head_timeout);
                     self.head_deadline = Some(Box::pin(deadline));
+                    let this = &mut *self;
+                    this.unacknowledged.on_request(this.stream.socket());
                 }
                 Poll::Ready(result)
             }
@@ -84,7 +98,8 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
+        let result = Pin::new(&mut self.stream).poll_write(context, data);
+        self.on_written(result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -100,7 +115,8 @@
         context: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, data)
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, data);
+        self.on_written(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod stream_keeper;
 mod stream_origin;
 mod tracked_upstream;
+mod unacknowledged;
 pub mod usage;
 
 pub use balancer::Balancer;
--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -11,29 +11,53 @@
 /// largest request body of the users' example configuration.
 const BODY_MAX_BYTES: usize = 4_194_304;
 
-/// Memory that all bodies being read may use together, in bytes, beyond [`BODY_FREE_BYTES`] each.
+/// Memory that all bodies being read or sent may use together, in bytes, beyond [`BODY_FREE_BYTES`] each.
 const BODIES_MAX_BYTES: usize = 33_554_432;
 
 /// Part of each body that doesn't count, in bytes: large bodies don't keep small ones from being
 /// read.
 const BODY_FREE_BYTES: usize = 16_384;
 
-/// Memory of the bodies that are being read. Clones share it.
+/// Memory of the bodies that are being read or sent. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct BodyMemory(Arc<AtomicUsize>);
 
+/// The part of the memory that a body uses; given back when it is dropped.
+#[derive(Debug)]
+struct Reservation {
+    memory: BodyMemory,
+    bytes: usize,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.memory.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// A body of which a part has been read.
 #[derive(Debug)]
 pub(crate) struct PartialBody {
-    memory: BodyMemory,
     content: BytesMut,
-    /// What counts against the memory, in bytes.
-    counted: usize,
+    reservation: Reservation,
+}
+
+/// A whole body. It counts against the memory until it has been sent to the caller.
+struct WholeBody {
+    content: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for WholeBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
 }
 
 impl PartialBody {
     pub(crate) fn new(memory: &BodyMemory) -> Self {
-        Self { memory: memory.clone(), content: BytesMut::new(), counted: 0 }
+        let reservation = Reservation { memory: memory.clone(), bytes: 0 };
+        Self { content: BytesMut::new(), reservation }
     }
 
     /// Reads the rest of the body. If this future is dropped, another call goes on where it stopped.
@@ -48,7 +72,19 @@
                 self.add(&data)?;
             }
         }
-        Ok(self.content.split().freeze())
+        Ok(self.finish())
+    }
+
+    /// The whole body. What it counts for is given back once the last copy of it is dropped.
+    fn finish(&mut self) -> Bytes {
+        let content = self.content.split().freeze();
+        let memory = self.reservation.memory.clone();
+        let bytes = std::mem::take(&mut self.reservation.bytes);
+        if bytes == 0 {
+            return content;
+        }
+        let _reservation = Reservation { memory, bytes };
+        Bytes::from_owner(WholeBody { content, _reservation })
     }
 
     fn add(&mut self, data: &[u8]) -> Result<(), ReadError> {
@@ -56,9 +92,9 @@
         if length > BODY_MAX_BYTES {
             return Err(ReadError::Size { max: BODY_MAX_BYTES });
         }
-        let added = length.saturating_sub(BODY_FREE_BYTES) - self.counted;
-        self.counted += added;
-        let all = self.memory.0.fetch_add(added, Ordering::Relaxed) + added;
+        let added = length.saturating_sub(BODY_FREE_BYTES) - self.reservation.bytes;
+        self.reservation.bytes += added;
+        let all = self.reservation.memory.0.fetch_add(added, Ordering::Relaxed) + added;
         if added > 0 && all > BODIES_MAX_BYTES {
             return Err(ReadError::Size { max: BODIES_MAX_BYTES });
         }
@@ -67,8 +103,5 @@
     }
 }
 
-impl Drop for PartialBody {
-    fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.counted, Ordering::Relaxed);
-    }
-}
+#[cfg(test)]
+mod tests;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
 mod raw;
+mod slow_readers;
 #[path = "../../platform/standin/mod.rs"]
 #[allow(unreachable_pub)]
 mod standin;
