fix(relay): a kept connection is not closed a head's time after a request that was refused at once

Cause: the time limit of a request head is cleared by a read that sees the request in progress. A response that is ready at once (refusals, 404, 401) leaves no such read, so the limit went on while the connection was idle, and its end closed it; a request that came just then, or in two parts after it, got no answer. Change: the stream compares the number of complete heads. Test first: the second of three requests on a connection, 1.3 s after a 404, with 1 s for a head, got no response; all get theirs now.

--- a/crates/relay/src/head_timeout.rs
+++ b/crates/relay/src/head_timeout.rs
@@ -6,24 +6,38 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
-/// Whether a request is being served on the connection; shared between the stream and the handler.
+/// Whether a request is being served on the connection, and how many heads have been complete so far;
+/// shared between the stream and the handler.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RequestInProgress(Arc<AtomicBool>);
+pub(crate) struct RequestInProgress(Arc<Progress>);
+
+#[derive(Debug, Default)]
+struct Progress {
+    in_progress: AtomicBool,
+    heads: AtomicU64,
+}
 
 impl RequestInProgress {
     /// Records that a request head is complete (`true`) or that its response is ready (`false`).
     pub(crate) fn set(&self, in_progress: bool) {
-        self.0.store(in_progress, Ordering::Relaxed);
+        self.0.in_progress.store(in_progress, Ordering::Relaxed);
+        if in_progress {
+            self.0.heads.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.in_progress.load(Ordering::Relaxed)
+    }
+
+    fn heads(&self) -> u64 {
+        self.0.heads.load(Ordering::Relaxed)
     }
 }
 
@@ -34,6 +48,8 @@
     head_timeout: Duration,
     /// Timer that runs while a request head is incomplete.
     head_deadline: Option<Pin<Box<Sleep>>>,
+    /// Number of heads that were complete at the last read.
+    heads: u64,
     unacknowledged: UnacknowledgedLimit,
 }
 
@@ -46,7 +62,7 @@
         head_timeout: Duration,
     ) -> Self {
         let unacknowledged = UnacknowledgedLimit::default();
-        Self { stream, in_progress, head_timeout, head_deadline: None, unacknowledged }
+        Self { stream, in_progress, head_timeout, head_deadline: None, heads: 0, unacknowledged }
     }
 }
 
@@ -65,6 +81,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // A response may have been ready at once, so that no read saw the request in progress.
+        let heads = self.in_progress.heads();
+        if std::mem::replace(&mut self.heads, heads) != heads {
+            self.head_deadline = None;
+        }
         let before = buffer.filled().len();
         match Pin::new(&mut self.stream).poll_read(context, buffer) {
             Poll::Ready(result) => {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -558,3 +558,43 @@
         assert_eq!(posts.len(), sent, "{status}");
     }
 }
+
+/// Sends a request on a kept connection, in two parts, and returns the status of its response, or
+/// `None` if the connection ends.
+async fn status_on(stream: &mut TcpStream, id: &str, path: &str) -> Option<u16> {
+    let mut request = format!("GET {path} HTTP/1.1\r\n");
+    for (name, value) in standin::caller_headers(id) {
+        request.push_str(&format!("{name}: {value}\r\n"));
+    }
+    request.push_str("\r\n");
+    let (first, second) = request.as_bytes().split_at(request.len() / 2);
+    stream.write_all(first).await.ok()?;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stream.write_all(second).await.ok()?;
+    let mut response = Vec::new();
+    while !response.windows(4).any(|window| window == b"\r\n\r\n") {
+        let mut bytes = [0; 1_024];
+        match stream.read(&mut bytes).await {
+            Ok(count) if count > 0 => response.extend(&bytes[..count]),
+            _ => return None,
+        }
+    }
+    // The rest of the response follows at once and is not needed.
+    let _ = tokio::time::timeout(Duration::from_millis(200), stream.read(&mut [0; 1_024])).await;
+    std::str::from_utf8(&response[9..12]).ok()?.parse().ok()
+}
+
+/// The time for a request's head starts with the head, also after responses that were ready at
+/// once.
+#[tokio::test]
+async fn a_kept_connection_is_used_again_after_the_time_for_a_head() {
+    let (_platform, _upstreams, daemons) = start_deployment(1).await;
+    for (path, status) in [("/read/x", 200), ("/nowhere/x", 404)] {
+        let mut stream = TcpStream::connect(daemons[0].caller).await.unwrap();
+        for attempt in 0..3 {
+            let id = format!("kept-{attempt}");
+            assert_eq!(status_on(&mut stream, &id, path).await, Some(status), "{path}, {attempt}");
+            tokio::time::sleep(Duration::from_millis(1_300)).await;
+        }
+    }
+}
