--- a/src/node.rs
+++ b/src/node.rs
@@ -201,7 +201,7 @@
         usage.clone(),
         senders,
         registrations.outages(),
-        Arc::clone(&daemon_count),
+        (Arc::clone(&daemon_count), rand::random()),
     );
     let statuses = PeerStatuses::new(status_exchange::Parts {
         incarnation,
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -2,7 +2,8 @@
 
 use super::feed_position::{Continuation, FeedPosition};
 use bytes::Bytes;
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use spindle_daemon::ConfigDocument;
 use spindle_policy::read_schedule::config_rest;
 use spindle_relay::backends::{Feed, FeedBatch, FeedRecord, Store, StoreError};
@@ -43,23 +44,25 @@
     senders: Arc<Senders>,
     outages: watch::Receiver<u64>,
     daemon_count: Arc<AtomicU32>,
+    seed: u64,
     state: Arc<Mutex<State>>,
 }
 
 impl<S: Store, K: Clock> ConfigurationFollower<S, K> {
     /// Creates a follower that has no configuration yet. `outages` changes whenever another reader
     /// of the store loses or regains its connection; the read in progress is then restarted.
-    /// `daemon_count` is the number of live daemons, among which the reads are divided.
+    /// `daemon_count` is the number of live daemons, among which the reads are divided; `seed` differs
+    /// between daemons.
     pub fn new(
         store: S,
         clock: K,
         usage: UsageTracker,
         senders: Senders,
         outages: watch::Receiver<u64>,
-        daemon_count: Arc<AtomicU32>,
+        (daemon_count, seed): (Arc<AtomicU32>, u64),
     ) -> Self {
         let (senders, state) = (Arc::new(senders), Arc::default());
-        Self { store, clock, usage, senders, outages, daemon_count, state }
+        Self { store, clock, usage, senders, outages, daemon_count, seed, state }
     }
 
     /// The time of the last successful read from the store.
@@ -90,6 +93,7 @@
         let mut position = FeedPosition::new(Feed::Configuration);
         let mut store_lost = false;
         let mut outages = self.outages.clone();
+        let mut generator = ChaCha8Rng::seed_from_u64(self.seed);
         loop {
             // During an outage, a long poll would notice too late that the store is back.
             let wait = if store_lost { Duration::ZERO } else { READ_WAIT };
@@ -124,7 +128,7 @@
                     self.apply_batch(batch);
                     // After a change, the next read starts at once: another one may follow.
                     if is_unchanged {
-                        self.rest(&mut outages).await;
+                        self.rest(&mut outages, &mut generator).await;
                     }
                 }
                 Err(StoreError::Expired(_)) => position.on_expired(),
@@ -141,9 +145,9 @@
 
     /// Leaves the waiting at the store to other daemons for a while. Ends early if fewer of them are
     /// heard, or if another reader of the store reports an outage.
-    async fn rest(&self, outages: &mut watch::Receiver<u64>) {
+    async fn rest(&self, outages: &mut watch::Receiver<u64>, generator: &mut ChaCha8Rng) {
         let mut started = self.clock.now();
-        let mut draw = rand::rng().random();
+        let mut draw = generator.random();
         loop {
             let daemon_count = self.daemon_count.load(Ordering::Relaxed);
             let rest = config_rest(daemon_count, READ_WAIT, draw);
@@ -152,7 +156,7 @@
             }
             let left = rest.saturating_sub(self.clock.now().since(started));
             if left.is_zero() {
-                (started, draw) = (self.clock.now(), rand::rng().random());
+                (started, draw) = (self.clock.now(), generator.random());
                 continue;
             }
             tokio::select! {
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -15,11 +15,11 @@
 fn follow() -> TestFollower {
     let store = FakeStore::default();
     store.set(1);
-    follow_among(store, &Arc::new(AtomicU32::new(1)))
+    follow_among(store, &Arc::new(AtomicU32::new(1)), 7)
 }
 
 /// Starts a follower that is one of `daemon_count` daemons.
-fn follow_among(store: FakeStore, daemon_count: &Arc<AtomicU32>) -> TestFollower {
+fn follow_among(store: FakeStore, daemon_count: &Arc<AtomicU32>, seed: u64) -> TestFollower {
     let usage = UsageTracker::new(
         UsageRules {
             retries: RetryBudgetSpec { ratio: 0.2, slack: 1.0, window: Duration::from_secs(1) },
@@ -38,7 +38,7 @@
         usage,
         senders,
         outages.subscribe(),
-        Arc::clone(daemon_count),
+        (Arc::clone(daemon_count), seed),
     );
     tokio::spawn(follower.run());
     TestFollower { store, config, outages }
@@ -105,8 +105,8 @@
     store.set(1);
     let daemon_count = Arc::new(AtomicU32::new(count));
     let mut followers = Vec::new();
-    for _ in 0..count {
-        followers.push(follow_among(store.clone(), &daemon_count));
+    for index in 0..count {
+        followers.push(follow_among(store.clone(), &daemon_count, u64::from(index)));
         tokio::time::sleep(Duration::from_millis(300) / count).await;
     }
     (store, daemon_count, followers)
