fix(presence): the own status lists all leaving upstreams before each call too

Cause: forwarded statuses no longer repeat the leaving upstreams, on the premise that the sender's own status lists all that it knows. Before a reply it did; before a call it was as old as the round, up to 0.1 s, so a daemon could get a status of another one without what that one had listed, and count its own knowledge as complete for that long.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -415,31 +415,30 @@
         generator: &mut impl Rng,
     ) -> Vec<SocketAddr> {
         self.round += 1;
-        let mut live: Vec<SocketAddr> = Vec::new();
-        let mut remote: Vec<SocketAddr> = Vec::new();
+        let mut near: Vec<SocketAddr> = Vec::new();
+        let mut far: Vec<SocketAddr> = Vec::new();
         let mut silent: Vec<SocketAddr> = Vec::new();
         for daemon in self.known.values().filter(|daemon| daemon.status.phase != Phase::Leaving) {
             let is_silent = now.since(daemon.at) > self.silent_after();
             let is_remote = self.data_centre.as_ref() != Some(&daemon.identity.data_centre);
             let group = match (is_silent, is_remote) {
                 (true, _) => &mut silent,
-                (false, true) => &mut remote,
-                (false, false) => &mut live,
+                (false, true) => &mut far,
+                (false, false) => &mut near,
             };
             group.push(daemon.identity.peer);
         }
         silent.extend(seeds);
-        silent.retain(|peer| *peer != own && !live.contains(peer) && !remote.contains(peer));
-        live.retain(|peer| *peer != own);
-        remote.retain(|peer| *peer != own);
-        self.live = live.len() + remote.len();
+        silent.retain(|peer| *peer != own && !near.contains(peer) && !far.contains(peer));
+        near.retain(|peer| *peer != own);
+        far.retain(|peer| *peer != own);
+        self.live = near.len() + far.len();
         let calls = (1 + self.live / DAEMONS_PER_CALL).min(CALLS_MAX);
         let mut targets = Vec::new();
         for _ in 0..calls {
             let is_large = self.live >= DAEMONS_PER_CALL;
             let leaves = !is_large || generator.random_ratio(1, REMOTE_CALL_INTERVAL);
-            let peer = draw(&mut live, &mut remote, leaves, generator);
-            targets.extend(peer);
+            targets.extend(draw(&mut near, &mut far, leaves, generator));
         }
         if targets.is_empty() || self.round.is_multiple_of(SILENT_CONTACT_INTERVAL_ROUNDS) {
             targets.extend(draw_one(&mut silent, generator));
--- a/crates/relay/src/head_timeout.rs
+++ b/crates/relay/src/head_timeout.rs
@@ -64,9 +64,7 @@
         let unacknowledged = UnacknowledgedLimit::default();
         Self { stream, in_progress, head_timeout, head_deadline: None, heads: 0, unacknowledged }
     }
-}
 
-impl HeadTimeoutStream {
     fn on_written(&mut self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &result {
             self.unacknowledged.on_sent(self.stream.socket(), *bytes);
--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -11,7 +11,8 @@
 /// largest request body of the users' example configuration.
 const BODY_MAX_BYTES: usize = 4_194_304;
 
-/// Memory that all bodies being read or sent may use together, in bytes, beyond [`BODY_FREE_BYTES`] each.
+/// Memory that all bodies being read or sent may use together, in bytes, beyond [`BODY_FREE_BYTES`]
+/// each.
 const BODIES_MAX_BYTES: usize = 33_554_432;
 
 /// Part of each body that doesn't count, in bytes: large bodies don't keep small ones from being
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -412,7 +412,8 @@
     async fn exchange_with(self, peer: SocketAddr) {
         let sent = self.parts.clock.now();
         let message = {
-            let state = self.state();
+            let mut state = self.state();
+            self.list_leaving(sent, &mut state);
             state.presence.message_to(sent, &state.own, peer)
         };
         match self.exchange(peer, message).await {
@@ -453,12 +454,7 @@
         self.apply_message(message);
         let now = self.parts.clock.now();
         let mut state = self.state();
-        // The reply states how recent its list of leaving upstreams is, so the list has to be
-        // complete.
-        let leaving = self.parts.balancer.leaving(now, LEAVING_MAX);
-        if has_unlisted(&state.own, &leaving) {
-            self.update_own_status(now, &mut state);
-        }
+        let leaving = self.list_leaving(now, &mut state);
         let mut reply = state.presence.reply(now, &state.own, message);
         let age = self.parts.registrations.age(now).filter(|_| leaving.complete);
         reply.coverage = age.map(|age| Coverage {
@@ -470,6 +466,17 @@
         reply
     }
 
+    /// Lists in the own status all leaving upstreams that this daemon knows, and returns them. Replies
+    /// state how recent that list is, and forwarded statuses don't repeat it, so it has to be complete
+    /// before each message.
+    fn list_leaving(&self, now: MonotonicInstant, state: &mut State) -> LeavingUpstreams {
+        let leaving = self.parts.balancer.leaving(now, LEAVING_MAX);
+        if has_unlisted(&state.own, &leaving) {
+            self.update_own_status(now, state);
+        }
+        leaving
+    }
+
     /// Applies what the reply to a call sent at `sent` states about leaving upstreams, after its
     /// statuses have been applied.
     fn apply_coverage(&self, sent: MonotonicInstant, coverage: Option<Coverage>) {
