fix(relay): what is unsent of a request that is given up is discarded

Cause: connections to upstreams were closed in order, so the kernel still delivered what was unsent of a request that had been given up. Change: a connection on which no response head has arrived since a request was started is reset. After the head the upstream has the whole request, and the orderly close, which is repeated if it gets lost, stays.

--- a/crates/relay/src/connection/tests.rs
+++ b/crates/relay/src/connection/tests.rs
@@ -1,12 +1,11 @@
 use super::*;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// What is unsent in a connection that is closed in order still reaches the upstream once a cut link
 /// is back, seconds after the request was given up; a reset discards it. Found on others.toml of
 /// trapeza-langar, seed 97132239028.
 #[tokio::test]
-#[ignore = "KNOWN-RED"]
 async fn a_connection_whose_request_is_given_up_is_reset() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let mut connection = Connection::open(listener.local_addr().unwrap()).await.unwrap();
@@ -21,3 +20,20 @@
     let end = upstream.read(&mut received).await;
     assert_eq!(end.map_err(|error| error.kind()), Err(io::ErrorKind::ConnectionReset));
 }
+
+/// The upstream has the whole request then, and an orderly close is repeated if it gets lost.
+#[tokio::test]
+async fn a_connection_whose_response_has_begun_is_closed_in_order() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut connection = Connection::open(listener.local_addr().unwrap()).await.unwrap();
+    let (mut upstream, _) = listener.accept().await.unwrap();
+    let request = Request::get("/").header("host", "h.example").body(Full::default()).unwrap();
+    let head = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n";
+    let answer = async {
+        assert!(upstream.read(&mut [0; 1_024]).await.unwrap() > 0);
+        upstream.write_all(head).await.unwrap();
+    };
+    let (response, ()) = tokio::join!(connection.send(request), answer);
+    drop((response.unwrap(), connection));
+    assert_eq!(upstream.read(&mut [0; 1_024]).await.unwrap(), 0);
+}
--- a/crates/relay/src/response_stream.rs
+++ b/crates/relay/src/response_stream.rs
@@ -1,10 +1,13 @@
-//! The byte stream of a connection to an upstream, with a limit on the size of response heads.
+//! The byte stream of a connection to an upstream, with a limit on the size of response heads. It
+//! discards what is unsent of a request that is given up.
 
+use socket2::SockRef;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -39,8 +42,12 @@
 
     /// Number of bytes that have arrived of a head that is not complete.
     pub(crate) fn partial_head(&self) -> usize {
-        let in_head = self.0.in_head.load(Ordering::Relaxed);
-        if in_head { self.0.head.load(Ordering::Relaxed) } else { 0 }
+        if self.in_head() { self.0.head.load(Ordering::Relaxed) } else { 0 }
+    }
+
+    /// Whether a request has been started whose response head is not complete.
+    fn in_head(&self) -> bool {
+        self.0.in_head.load(Ordering::Relaxed)
     }
 
     /// Number of all bytes that have arrived.
@@ -51,7 +58,7 @@
     /// Adds bytes that have arrived. Returns whether the head may go on.
     fn add(&self, bytes: usize) -> bool {
         self.0.total.fetch_add(bytes, Ordering::Relaxed);
-        if !self.0.in_head.load(Ordering::Relaxed) {
+        if !self.in_head() {
             return true;
         }
         self.0.head.fetch_add(bytes, Ordering::Relaxed) + bytes <= HEAD_BYTES_MAX
@@ -72,6 +79,18 @@
     }
 }
 
+impl Drop for ResponseStream {
+    /// Without a response head, parts of the request may still be unsent. After an orderly close the
+    /// kernel would deliver them whenever the link allows it; a reset discards them.
+    fn drop(&mut self) {
+        if self.received.in_head()
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            log::warn!("event=reset_failed error={error:?}");
+        }
+    }
+}
+
 impl AsyncRead for ResponseStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
