refactor(deployment): starting and stopping upstreams' stand-ins is a unit of its own

UpstreamStandin and the launcher move to src/launcher.rs as they are; tests change the path of one import.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,7 +1,8 @@
 //! Runs a complete deployment in one process, either to explore it or to check its guarantees once.
 
 use crate::client::{CallerClient, ChatStream, ServiceCall};
-use crate::deployment::{DEMO_OPERATOR_KEY, Deployment, Example, UpstreamStandin};
+use crate::deployment::{DEMO_OPERATOR_KEY, Deployment, Example};
+use crate::launcher::UpstreamStandin;
 use eyre::{bail, ensure, eyre};
 use http::{Method, StatusCode};
 use spindle_standin::{EngineModel, whole_answer};
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -3,41 +3,38 @@
 use crate::config_follower::CONFIG_STREAM;
 use crate::context::LiveContext;
 use crate::daemon::Daemon;
+use crate::launcher::{
+    Launcher, MACHINE_CLASS, UpstreamStandin, UpstreamsByInstance, lock_upstreams,
+};
 use crate::settings::{
     CallerSettings, DrainSettings, IdentitySettings, OperatorSettings, PeerSettings,
     PlannerSettings, PlatformSettings, RoutingSettings, Settings, check_document,
 };
 use clap::ValueEnum;
-use eyre::{WrapErr, eyre};
+use eyre::WrapErr;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_json::value::to_raw_value;
-use spindle_cloud::{Cloud, CloudInstance, HttpCloud, Offer, StartRequest};
-use spindle_instances::{InstanceEntry, State, Workload};
+use spindle_cloud::{Cloud, HttpCloud, Offer, StartRequest};
+use spindle_instances::Workload;
 use spindle_policy::membership::{Member, MemberStatus};
-use spindle_policy::reconcile::InstanceKind;
 use spindle_standin::EngineModel;
-use spindle_standin::cloud::InstanceEvent;
-use spindle_standin::{CloudStandin, EngineStandin, LogStandin, ServiceStandin, WeightsStandin};
-use spindle_types::config::{Change, FencingCheck, KeyHash, Market, PoolSpec, TeamSpec};
+use spindle_standin::{CloudStandin, LogStandin, WeightsStandin};
+use spindle_types::config::{Change, KeyHash, Market, TeamSpec};
 use spindle_types::{
     ClientToken, ConfigRecord, Configuration, DataCentre, Instance, MachineClass, Money, Operator,
     Pool, Region, Revision, Size, Span, Team, UtcInstant,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use strum::Display;
 use tokio::runtime::Handle;
-use tokio::sync::mpsc;
 
 /// The interval at which the weight store stand-in grants reads.
 const WEIGHT_READ_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The machine class of every instance in a deployment.
-const MACHINE_CLASS: &str = "standin";
-
 /// The name of the only operator who has a key.
 pub const DEMO_OPERATOR: &str = "ana";
 
@@ -133,52 +130,6 @@
     }
 }
 
-/// The stand-in of an upstream.
-#[derive(Clone, Debug)]
-pub enum UpstreamStandin {
-    /// A stand-in of a model engine.
-    Engine(EngineStandin),
-    /// A stand-in of a plain service.
-    Service(ServiceStandin),
-}
-
-impl UpstreamStandin {
-    async fn start(spec: &PoolSpec, engine_model: EngineModel) -> std::io::Result<Self> {
-        let checks_fencing = spec.fencing == FencingCheck::Checked;
-        match &spec.model {
-            Some(model) => {
-                let engine =
-                    EngineStandin::start(model.clone(), engine_model, checks_fencing).await?;
-                Ok(Self::Engine(engine))
-            }
-            None => Ok(Self::Service(ServiceStandin::start().await?)),
-        }
-    }
-
-    /// Returns `engine` or `service`.
-    pub const fn kind(&self) -> &'static str {
-        match self {
-            Self::Engine(_) => "engine",
-            Self::Service(_) => "service",
-        }
-    }
-
-    /// The address on which the stand-in listens.
-    pub fn address(&self) -> SocketAddr {
-        match self {
-            Self::Engine(engine) => engine.address(),
-            Self::Service(service) => service.address(),
-        }
-    }
-
-    fn kill(&self) {
-        match self {
-            Self::Engine(engine) => engine.kill(),
-            Self::Service(service) => service.kill(),
-        }
-    }
-}
-
 /// The intervals of the daemons' periodic tasks.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum IntervalPreset {
@@ -219,9 +170,6 @@
     pub runtime: Option<Handle>,
 }
 
-/// A shared map of upstreams by instance.
-pub type UpstreamsByInstance = Arc<Mutex<BTreeMap<Instance, UpstreamStandin>>>;
-
 /// A running deployment. Dropping it stops everything immediately, without draining.
 #[derive(Debug)]
 pub struct Deployment {
@@ -524,78 +472,3 @@
     };
     Ok(Revision(log.append(CONFIG_STREAM, to_raw_value(&record)?).0))
 }
-
-fn lock_upstreams(
-    running: &UpstreamsByInstance,
-) -> MutexGuard<'_, BTreeMap<Instance, UpstreamStandin>> {
-    running.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Starts and stops upstreams as the cloud stand-in starts and stops their instances.
-struct Launcher {
-    platform: CloudStandin,
-    pools: BTreeMap<Pool, PoolSpec>,
-    running: UpstreamsByInstance,
-    launched: UpstreamsByInstance,
-    engine_model: EngineModel,
-}
-
-impl Launcher {
-    async fn start_all(&self, example: Example, engines: Option<usize>) -> eyre::Result<()> {
-        let data_centres = example.data_centres();
-        for (pool, count) in example.upstreams() {
-            let serves_model = self.pools.get(pool).is_some_and(|spec| spec.model.is_some());
-            let count = engines.filter(|_| serves_model).unwrap_or(count);
-            for index in 0..count {
-                let instance = Instance::try_from(format!("{pool}-{index:02}"))?;
-                let data_centre = DataCentre::try_from(data_centres[index % data_centres.len()])?;
-                let kind = InstanceKind {
-                    pool: Pool::try_from(pool)?,
-                    data_centre,
-                    class: MachineClass::try_from(MACHINE_CLASS)?,
-                    market: Market::Reclaimable,
-                };
-                self.launch(instance, kind).await?;
-            }
-        }
-        Ok(())
-    }
-
-    async fn launch(&self, instance: Instance, kind: InstanceKind) -> eyre::Result<()> {
-        let InstanceKind { pool, data_centre, class, market } = kind;
-        let spec = self.pools.get(&pool).ok_or_else(|| eyre!("pool {pool} is not configured"))?;
-        let upstream = UpstreamStandin::start(spec, self.engine_model).await?;
-        let entry = InstanceEntry {
-            instance: instance.clone(),
-            data_centre,
-            class,
-            market,
-            address: upstream.address(),
-            kind: Workload::Upstream { pool },
-            state: State::Live,
-        };
-        lock_upstreams(&self.launched).insert(instance.clone(), upstream.clone());
-        lock_upstreams(&self.running).insert(instance, upstream);
-        self.platform.put(entry);
-        Ok(())
-    }
-
-    async fn run(self, mut events: mpsc::UnboundedReceiver<InstanceEvent>) {
-        while let Some(event) = events.recv().await {
-            match event {
-                InstanceEvent::Stopped(instance) => {
-                    if let Some(upstream) = lock_upstreams(&self.running).remove(&instance) {
-                        upstream.kill();
-                    }
-                }
-                InstanceEvent::Started(CloudInstance { instance, start }) => {
-                    let StartRequest { pool, data_centre, class, market, .. } = start;
-                    let kind = InstanceKind { pool, data_centre, class, market };
-                    if let Err(error) = self.launch(instance, kind).await {
-                        log::warn!("event=launch_failed error={error:?}");
-                    }
-                }
-            }
-        }
-    }
-}
--- a/src/experiment.rs
+++ b/src/experiment.rs
@@ -10,7 +10,8 @@
 pub use all::run_all;
 pub use table::{guarantee_table, print_reports};
 
-use crate::deployment::{Deployment, DeploymentOptions, Example, IntervalPreset, UpstreamStandin};
+use crate::deployment::{Deployment, DeploymentOptions, Example, IntervalPreset};
+use crate::launcher::UpstreamStandin;
 use crate::load::{self, LoadReport, Progress, Targets};
 use crate::settings::{
     ExperimentSettings, LoadError, RoutingSettings, TrafficSettings, check_document,
--- a/src/experiment/faults.rs
+++ b/src/experiment/faults.rs
@@ -2,7 +2,8 @@
 
 use super::Prices;
 use super::monitor::{WatchedConfigs, watch};
-use crate::deployment::{Deployment, UpstreamStandin};
+use crate::deployment::Deployment;
+use crate::launcher::UpstreamStandin;
 use crate::settings::{Fault, FaultSettings};
 use serde::Serialize;
 use spindle_standin::Faults;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod idempotency;
 pub mod journal;
 pub mod kv_transfer;
+pub mod launcher;
 pub mod lease;
 pub mod load;
 pub mod logs;
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -1,7 +1,8 @@
 //! Calls with idempotency keys run at most once, through several daemons over real sockets.
 
 use bronzespindle::client::{CallerClient, ServiceCall};
-use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use bronzespindle::deployment::{Deployment, Example};
+use bronzespindle::launcher::UpstreamStandin;
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
 use spindle_standin::EngineModel;
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -1,7 +1,8 @@
 //! Requests of callers through one daemon to upstreams, over real sockets.
 
 use bronzespindle::client::{CallerClient, ClientError, ServiceCall};
-use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use bronzespindle::deployment::{Deployment, Example};
+use bronzespindle::launcher::UpstreamStandin;
 use http::{Method, StatusCode};
 use spindle_standin::{EngineModel, whole_answer};
 use spindle_types::Model;
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,7 +1,8 @@
 //! Daemons as separate processes that receive signals.
 
 use bronzespindle::client::{CallerClient, ClientError, ServiceCall};
-use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use bronzespindle::deployment::{Deployment, Example};
+use bronzespindle::launcher::UpstreamStandin;
 use bronzespindle::publisher::PublishOutcome;
 use http::{Method, StatusCode};
 use nix::sys::signal::{Signal, kill};
--- a/tests/survival.rs
+++ b/tests/survival.rs
@@ -1,7 +1,8 @@
 //! Streams whose engines misbehave or are reclaimed, over real sockets.
 
 use bronzespindle::client::CallerClient;
-use bronzespindle::deployment::{Deployment, Example, UpstreamStandin};
+use bronzespindle::deployment::{Deployment, Example};
+use bronzespindle::launcher::UpstreamStandin;
 use futures_util::future::join_all;
 use spindle_standin::answer::natural_length;
 
