refactor: one unit applies what a response head says of its upstream; how many peers a round calls is one function

Read again as a newcomer: attempt.rs decided what a head says of limits beside the notices; the number of calls a round and the share that leaves the data centre stood in presence and again in the followers' simulation. No behaviour changes.

--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -32,16 +32,13 @@
 /// in time.
 const HEARTBEAT_ROUNDS_MAX: usize = 5;
 
-/// From this number of live daemons on, a daemon calls [`CALLS_MAX`] peers per round in place of
-/// one. An update then reaches 400 daemons within ten rounds.
-pub const DAEMONS_PER_CALL: usize = 64;
+/// The number of live daemons from which on a deployment is large: a daemon then calls two peers per
+/// round in place of one, and mostly those of its own data centre.
+pub const LARGE_MIN: usize = 64;
 
-/// The maximum number of peers that a daemon calls in a round.
-pub const CALLS_MAX: usize = 2;
-
-/// In a large deployment one call in this many goes to another data centre, the others stay in the
+/// In a large deployment one call in this many may go to another data centre, the others stay in the
 /// daemon's own, because traffic between data centres is charged.
-const REMOTE_CALL_INTERVAL: u32 = 6;
+pub const REMOTE_CALL_INTERVAL: u32 = 6;
 
 /// From this number of live daemons on, a caller sends only its own status and fetches the others
 /// that it lacks: forwarded unasked, most of them would be known to the receiver already.
@@ -433,10 +430,9 @@
         near.retain(|peer| *peer != own);
         far.retain(|peer| *peer != own);
         self.live = near.len() + far.len();
-        let calls = (1 + self.live / DAEMONS_PER_CALL).min(CALLS_MAX);
         let mut targets = Vec::new();
-        for _ in 0..calls {
-            let is_large = self.live >= DAEMONS_PER_CALL;
+        for _ in 0..calls_per_round(self.live) {
+            let is_large = self.live >= LARGE_MIN;
             let leaves = !is_large || generator.random_ratio(1, REMOTE_CALL_INTERVAL);
             targets.extend(draw(&mut near, &mut far, leaves, generator));
         }
@@ -519,6 +515,12 @@
     }
 }
 
+/// The number of live peers that a daemon calls in a round, of `live` ones. An update then reaches
+/// 400 daemons within ten rounds.
+pub const fn calls_per_round(live: usize) -> usize {
+    if live < LARGE_MIN { 1 } else { 2 }
+}
+
 /// The status for a daemon with the heartbeats in `known`; none if it has the newest one.
 fn changes_since(
     known: &BTreeMap<Incarnation, u64>,
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -57,9 +57,15 @@
 
     /// Daemons that are spread over six data centres.
     fn in_data_centres(count: u64, seed: u64) -> Self {
+        Self::in_data_centres_by(count, seed, |incarnation| incarnation % 6)
+    }
+
+    /// Daemons in the data centres that `place` says.
+    fn in_data_centres_by(count: u64, seed: u64, place: impl Fn(u64) -> u64) -> Self {
         let daemon = |incarnation: u64| {
             let mut own = status(incarnation);
-            let data_centre = DataCentre::try_from(format!("dc-{}", incarnation % 6)).unwrap();
+            let data_centre = format!("dc-{}", place(incarnation));
+            let data_centre = DataCentre::try_from(data_centre).unwrap();
             own.identity.as_mut().unwrap().data_centre = data_centre.clone();
             (own, Presence::in_data_centre(data_centre))
         };
@@ -432,3 +438,26 @@
     }
     assert_eq!(missed, []);
 }
+
+/// Most calls of the two daemons of a small data centre go to each other.
+#[test]
+fn updates_reach_daemons_in_small_data_centres_within_the_time_for_configuration() {
+    let mut late = Vec::new();
+    for seed in 1..=4 {
+        let count = 195;
+        // Twelve data centres have two daemons each, the rest is in five.
+        let place = |at: u64| if at < 24 { 10 + at / 2 } else { at % 5 };
+        let mut deployment = Deployment::in_data_centres_by(count, seed, place);
+        deployment.rounds(0, 20, |_, _| true);
+        deployment.daemons[3].0.config = 2;
+        deployment.daemons[3].0.beat += 1;
+        deployment.rounds(4_000, 10, |_, _| true);
+        let knows = |presence: &Presence| presence.iter().any(|daemon| daemon.status.config == 2);
+        let missing = deployment.daemons.iter().filter(|(_, presence)| !knows(presence)).count();
+        // The daemon that was changed doesn't list itself.
+        if missing > 1 {
+            late.push((seed, missing - 1));
+        }
+    }
+    assert_eq!(late, []);
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::connection::SendError;
 use crate::notices;
 use crate::pool::{PoolError, PooledConnection};
-use crate::protocol::{ForwardContext, NamedLimit, ResponseClass, UpstreamProtocol};
+use crate::protocol::{ForwardContext, ResponseClass, UpstreamProtocol};
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN, UpstreamResponse};
 use crate::request::BufferedRequest;
 use crate::response_end::Framing;
@@ -259,19 +259,7 @@
     ) -> AttemptOutcome {
         let now = self.0.clock.now();
         let class = self.0.protocol.classify_response(&attempt.buffered.inbound, &head);
-        let named = self.0.protocol.named_limit(&head);
-        // A refusal may come from a part of the upstream that knows of no limit.
-        let tells_limit = match class {
-            ResponseClass::Executed(_) => true,
-            ResponseClass::Refused { .. } => named != NamedLimit::None,
-            ResponseClass::WrongUpstream | ResponseClass::Invalid => false,
-        };
-        if tells_limit {
-            assignment.on_limit(now, named);
-        }
-        if matches!(class, ResponseClass::Executed(_) | ResponseClass::Refused { .. }) {
-            notices::apply(now, &assignment, self.0.protocol.notice(&head));
-        }
+        notices::apply(now, &assignment, &class, self.0.protocol.notice(&head));
         match class {
             ResponseClass::Executed(executed) => {
                 assignment.on_load(now, executed.load);
--- a/crates/relay/src/head_timeout.rs
+++ b/crates/relay/src/head_timeout.rs
@@ -1,5 +1,6 @@
 //! A caller's connection with a timeout for request heads: each head must be complete within this
-//! time after its first byte. Idle connections are not affected.
+//! time after its first byte. Idle connections are not affected. It also sets how long what is sent
+//! may stay unacknowledged, by how much of a response has been sent.
 
 use crate::unacknowledged::UnacknowledgedLimit;
 use spindle_http::ResettableStream;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -2,18 +2,37 @@
 
 use crate::balancer::Assignment;
 use crate::metrics::METRICS;
-use crate::protocol::{NamedPause, UpstreamNotice};
+use crate::protocol::{NamedLimit, NamedPause, ResponseClass, UpstreamNotice};
 use opentelemetry::KeyValue;
 use spindle_types::MonotonicInstant;
 
 /// Applies a notice of the upstream that a request was assigned to. One that is leaving gets nothing
-/// new at any daemon; a pause holds for this daemon only.
-pub(crate) fn apply(now: MonotonicInstant, assignment: &Assignment, notice: UpstreamNotice) {
+/// new at any daemon, a limit holds for all daemons together, and a pause for this one only. A response
+/// that isn't the upstream's own says nothing of it.
+pub(crate) fn apply(
+    now: MonotonicInstant,
+    assignment: &Assignment,
+    class: &ResponseClass,
+    notice: UpstreamNotice,
+) {
+    // A refusal may come from a part of the upstream that knows of no limit.
+    let tells_limit = match class {
+        ResponseClass::Executed(_) => true,
+        ResponseClass::Refused { .. } => notice.limit != NamedLimit::None,
+        ResponseClass::WrongUpstream | ResponseClass::Invalid => return,
+    };
+    if tells_limit {
+        assignment.on_limit(now, notice.limit);
+    }
     if notice.leaving {
         assignment.on_leaving(now);
     }
+    apply_pause(now, assignment, notice.pause);
+}
+
+fn apply_pause(now: MonotonicInstant, assignment: &Assignment, pause: NamedPause) {
     let upstream = &assignment.upstream_id.instance;
-    match notice.pause {
+    match pause {
         NamedPause::None => {}
         NamedPause::For(named) => {
             let observed = assignment.on_pause(now, named);
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -58,9 +58,10 @@
 }
 
 /// The rate limit that a response reports. It applies to the sum over all daemons.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub enum NamedLimit {
     /// The response reports no limit.
+    #[default]
     None,
     /// The upstream accepts requests up to this rate.
     Rate(RequestRate),
@@ -75,6 +76,8 @@
     pub leaving: bool,
     /// How long the upstream accepts no requests of this daemon.
     pub pause: NamedPause,
+    /// The rate of requests that the upstream accepts.
+    pub limit: NamedLimit,
 }
 
 /// How long an upstream that has rejected a request accepts no further ones of this daemon.
@@ -97,9 +100,6 @@
     /// Tells what the head of the response to a request means.
     fn classify_response(&self, inbound: &Inbound, head: &response::Parts) -> ResponseClass;
 
-    /// Returns the limit that the head of a response reports.
-    fn named_limit(&self, head: &response::Parts) -> NamedLimit;
-
     /// Returns what the head of a response says of the upstream's own state.
     fn notice(&self, head: &response::Parts) -> UpstreamNotice;
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -77,7 +77,7 @@
     pub refuse_streams: Arc<AtomicBool>,
     /// Started at the end of the shutdown period: requests without a response are given up.
     pub give_up: Drain,
-    /// Memory of the response bodies that are being read.
+    /// Memory of the response bodies that are being read or sent.
     pub body_memory: BodyMemory,
     /// Versions that streams were sent to.
     pub keeper: StreamKeeper,
--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -2,7 +2,9 @@
 use crate::node::fake_store::FakeStore;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use spindle_policy::presence::{CALLS_MAX, DAEMONS_PER_CALL, LEAVING_MAX, ROUND_INTERVAL};
+use spindle_policy::presence::{
+    LARGE_MIN, LEAVING_MAX, REMOTE_CALL_INTERVAL, ROUND_INTERVAL, calls_per_round,
+};
 use spindle_policy::upstream_registry::{Registration, UpstreamId};
 use spindle_relay::pool::ConnectionPool;
 use spindle_types::SystemClock;
@@ -143,11 +145,12 @@
     fn exchange_round(&mut self) {
         let now = self.clock.now();
         let count = self.daemons.len();
-        let calls = (1 + count / DAEMONS_PER_CALL).min(CALLS_MAX);
+        let calls = calls_per_round(count - 1);
         for caller in (0..count).flat_map(|caller| std::iter::repeat_n(caller, calls)) {
             let callee = self.random.random_range(0..count);
             // In a large deployment most calls stay in one of six data centres.
-            let stays = count >= DAEMONS_PER_CALL && self.random.random_ratio(5, 6);
+            let is_large = count > LARGE_MIN;
+            let stays = is_large && !self.random.random_ratio(1, REMOTE_CALL_INTERVAL);
             let callee = if stays { callee - callee % 6 + caller % 6 } else { callee };
             let callee = callee.min(count - 1);
             let is_lost = self.random.random_bool(self.loss);
