fix(relay): what other daemons saw of crashes is logged in one line a message

Change: the daemon that saw it logs each key; the others one line a message, and each conviction and release. Test first: a daemon that had only been told logged 9 lines crash_blamed with source=daemon; now none.

--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -164,7 +164,17 @@
     pub fn on_news(&self, now: MonotonicInstant, news: &CrashNews) {
         let changes = self.state().ledger.on_news(now, news);
         self.report(&changes, "daemon");
-        if changes.iter().any(|change| change.event.is_verdict()) {
+        let verdicts = changes.iter().filter(|change| change.event.is_verdict()).count();
+        if !changes.is_empty() {
+            // The daemon that saw them logs each key.
+            let crashed = news.crashes.iter().map(|crash| crash.upstream.instance.as_str());
+            log::info!(
+                "event=crash_news_heard changes={} verdicts={verdicts} upstreams={}",
+                changes.len(),
+                crashed.collect::<Vec<_>>().join(",")
+            );
+        }
+        if verdicts > 0 {
             self.news.notify_one();
         }
     }
@@ -224,6 +234,7 @@
             let name: &'static str = (*event).into();
             METRICS.crash_changes.add(1, &[KeyValue::new("event", name)]);
             match event {
+                LedgerEvent::Blamed | LedgerEvent::Acquitted if source == "daemon" => {}
                 LedgerEvent::Blamed | LedgerEvent::Acquitted => log::info!(
                     "event=crash_{name} key={key} blames={blames} upstream={upstream} \
                      source={source}"
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -234,3 +234,34 @@
         assert!(served * 10 >= REQUESTS_MAX * 9, "{served} of {REQUESTS_MAX} sound requests");
     }
 }
+
+/// Each daemon logs each key of the crashes that it sees itself, and one line for each message of the
+/// others: with hundreds of daemons, lines of each key of each crash would be most of the log.
+#[tokio::test]
+async fn daemons_log_what_others_saw_of_crashes_in_one_line_a_message() {
+    let (platform, upstreams, daemons) = start_four(3, "model").await;
+    for upstream in &upstreams[2..] {
+        upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
+    }
+    for number in 0..REQUESTS_MAX {
+        if platform.crashes() >= CRASHES_KNOWN {
+            break;
+        }
+        begins(&daemons[0], &format!("bad-{number}"), &prompt(number, Some(BAD_PART))).await;
+        begins(&daemons[1], &format!("early-{number}"), &prompt(number, None)).await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    tokio::time::sleep(CONTACT_TIME).await;
+    let of_others = |log: &str, event: &str| {
+        let lines = log.lines().filter(|line| line.contains(event));
+        lines.filter(|line| line.contains("source=daemon")).count()
+    };
+    for daemon in &daemons {
+        let log = daemon.log();
+        assert_eq!(of_others(&log, "event=crash_blamed"), 0);
+        assert_eq!(of_others(&log, "event=crash_acquitted"), 0);
+    }
+    let log = daemons[2].log();
+    assert!(log.contains("event=crash_news_heard"));
+    assert!(of_others(&log, "event=crash_convicted") > 0);
+}
