fix(relay): a stream whose caller reads nothing ends at its deadline, and blames no upstream

Cause: since callers may pause for up to 15 s, a stream could wait for its caller past the deadline and keep the upstream occupied; and that time counted as the upstream's silence, so callers that paused and left opened its breaker. Found by reading the whole change again. Change: events are passed on within the deadline, and the time that the caller takes counts neither as silence nor as missing progress.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod resettable;
 pub mod server;
 
-pub use body::{Body, BodySender};
+pub use body::{Body, BodySender, ReceiverGone};
 pub use client::{CallError, Client};
 pub use event::{Event, decode_events, encode_event};
 pub use read::{ReadError, read_body, read_json};
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -14,9 +14,10 @@
 use crate::request::BufferedRequest;
 use crate::request_log::{Outcome, RequestLog};
 use crate::response_end::{Framing, ResponseEnd};
+use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use spindle_http::{Body, BodySender};
+use spindle_http::{Body, BodySender, ReceiverGone};
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_types::{Clock, MonotonicInstant};
 use std::time::Duration;
@@ -180,8 +181,9 @@
             let Ok(events) = self.splitter.push(data) else {
                 return ResponseEnd::Oversized;
             };
-            if !events.is_empty() && self.sender.send(events).await.is_err() {
-                return ResponseEnd::CallerLeft;
+            match self.pass_on(events).await {
+                Ok(duration) => waiting_since = waiting_since + duration,
+                Err(end) => return end,
             }
             // Comments and parts of events are no progress.
             if self.splitter.delivered() > delivered {
@@ -191,6 +193,24 @@
         }
     }
 
+    /// Passes events on to the caller within the deadline. Returns how long the caller took to make
+    /// room for them, which is no silence of the upstream.
+    async fn pass_on(&mut self, events: Bytes) -> Result<Duration, ResponseEnd> {
+        if events.is_empty() {
+            return Ok(Duration::ZERO);
+        }
+        let started = self.relay.0.clock.now();
+        let left = self.admitted.deadline.since(started);
+        let sent = tokio::time::timeout(left, self.sender.send(events)).await;
+        let duration = self.relay.0.clock.now().since(started);
+        self.progress_at = self.progress_at + duration;
+        match sent {
+            Ok(Ok(())) => Ok(duration),
+            Ok(Err(ReceiverGone)) => Err(ResponseEnd::CallerLeft),
+            Err(_) => Err(ResponseEnd::Expired),
+        }
+    }
+
     /// Records that events have been passed on, after `delivered` before.
     fn on_progress(&mut self, delivered: u64, upstream_response: &UpstreamResponse) {
         self.progress_at = self.relay.0.clock.now();
