--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,7 +18,7 @@
 use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use strum::IntoStaticStr;
+use strum::{Display, IntoStaticStr};
 
 /// Multiple of the target latency after which an idempotent request without a response is sent to
 /// another upstream. Executing the request takes a fifth of the target.
@@ -48,7 +48,7 @@
     /// The head of a response arrived.
     Answer(Box<UpstreamResponse>),
     /// Nothing was sent: no connection, or the upstream or the deadline no longer allowed it.
-    Unreached,
+    Unreached(UnreachedCause),
     /// Nothing was sent, as the limit that the upstream has named permits no request now.
     Limited,
     /// The upstream refused the request without executing it.
@@ -64,6 +64,19 @@
     TimedOut,
 }
 
+/// Why a request could not be sent. The names of the variants are written to logs.
+#[derive(Clone, Copy, Debug, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum UnreachedCause {
+    /// The pool had no connection.
+    #[strum(to_string = "{0}")]
+    NoConnection(PoolError),
+    /// The upstream had left, or too little time was left.
+    NotPermitted,
+    /// Both connections were closed before anything was sent.
+    ConnectionsClosed,
+}
+
 /// How an exchange on one connection ended. Variants that [`AttemptOutcome`] has too mean the same
 /// there.
 enum ExchangeOutcome {
@@ -92,10 +105,11 @@
         for _ in 0..2 {
             let pooled = match self.lease(&assignment, admitted).await {
                 Ok(pooled) => pooled,
-                Err(PoolError::Full) => return AttemptOutcome::Unreached,
-                Err(PoolError::Unreachable) => {
-                    assignment.on_result(self.0.clock.now(), UpstreamResult::Unreachable);
-                    return AttemptOutcome::Unreached;
+                Err(error) => {
+                    if error != PoolError::ConnectionsFull {
+                        assignment.on_result(self.0.clock.now(), UpstreamResult::Unreachable);
+                    }
+                    return AttemptOutcome::Unreached(UnreachedCause::NoConnection(error));
                 }
             };
             // Checked again, as the process may have been suspended since the upstream was chosen.
@@ -107,7 +121,7 @@
                     return AttemptOutcome::Limited;
                 }
                 SendPermission::Granted | SendPermission::Left => {
-                    return AttemptOutcome::Unreached;
+                    return AttemptOutcome::Unreached(UnreachedCause::NotPermitted);
                 }
             }
             match self.exchange(pooled, &mut assignment, attempt, past).await {
@@ -141,7 +155,7 @@
             }
         }
         assignment.on_result(self.0.clock.now(), UpstreamResult::Unreachable);
-        AttemptOutcome::Unreached
+        AttemptOutcome::Unreached(UnreachedCause::ConnectionsClosed)
     }
 
     async fn lease(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -5,8 +5,10 @@
 use slotmap::SecondaryMap;
 use spindle_policy::upstream_registry::UpstreamKey;
 use spindle_types::MonotonicInstant;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use strum::Display;
 
 /// Connections to one upstream.
 #[derive(Debug, Default)]
@@ -28,13 +30,16 @@
     connection: Option<Connection>,
 }
 
-/// Why the pool could provide no connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Why the pool could provide no connection. The names of the variants are written to logs.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
 pub enum PoolError {
     /// This daemon's share of the connections to the upstream is in use.
-    Full,
-    /// No connection to the upstream could be made.
-    Unreachable,
+    ConnectionsFull,
+    /// The connection was not made in time.
+    ConnectTimedOut,
+    /// The connection was refused or failed otherwise.
+    ConnectFailed,
 }
 
 impl ConnectionPool {
@@ -56,7 +61,7 @@
         }
         // Counts as open while connecting; dropping it frees the place again, whether the connect
         // fails or is cancelled.
-        let mut pooled = self.reserve(key, connections_max).ok_or(PoolError::Full)?;
+        let mut pooled = self.reserve(key, connections_max).ok_or(PoolError::ConnectionsFull)?;
         match Connection::open(address).await {
             Ok(connection) => {
                 pooled.connection = Some(connection);
@@ -64,7 +69,10 @@
             }
             Err(error) => {
                 log::debug!("event=connect_failed address={address} error={error:?}");
-                Err(PoolError::Unreachable)
+                Err(match error.kind() {
+                    io::ErrorKind::TimedOut => PoolError::ConnectTimedOut,
+                    _ => PoolError::ConnectFailed,
+                })
             }
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -376,8 +376,8 @@
                     request_log.sends = past.reached;
                     return Ok(*upstream_response);
                 }
-                AttemptOutcome::Unreached => {
-                    request_log.cause = "upstream_unreached".to_owned();
+                AttemptOutcome::Unreached(cause) => {
+                    request_log.cause = format!("upstream_unreached:{cause}");
                     past.unreached += 1;
                 }
                 AttemptOutcome::Limited => {
