--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod limits;
 mod notices;
+mod partitions;
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
 mod raw;
--- /dev/null
+++ b/tests/platform/partitions.rs
@@ -0,0 +1,214 @@
+//! Daemons that reach no upstream, while callers, the store and the other daemons reach them.
+
+use crate::body;
+use crate::daemon::{CALL_TIMEOUT, Daemon, POLL_INTERVAL, client};
+use crate::standin::{self, Cut, Links, Platform, STREAM_EVENTS, Upstream};
+use http::Request;
+use serde_json::json;
+use spindle_http::Body;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// The time after the beginning of a cut from which on callers' first tries count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// The time between two requests to one daemon.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(60);
+
+/// The number of requests that each daemon gets.
+const REQUESTS: usize = 40;
+
+/// How long callers wait for the response to a plain request, in milliseconds.
+const PLAIN_TIME_LIMIT_MS: u64 = 1_000;
+
+/// Routes of the requests in turn.
+const PATHS: [&str; 4] = ["/read/x", "/draft/x", "/book/x", "/draft/once/x"];
+
+struct Deployment {
+    platform: Platform,
+    _upstreams: Vec<Upstream>,
+    daemons: Vec<Daemon>,
+    links: Vec<Links>,
+}
+
+/// What became of one request at a daemon.
+#[derive(Clone, Debug)]
+struct Try {
+    daemon: usize,
+    id: String,
+    path: &'static str,
+    /// Status and body; none if the response broke off or came too late.
+    response: Option<(u16, String)>,
+}
+
+impl Try {
+    fn served(&self) -> bool {
+        self.response.as_ref().is_some_and(|(status, _)| *status == 200)
+    }
+}
+
+/// Starts daemons with links of their own to four plain and four streaming upstreams.
+async fn start(count: usize) -> Deployment {
+    let platform = Platform::start().await;
+    let mut configuration = standin::configuration(3);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        if route["kind"] != "streaming" {
+            route["timeout-ms"] = json!(PLAIN_TIME_LIMIT_MS);
+            route["target-latency-ms"] = json!(100);
+        }
+    }
+    let mut once = configuration["routes"][2].clone();
+    (once["name"], once["path-prefix"]) = (json!("once"), json!("/draft/once/"));
+    (once["resumable"], once["max-attempts"]) = (json!(false), json!(1));
+    configuration["routes"].as_array_mut().unwrap().push(once);
+    platform.configure(&configuration);
+    let mut upstreams = Vec::new();
+    for index in 0..4 {
+        upstreams.push(Upstream::start(&platform, &format!("p-{index}"), "desk").await);
+        upstreams.push(Upstream::start(&platform, &format!("s-{index}"), "model").await);
+    }
+    let mut links = Vec::new();
+    for index in 0..count {
+        links.push(platform.link(&format!("d-{index}")).await);
+    }
+    let daemons = Daemon::start_all(&platform, count).await;
+    for daemon in &daemons {
+        daemon.wait_for("/read/x", 200).await;
+        daemon.wait_for("/book/x", 200).await;
+    }
+    Deployment { platform, _upstreams: upstreams, daemons, links }
+}
+
+impl Deployment {
+    fn cut(&self, daemons: &[usize], cut: Cut) {
+        daemons.iter().for_each(|daemon| self.links[*daemon].set(cut));
+    }
+
+    /// Sends requests of all kinds to some daemons at a steady rate, and waits for the responses.
+    async fn send_all(&self, prefix: &str, daemons: &[usize], count: usize) -> Vec<Try> {
+        let mut tries = JoinSet::new();
+        for request in 0..count {
+            for &daemon in daemons {
+                let id = format!("{prefix}-{daemon}-{request}");
+                let path = PATHS[request % PATHS.len()];
+                let caller = self.daemons[daemon].caller;
+                tries.spawn(async move {
+                    let response = send(caller, &id, path).await;
+                    Try { daemon, id, path, response }
+                });
+            }
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+        }
+        tries.join_all().await
+    }
+
+    /// Each request that may run once ran at most once, and none ran that was refused.
+    fn check_runs(&self, tries: &[Try]) {
+        for one in tries {
+            let runs = self.platform.executions(&one.id).len();
+            let once = !matches!(one.path, "/read/x" | "/draft/x");
+            assert!(!once || runs <= 1, "{one:?} ran {runs} times");
+            let refused = one.response.as_ref().is_some_and(|(status, _)| *status == 503);
+            assert!(!refused || runs == 0, "{one:?} ran though it was refused");
+            if let Some((200, content)) = &one.response
+                && one.path == "/draft/x"
+            {
+                let events: String =
+                    (1..=STREAM_EVENTS).map(|event| standin::event("v1", event)).collect();
+                assert_eq!(*content, events);
+            }
+        }
+    }
+}
+
+async fn send(caller: std::net::SocketAddr, id: &str, path: &str) -> Option<(u16, String)> {
+    let mut request = Request::builder().method("POST").uri(format!("http://{caller}{path}"));
+    let is_stream = matches!(path, "/draft/x" | "/draft/once/x");
+    for (name, value) in standin::caller_headers(id) {
+        let is_plain_limit = name == "x-deadline-remaining-ms" && !is_stream;
+        let value = if is_plain_limit { PLAIN_TIME_LIMIT_MS.to_string() } else { value };
+        request = request.header(name, value);
+    }
+    let request = request.body(Body::from("content".to_owned())).unwrap();
+    let limit = if is_stream { CALL_TIMEOUT } else { Duration::from_millis(PLAIN_TIME_LIMIT_MS) };
+    let exchange = async {
+        let response = client().send(request).await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, body(response).await.ok()?))
+    };
+    tokio::time::timeout(limit, exchange).await.ok().flatten()
+}
+
+/// Cuts some of the daemons, and compares the first tries at them with those at the others.
+async fn check_cut(count: usize, cut_daemons: &[usize], cut: Cut) {
+    let deployment = start(count).await;
+    let all: Vec<usize> = (0..count).collect();
+    // Leaves open connections to upstreams, which hang or are reset.
+    let before = deployment.send_all("before", &all, 12).await;
+    assert!(before.iter().all(Try::served), "{before:?}");
+    deployment.cut(cut_daemons, cut);
+    let passing = deployment.send_all("passing", &all, 20).await;
+    deployment.check_runs(&passing);
+    tokio::time::sleep(CONTACT_TIME.saturating_sub(20 * REQUEST_INTERVAL)).await;
+    let tries = deployment.send_all("cut", &all, REQUESTS).await;
+    deployment.check_runs(&tries);
+    let served = |is_cut: bool| {
+        let those: Vec<_> =
+            tries.iter().filter(|one| cut_daemons.contains(&one.daemon) == is_cut).collect();
+        (those.iter().filter(|one| one.served()).count(), those.len())
+    };
+    let ((there, there_all), (others, others_all)) = (served(true), served(false));
+    let failed: Vec<_> = tries.iter().filter(|one| !one.served()).take(5).collect();
+    println!("{cut:?}: {there} of {there_all} at the cut daemons, {others} of {others_all} else");
+    assert!(
+        3 * there * others_all >= 2 * others * there_all,
+        "{there} of {there_all} at the cut daemons, {others} of {others_all} at the others: {failed:?}"
+    );
+    deployment.cut(cut_daemons, Cut::None);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let healed = deployment.send_all("healed", &all, 8).await;
+    assert!(healed.iter().all(Try::served), "{healed:?}");
+    tokio::time::sleep(POLL_INTERVAL).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED"]
+async fn daemons_whose_connections_to_all_upstreams_hang_serve_as_many_first_tries_as_the_others() {
+    check_cut(4, &[0, 1], Cut::Hangs).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED"]
+async fn daemons_whose_connections_to_all_upstreams_are_reset_serve_as_many_first_tries_as_the_others()
+ {
+    check_cut(4, &[0, 1], Cut::Resets).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_get_no_new_connections_to_upstreams_serve_as_many_first_tries_as_the_others()
+{
+    check_cut(4, &[0, 1], Cut::RefusesNew).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED"]
+async fn all_daemons_but_one_that_are_cut_from_the_upstreams_serve_first_tries_through_it() {
+    check_cut(4, &[0, 1, 2], Cut::Hangs).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED"]
+async fn callers_are_sent_to_daemons_that_reach_upstreams_while_there_are_any() {
+    let deployment = start(4).await;
+    let all = [0, 1, 2, 3];
+    deployment.cut(&[0, 1], Cut::Hangs);
+    deployment.send_all("cut", &all, 20).await;
+    deployment.daemons[0].wait_for_addresses(2).await;
+    deployment.daemons[3].wait_for_addresses(2).await;
+    deployment.cut(&[2, 3], Cut::Hangs);
+    deployment.send_all("all", &all, 20).await;
+    deployment.daemons[3].wait_for_addresses(4).await;
+    deployment.cut(&all, Cut::None);
+    deployment.send_all("healed", &all, 20).await;
+    deployment.daemons[0].wait_for_addresses(4).await;
+}
