fix(relay): a daemon that reaches few of the upstreams does not overload these

Cause: one byte from any upstream counted as contact with the whole service, so that a new upstream that was reached got all requests of the daemon; and the breakers of upstreams that are not reached were probed by callers' requests, 250 ms each.

Change: an upstream that is not reached is left out until a test connection succeeds; a service of which more than half is not reached counts as lost, and contact is regained when half of a sample accepts connections. A request that finds the rest overloaded goes through another daemon if a quarter is not reached from here.

--- a/crates/policy/src/upstream_contact.rs
+++ b/crates/policy/src/upstream_contact.rs
@@ -1,9 +1,13 @@
 //! Whether a daemon reaches the upstreams of a service, from what its own connections show.
 //!
 //! A single failed connection says little: the upstream may be down. Failures at several upstreams
-//! with no byte from any of them in between mean that either this daemon is cut off or the whole
-//! service is down. The two need not be told apart here: requests go through another daemon if one
-//! reaches the service. Silence of an upstream is no failure, only a connection that can't be made.
+//! with no byte from any of them in between, or at more than half of them, mean that either this
+//! daemon is cut off or most of the service is down. The two need not be told apart here: requests
+//! go through another daemon if one reaches the service. Silence of an upstream is no failure, only
+//! a connection that can't be made.
+//!
+//! Contact is regained when a sample of the upstreams accepts test connections: a daemon that reaches
+//! a few of many would overload these.
 
 use crate::upstream_registry::UpstreamKey;
 use spindle_types::{MonotonicInstant, Service};
@@ -17,23 +21,41 @@
 /// connections have ended by then.
 const CONFIRM_TIME: Duration = Duration::from_millis(400);
 
-/// The mean time between two test connections to a service without contact.
+/// The mean time between two tests of a service without contact, and of upstreams that are not
+/// reached.
 const TEST_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The minimum time between two test connections after a first failure.
 const RETEST_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The number of upstreams that are tested at a time while there is no contact.
+const SAMPLE_SIZE: usize = 4;
+
+/// The number of upstreams that are tested at a time while there is contact with others.
+const FEW: usize = 2;
+
 /// The effect of an observation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ContactChange {
     /// None.
     Unchanged,
-    /// No upstream of the service is reached any more.
+    /// The service is no longer reached.
     Lost,
-    /// An upstream of the service has answered again.
+    /// Most of its upstreams accept connections again.
     Regained,
 }
 
+/// Which upstreams of a service to test.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ContactTest {
+    /// So many of all that may be used.
+    Sample(usize),
+    /// So many of those to which no connection has failed.
+    Others(usize),
+    /// So many of those to which the newest connection has failed.
+    Failed(usize),
+}
+
 /// This daemon's contact with the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceContact {
@@ -47,31 +69,48 @@
 
 impl ServiceContact {
     /// Records that bytes have arrived from an upstream, or that it has accepted a connection.
-    pub fn on_heard(&mut self, now: MonotonicInstant) -> ContactChange {
+    pub fn on_heard(&mut self, now: MonotonicInstant) {
         self.heard_at = Some(now);
-        self.failed.clear();
-        match self.lost_at.take() {
-            Some(_) => ContactChange::Regained,
-            None => ContactChange::Unchanged,
+        if self.lost_at.is_none() {
+            self.failed.clear();
         }
     }
 
-    /// Records a failed connection, begun at `started`, to one of `known` upstreams of the service.
+    /// Records that `reached` of the `tested` upstreams of a sample have accepted connections.
+    pub fn on_sample(
+        &mut self,
+        now: MonotonicInstant,
+        reached: usize,
+        tested: usize,
+    ) -> ContactChange {
+        if self.lost_at.is_none() || reached == 0 || 2 * reached < tested {
+            return ContactChange::Unchanged;
+        }
+        self.lost_at = None;
+        self.on_heard(now);
+        ContactChange::Regained
+    }
+
+    /// Records a failed connection, begun at `started`, to one of `known` upstreams of the service,
+    /// of which the newest connections to `unreached` have failed.
     pub fn on_failed(
         &mut self,
         now: MonotonicInstant,
         started: MonotonicInstant,
         upstream: UpstreamKey,
-        known: usize,
+        (unreached, known): (usize, usize),
     ) -> ContactChange {
-        if self.heard_at.is_some_and(|heard_at| heard_at >= started) {
-            return ContactChange::Unchanged;
+        let is_silent = self.heard_at.is_none_or(|heard_at| heard_at < started);
+        if is_silent {
+            self.failed.insert(upstream);
         }
-        self.failed.insert(upstream);
-        if self.lost_at.is_some() || self.failed.len() < FAILED_MIN.min(known) {
+        let without_contact = self.failed.len() >= FAILED_MIN.min(known);
+        let mostly_unreached = unreached >= FAILED_MIN && 2 * unreached > known;
+        if self.lost_at.is_some() || !(without_contact || mostly_unreached) {
             return ContactChange::Unchanged;
         }
         self.lost_at = Some(now);
+        self.tested_at = None;
         ContactChange::Lost
     }
 
@@ -80,7 +119,7 @@
         self.tested_at = None;
     }
 
-    /// Whether no upstream is reached.
+    /// Whether the service is not reached.
     pub const fn is_lost(&self) -> bool {
         self.lost_at.is_some()
     }
@@ -100,28 +139,35 @@
         self.heard_at.is_some_and(|heard_at| heard_at >= time)
     }
 
-    /// Whether a connection has failed to the upstream since the last contact with any.
-    pub fn has_failed(&self, upstream: UpstreamKey) -> bool {
-        self.failed.contains(&upstream)
-    }
-
-    /// Whether a test connection is due; it counts as begun then. `others_lost` tells whether
-    /// another service has no contact, so that the cause may concern this one too. `jitter`, between
-    /// 0 and 1, keeps daemons that were cut off together from returning in the same instant.
-    pub fn take_test(&mut self, now: MonotonicInstant, others_lost: bool, jitter: f64) -> bool {
-        let interval = match (self.is_lost(), self.failed.is_empty()) {
-            (true, _) => TEST_INTERVAL.mul_f64(0.5 + jitter),
-            (false, false) => RETEST_INTERVAL,
-            (false, true) if others_lost && !self.is_heard_since(now - TEST_INTERVAL) => {
-                TEST_INTERVAL
-            }
-            (false, true) => return false,
+    /// The test that is due, if any; it counts as begun then. `others_lost` tells whether another
+    /// service is not reached, so that the cause may concern this one too. `any_unreached` tells
+    /// whether the newest connection to an upstream has failed. `jitter`, between 0 and 1, keeps
+    /// daemons that were cut off together from returning in the same instant.
+    pub fn take_test(
+        &mut self,
+        now: MonotonicInstant,
+        others_lost: bool,
+        any_unreached: bool,
+        jitter: f64,
+    ) -> Option<ContactTest> {
+        let is_quiet = !self.is_heard_since(now - TEST_INTERVAL);
+        let jittered = TEST_INTERVAL.mul_f64(0.5 + jitter);
+        let (interval, test) = if self.is_lost() {
+            (jittered, ContactTest::Sample(SAMPLE_SIZE))
+        } else if self.has_failures() {
+            (RETEST_INTERVAL, ContactTest::Others(FEW))
+        } else if others_lost && is_quiet {
+            (TEST_INTERVAL, ContactTest::Others(FEW))
+        } else if any_unreached {
+            (jittered, ContactTest::Failed(FEW))
+        } else {
+            return None;
         };
-        let is_due = self.tested_at.is_none_or(|tested_at| now.since(tested_at) >= interval);
-        if is_due {
-            self.tested_at = Some(now);
+        if self.tested_at.is_some_and(|tested_at| now.since(tested_at) < interval) {
+            return None;
         }
-        is_due
+        self.tested_at = Some(now);
+        Some(test)
     }
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,7 +8,7 @@
 use crate::pool::{Endpoint, PoolError, PooledConnection};
 use crate::protocol::{ForwardContext, ResponseClass, UpstreamProtocol};
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN};
-use crate::request::BufferedRequest;
+use crate::request::{BufferedRequest, Refusal};
 use crate::response_end::Framing;
 use crate::tracked_upstream::SendPermission;
 use crate::upstream_response::{ResponseSource, UpstreamResponse};
@@ -293,7 +293,7 @@
         let now = self.0.clock.now();
         let has_other = || {
             self.0.balancer.has_untried(now, &admitted.service, past.restrictions())
-                || self.may_hand_over(admitted, past)
+                || self.may_hand_over(admitted, past, Refusal::Lost)
         };
         admitted.route.repeat.allows_retry() && has_other() && self.may_retry(admitted, past)
     }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -13,7 +13,7 @@
 use spindle_policy::stream_versions::{
     KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
 };
-use spindle_policy::upstream_contact::{ContactChange, ServiceContact};
+use spindle_policy::upstream_contact::{ContactChange, ContactTest, ServiceContact};
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
@@ -87,6 +87,15 @@
     pub complete: bool,
 }
 
+/// Test connections to upstreams of one service that are begun together.
+#[derive(Clone, Debug)]
+pub(crate) struct ContactRound {
+    pub(crate) service: Service,
+    pub(crate) upstreams: Vec<(UpstreamKey, SocketAddr)>,
+    /// Whether they are a sample that tells of the whole service.
+    pub(crate) is_sample: bool,
+}
+
 /// Which upstreams of a service an attempt may use.
 #[derive(Clone, Copy, Debug)]
 pub struct Restrictions<'a> {
@@ -346,9 +355,11 @@
         self.state().contacts.get(service).is_some_and(ServiceContact::is_lost)
     }
 
-    /// Whether a connection to an upstream of a service has failed since one was last heard.
-    pub fn has_failures(&self, service: &Service) -> bool {
-        self.state().contacts.get(service).is_some_and(ServiceContact::has_failures)
+    /// The share of the upstreams of a service to which the newest connection has failed.
+    pub fn unreached_share(&self, now: MonotonicInstant, service: &Service) -> f64 {
+        let state = self.state();
+        let (unreached, known) = count_unreached(&state.registry, &state.upstreams, now, service);
+        unreached as f64 / known.max(1) as f64
     }
 
     /// Services of which this daemon reaches no upstream, for long enough to tell others.
@@ -358,39 +369,52 @@
         lost.map(|(service, _)| service.clone()).collect()
     }
 
-    /// Upstreams to which a test connection is due. `random` returns numbers between 0 and 1.
+    /// Test connections that are due. `random` returns numbers between 0 and 1.
     pub(crate) fn take_tests(
         &self,
         now: MonotonicInstant,
         mut random: impl FnMut() -> f64,
-    ) -> Vec<(UpstreamKey, SocketAddr)> {
+    ) -> Vec<ContactRound> {
         let mut state = self.state();
-        let State { registry, contacts, .. } = &mut *state;
-        let lost: BTreeSet<Service> = contacts
-            .iter()
-            .filter(|(_, contact)| contact.is_lost())
-            .map(|(service, _)| service.clone())
-            .collect();
-        if lost.is_empty() && !contacts.values().any(ServiceContact::has_failures) {
+        let State { registry, contacts, upstreams, .. } = &mut *state;
+        let unreached = |key| upstreams.get(key).is_some_and(|upstream| upstream.unreached);
+        if !upstreams.values().any(|upstream| upstream.unreached)
+            && !contacts.values().any(ServiceContact::is_lost)
+        {
             return Vec::new();
         }
-        let mut due = Vec::new();
+        let lost = lost_services(contacts);
+        let mut rounds = Vec::new();
         for (service, contact) in contacts {
-            let others_lost = lost.iter().any(|lost| lost != service);
-            if !contact.take_test(now, others_lost, random()) {
-                continue;
-            }
             let usable = registry.iter().filter(|(_, listed)| {
                 listed.registration.service == *service && listed.usable(now)
             });
-            let usable: Vec<_> = usable.collect();
-            let untested = usable.iter().filter(|(key, _)| !contact.has_failed(*key));
-            let untested: Vec<_> = untested.copied().collect();
-            let tested = if untested.is_empty() { usable } else { untested };
-            let index = (random() * tested.len() as f64) as usize;
-            due.extend(tested.get(index).map(|(key, listed)| (*key, listed.registration.address)));
+            let usable = usable.map(|(key, listed)| (key, listed.registration.address));
+            let mut usable: Vec<_> = usable.collect();
+            let any_unreached = usable.iter().any(|(key, _)| unreached(*key));
+            let others_lost = lost.iter().any(|lost| lost != service);
+            let Some(test) = contact.take_test(now, others_lost, any_unreached, random()) else {
+                continue;
+            };
+            let (count, is_sample) = match test {
+                ContactTest::Sample(count) => (count, true),
+                ContactTest::Others(count) => {
+                    usable.retain(|(key, _)| !unreached(*key));
+                    (count, false)
+                }
+                ContactTest::Failed(count) => {
+                    usable.retain(|(key, _)| unreached(*key));
+                    (count, false)
+                }
+            };
+            let mut drawn = Vec::new();
+            while drawn.len() < count && !usable.is_empty() {
+                let index = (random() * usable.len() as f64) as usize;
+                drawn.push(usable.swap_remove(index.min(usable.len() - 1)));
+            }
+            rounds.push(ContactRound { service: service.clone(), upstreams: drawn, is_sample });
         }
-        due
+        rounds
     }
 
     /// Records the result of a test connection that began at `started`.
@@ -403,12 +427,25 @@
     ) {
         if reached {
             self.on_heard(now, key);
-            return;
+        } else {
+            self.on_connection_failed(now, started, key);
         }
-        self.on_connection_failed(now, started, key);
+    }
+
+    /// Records how many upstreams of a sample have accepted test connections.
+    pub(crate) fn on_sample(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        reached: usize,
+        tested: usize,
+    ) {
         let mut state = self.state();
-        if let Some(upstream) = state.upstreams.get_mut(key) {
-            let _ = upstream.breaker.on_failure(now, started, FailureKind::Unreachable);
+        let Some(contact) = state.contacts.get_mut(service) else { return };
+        if contact.on_sample(now, reached, tested) == ContactChange::Regained {
+            log::info!(
+                "event=contact_regained service={service} reached={reached} tested={tested}"
+            );
         }
     }
 
@@ -416,20 +453,17 @@
     pub(crate) fn on_heard(&self, now: MonotonicInstant, key: UpstreamKey) {
         let mut state = self.state();
         let State { registry, contacts, upstreams, .. } = &mut *state;
+        let Some(listed) = registry.get(key) else { return };
         if let Some(upstream) = upstreams.get_mut(key) {
             upstream.heard_at = now;
+            if std::mem::take(&mut upstream.unreached) {
+                log::info!("event=upstream_reached upstream={}", listed.registration.id.instance);
+            }
         }
-        let Some(listed) = registry.get(key) else { return };
         let service = &listed.registration.service;
-        let contact = match contacts.get_mut(service) {
-            Some(contact) => contact,
-            None => contacts.entry(service.clone()).or_default(),
-        };
-        if contact.on_heard(now) == ContactChange::Regained {
-            log::info!(
-                "event=contact_regained service={service} upstream={}",
-                listed.registration.id.instance
-            );
+        match contacts.get_mut(service) {
+            Some(contact) => contact.on_heard(now),
+            None => contacts.entry(service.clone()).or_default().on_heard(now),
         }
     }
 
@@ -440,18 +474,23 @@
         key: UpstreamKey,
     ) {
         let mut state = self.state();
-        let State { registry, contacts, .. } = &mut *state;
-        let Some(service) = registry.get(key).map(|listed| listed.registration.service.clone())
-        else {
-            return;
-        };
-        let known = registry
-            .iter()
-            .filter(|(_, listed)| listed.registration.service == service && listed.usable(now))
-            .count();
+        let State { registry, contacts, upstreams, .. } = &mut *state;
+        let Some(listed) = registry.get(key) else { return };
+        let instance = &listed.registration.id.instance;
+        if let Some(upstream) = upstreams.get_mut(key)
+            && upstream.heard_at < started
+            && !std::mem::replace(&mut upstream.unreached, true)
+        {
+            log::warn!("event=upstream_unreached upstream={instance}");
+        }
+        let service = listed.registration.service.clone();
+        let (unreached, known) = count_unreached(registry, upstreams, now, &service);
         let contact = contacts.entry(service.clone()).or_default();
-        if contact.on_failed(now, started, key, known.max(1)) == ContactChange::Lost {
-            log::warn!("event=contact_lost service={service} upstreams={known}");
+        let counts = (unreached, known.max(1));
+        if contact.on_failed(now, started, key, counts) == ContactChange::Lost {
+            log::warn!(
+                "event=contact_lost service={service} unreached={unreached} upstreams={known}"
+            );
             METRICS.contact_losses.add(1, &[KeyValue::new("service", service.to_string())]);
         }
     }
@@ -549,6 +588,27 @@
     }
 }
 
+/// The number of upstreams of a service to which the newest connection has failed, and of all that may
+/// be used.
+fn count_unreached(
+    registry: &UpstreamRegistry,
+    upstreams: &SecondaryMap<UpstreamKey, TrackedUpstream>,
+    now: MonotonicInstant,
+    service: &Service,
+) -> (usize, usize) {
+    let usable = registry
+        .iter()
+        .filter(|(_, listed)| listed.registration.service == *service && listed.usable(now));
+    let reached = usable.map(|(key, _)| upstreams.get(key).is_none_or(|found| !found.unreached));
+    reached
+        .fold((0, 0), |(unreached, known), reached| (unreached + usize::from(!reached), known + 1))
+}
+
+fn lost_services(contacts: &HashMap<Service, ServiceContact>) -> BTreeSet<Service> {
+    let lost = contacts.iter().filter(|(_, contact)| contact.is_lost());
+    lost.map(|(service, _)| service.clone()).collect()
+}
+
 impl State {
     fn candidates(
         &self,
@@ -574,7 +634,7 @@
                 sent_prefix: prefix_id
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
                 slots: listed.registration.slots,
-                breaker: upstream.breaker.state_at(now),
+                breaker: upstream.breaker_state(now),
                 limit: match upstream.pause.left(now) {
                     Some(left) => LimitState::Exhausted(left),
                     None => self.limits.state(now, key),
@@ -682,19 +742,16 @@
     /// Records how the attempt ended, which may open or close the circuit breaker of the upstream.
     pub fn on_result(&self, now: MonotonicInstant, result: UpstreamResult) {
         if result == UpstreamResult::Unreachable {
-            self.balancer.on_connection_failed(now, self.assigned_at, self.key);
+            return self.balancer.on_connection_failed(now, self.assigned_at, self.key);
         }
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         let transition = match result {
             UpstreamResult::Answered => upstream.breaker.on_success(),
-            UpstreamResult::Refused => BreakerTransition::Unchanged,
             UpstreamResult::Failed => {
                 upstream.breaker.on_failure(now, self.assigned_at, FailureKind::Failed)
             }
-            UpstreamResult::Unreachable => {
-                upstream.breaker.on_failure(now, self.assigned_at, FailureKind::Unreachable)
-            }
+            UpstreamResult::Refused | UpstreamResult::Unreachable => BreakerTransition::Unchanged,
         };
         match transition {
             BreakerTransition::Unchanged => {}
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -39,6 +39,10 @@
 /// Number of helpers that are asked for one request.
 const HELPERS_MAX: usize = 3;
 
+/// Share of the upstreams of a service that are not reached from here, from which on a request that
+/// finds the others overloaded goes through a helper.
+const UNREACHED_SHARE_MIN: f64 = 0.25;
+
 /// Maximum number of connections to one helper.
 const CONNECTIONS_MAX: u32 = 256;
 
@@ -186,13 +190,25 @@
                 || self.0.helpers.served_config() > admitted.config.version)
     }
 
-    /// Whether a request that can't be sent from here may go through a helper.
-    pub(crate) fn may_hand_over(&self, admitted: &AdmittedRequest, past: &AttemptHistory) -> bool {
+    /// Whether a request that was refused here may go through a helper: because some upstreams are
+    /// not reached from here, not because they are down or busy for every daemon.
+    pub(crate) fn may_hand_over(
+        &self,
+        admitted: &AdmittedRequest,
+        past: &AttemptHistory,
+        refusal: Refusal,
+    ) -> bool {
+        let now = self.0.clock.now();
+        let share_min = match refusal {
+            Refusal::NoUpstream { .. } | Refusal::Lost => f64::EPSILON,
+            Refusal::Overloaded { .. } => UNREACHED_SHARE_MIN,
+            _ => return false,
+        };
         !admitted.is_handed_over
             && !past.helpers_exhausted
             && (!past.may_have_run || admitted.route.repeat.allows_retry())
-            && self.0.balancer.has_failures(&admitted.service)
-            && self.0.helpers.has_any(self.0.clock.now(), &admitted.service, &past.helpers)
+            && self.0.balancer.unreached_share(now, &admitted.service) >= share_min
+            && self.0.helpers.has_any(now, &admitted.service, &past.helpers)
     }
 
     /// Sends a request through one helper after another until the head of a response arrives.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -504,9 +504,7 @@
         if !self.prefers_helper(admitted, past) {
             match self.assign(admitted, buffered, past, request_log) {
                 Ok(assignment) => return Ok(Way::Upstream(Box::new(assignment))),
-                Err(Refusal::NoUpstream { .. } | Refusal::Lost)
-                    if self.may_hand_over(admitted, past) =>
-                {
+                Err(refusal) if self.may_hand_over(admitted, past, refusal) => {
                     past.prefers_helper = true;
                 }
                 Err(refusal) => return Err(refusal),
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -1,6 +1,6 @@
 //! What a daemon has observed of one upstream.
 
-use spindle_policy::breaker::CircuitBreaker;
+use spindle_policy::breaker::{BreakerState, CircuitBreaker};
 use spindle_policy::upstream_pause::UpstreamPause;
 use spindle_types::MonotonicInstant;
 use std::collections::HashMap;
@@ -41,6 +41,8 @@
     pub(crate) pause: UpstreamPause,
     /// When it was last heard, on any connection.
     pub(crate) heard_at: MonotonicInstant,
+    /// Whether the newest connection to it has failed.
+    pub(crate) unreached: bool,
     /// This daemon's requests there.
     pub(crate) running: u32,
     /// Prompt processing that this daemon's requests have queued there, in milliseconds.
@@ -56,6 +58,14 @@
 }
 
 impl TrackedUpstream {
+    /// The state of its breaker. One that is not reached is tested by connections, not by requests.
+    pub(crate) fn breaker_state(&self, now: MonotonicInstant) -> BreakerState {
+        if self.unreached {
+            return BreakerState::Open { until: now };
+        }
+        self.breaker.state_at(now)
+    }
+
     pub(crate) fn requests(&self, now: MonotonicInstant) -> u32 {
         let reported = self.reported_load.filter(|(at, _)| now.since(*at) <= REPORTED_LOAD_MAX_AGE);
         let counted = self.running + self.peer_load.0;
