fix(node): streams go on at their version after all daemons were killed

Seen by callers: after all daemons were killed at once every stream that was taken up got 503 for 30 s.

Cause: what is known of versions lived only in the daemons. Records of streams are kept by other daemons, and that a service had one version follows from 30 s of reading.

Change: one daemon, chosen by hash among those that hear each other, stores the versions of all services when they change, and every 250 ms the records that daemons have told each other, which they do only while a service may have several versions. A daemon that starts reads both, and adopts the versions once it has a complete list: streams can't have begun while no daemon ran. What the list shows besides makes the version unknown, as before.

Why no stream is mixed: a record names the version that was sent to; without a record only a version counts that is alone both in what was stored and in what is listed now.

--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -127,6 +127,8 @@
     order: VecDeque<(MonotonicInstant, StreamKey)>,
     /// This daemon's own streams that it has not told others of, oldest first.
     untold: BTreeMap<Service, VecDeque<(MonotonicInstant, StreamKey)>>,
+    /// Streams that any daemon has told others of and that are not stored yet.
+    unstored: Vec<(MonotonicInstant, StreamRecords)>,
 }
 
 impl StreamVersions {
@@ -144,11 +146,30 @@
 
     /// Records what another daemon tells of its streams.
     pub fn on_records(&mut self, now: MonotonicInstant, told: &StreamRecords) {
+        self.on_stored(now, told);
+        self.unstored.push((now, told.clone()));
+    }
+
+    /// Records what was stored before this daemon started.
+    pub fn on_stored(&mut self, now: MonotonicInstant, told: &StreamRecords) {
         for stream in &told.streams {
             self.insert(now, *stream, &told.version);
         }
     }
 
+    /// Takes the streams that are to be stored.
+    pub fn take_unstored(&mut self, now: MonotonicInstant) -> Vec<StreamRecords> {
+        let unstored = std::mem::take(&mut self.unstored).into_iter();
+        let recent = unstored.filter(|(at, _)| now.since(*at) < STREAM_LIFETIME_MAX);
+        recent.map(|(_, records)| records).collect()
+    }
+
+    /// Forgets the streams that another daemon stores, but for those told in the time `kept`, which
+    /// it may not have stored yet when it dies.
+    pub fn drop_unstored(&mut self, now: MonotonicInstant, kept: Duration) {
+        self.unstored.retain(|(at, _)| now.since(*at) < kept);
+    }
+
     /// The version that a stream was sent to.
     pub fn version(&self, now: MonotonicInstant, stream: StreamKey) -> Option<&SoftwareVersion> {
         let record = self.records.get(&stream)?;
@@ -193,7 +214,9 @@
             version,
             streams: streams.into_iter().collect(),
         });
-        records.collect()
+        let records: Vec<StreamRecords> = records.collect();
+        self.unstored.extend(records.iter().map(|told| (now, told.clone())));
+        records
     }
 
     fn insert(&mut self, now: MonotonicInstant, stream: StreamKey, version: &SoftwareVersion) {
@@ -268,6 +291,14 @@
     }
 }
 
+/// Whether `own` is the daemon that stores the records of all for the case that all are killed, out of
+/// those that it hears. Daemons that hear different others may choose several, which store the same.
+pub fn stores_records<'a>(own: &Instance, others: impl Iterator<Item = &'a Instance>) -> bool {
+    let rank = |instance: &Instance| (xxh3_64(instance.as_str().as_bytes()), instance.clone());
+    let own_rank = rank(own);
+    others.map(rank).all(|other| other <= own_rank)
+}
+
 /// Chooses the daemons that keep the records of `own`: all, or a few that prefer other data centres.
 pub fn keepers<'a>(
     own: (&Instance, &DataCentre),
--- a/crates/policy/src/stream_versions/tests.rs
+++ b/crates/policy/src/stream_versions/tests.rs
@@ -210,3 +210,37 @@
     let recent = StreamAnswer { version: None, sole: version("v1") };
     assert_eq!(decide(&outdated, &[recent]), (version("v1"), VersionSource::Sole));
 }
+
+#[test]
+fn one_daemon_stores_for_all_at_every_size() {
+    for count in [1, 2, 8, 58, 195, 400] {
+        let all: Vec<Instance> =
+            (0..count).map(|index| format!("d-{index}").as_str().try_into().unwrap()).collect();
+        let storing =
+            all.iter().filter(|own| stores_records(own, all.iter().filter(|other| other != own)));
+        assert_eq!(storing.count(), 1, "{count} daemons");
+    }
+}
+
+#[test]
+fn streams_that_were_told_are_stored_once_and_kept_until_another_daemon_has_taken_over() {
+    let mut versions = StreamVersions::default();
+    let told = StreamRecords {
+        service: service(),
+        version: version("v1").unwrap(),
+        streams: vec![key(1)],
+    };
+    versions.on_records(at(0), &told);
+    versions.on_sent(at(10), &service(), key(2), &told.version);
+    assert_eq!(versions.take_untold(at(20), |_| false).len(), 1);
+    versions.drop_unstored(at(1_000), Duration::from_secs(3));
+    assert_eq!(versions.take_unstored(at(1_000)).len(), 2);
+    assert!(versions.take_unstored(at(1_000)).is_empty());
+    versions.on_records(at(2_000), &told);
+    versions.drop_unstored(at(5_000), Duration::from_secs(3));
+    assert!(versions.take_unstored(at(5_000)).is_empty());
+    // What was read from the store isn't stored again.
+    versions.on_stored(at(6_000), &told);
+    assert!(versions.take_unstored(at(6_000)).is_empty());
+    assert_eq!(versions.version(at(6_000), key(1)), Some(&told.version));
+}
--- a/crates/policy/src/upstream_registry.rs
+++ b/crates/policy/src/upstream_registry.rs
@@ -199,6 +199,22 @@
         true
     }
 
+    /// Adopts the versions that the daemons had stored when all of them had stopped, so that no stream
+    /// began in between. Without effect before this daemon's complete list, and if it knows them.
+    pub fn adopt_stored(
+        &mut self,
+        now: MonotonicInstant,
+        seen: &[(Service, Option<SoftwareVersion>)],
+    ) -> bool {
+        if !matches!(self.complete_since, Some(CompleteSince::List(_))) {
+            return false;
+        }
+        self.complete_since = Some(CompleteSince::Adopted { at: now, before: STREAM_LIFETIME_MAX });
+        let seen = seen.iter().cloned();
+        self.replaced.extend(seen.map(|(service, version)| (service, version, now)));
+        true
+    }
+
     /// What is known of the versions of a service.
     pub fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
         let of_service = self.upstreams.values().map(|known| &known.registration);
--- a/crates/policy/src/upstream_registry/tests.rs
+++ b/crates/policy/src/upstream_registry/tests.rs
@@ -200,3 +200,31 @@
     assert_eq!(sole(&registry, 11_999), None);
     assert_eq!(sole(&registry, 12_000).as_deref(), Some("v1"));
 }
+
+#[test]
+fn stored_versions_are_adopted_after_a_complete_list_and_tell_of_one_version_only_if_it_is_listed_alone()
+ {
+    let service = || registration("i-1", 1, false).service;
+    for (stored, listed, sole) in [
+        (&["v1"][..], "v1", Some("v1")),
+        (&["v1"], "v2", None),
+        (&["v1", "v2"], "v1", None),
+        (&["v1", "v2"], "v2", None),
+    ] {
+        let seen: Vec<_> =
+            stored.iter().map(|version| (service(), (*version).try_into().ok())).collect();
+        let mut registry = UpstreamRegistry::default();
+        registry.on_registration(at(900), with_version("i-1", 1, listed, false));
+        assert!(!registry.adopt_stored(at(950), &seen));
+        registry.on_complete_list(at(1_000), &["i-1".try_into().unwrap()]);
+        assert!(registry.adopt_stored(at(1_010), &seen));
+        assert!(!registry.adopt_stored(at(1_020), &seen));
+        let known = registry.versions(at(1_030), &service());
+        assert_eq!(known.sole.as_ref().map(SoftwareVersion::as_str), sole, "{stored:?} {listed}");
+        // Streams of the time before are over.
+        let later = at(1_010) + DEPARTED_RETENTION;
+        registry.prune(later, |_| false);
+        let known = registry.versions(later, &service());
+        assert_eq!(known.sole.as_ref().map(SoftwareVersion::as_str), Some(listed));
+    }
+}
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -4,9 +4,10 @@
 use crate::config::ActiveConfig;
 use bytes::Bytes;
 use spindle_policy::crash_ledger::CrashNews;
+use spindle_policy::stream_versions::StreamRecords;
 use spindle_policy::upstream_registry::Registration;
 use spindle_policy::usage_windows::RequestCounts;
-use spindle_types::{DataCentre, Fencing, Instance, Service};
+use spindle_types::{DataCentre, Fencing, Instance, Service, SoftwareVersion};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,6 +32,8 @@
     Lease,
     /// Usage reports, stored before they are sent.
     Usage,
+    /// Versions that streams were sent to.
+    Streams,
 }
 
 /// A decoded record of a feed.
@@ -114,6 +117,9 @@
     Form(String),
 }
 
+/// Services, and the versions of their upstreams' software.
+pub type StoredVersions = Vec<(Service, Option<SoftwareVersion>)>;
+
 /// The store: keyed feeds, and topics with conditional appends.
 pub trait Store: Clone + Send + Sync + 'static {
     /// Reads the newest record of each key of a feed.
@@ -165,6 +171,28 @@
     /// Reads what daemons have stored of this.
     fn crash_causes(&self) -> impl Future<Output = Result<Vec<CrashNews>, StoreError>> + Send;
 
+    /// Stores the versions of the upstreams' software that streams may have begun at lately, of all
+    /// services.
+    fn publish_versions(
+        &self,
+        seen: &[(Service, Option<SoftwareVersion>)],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads them; none if they were never stored.
+    fn stored_versions(
+        &self,
+    ) -> impl Future<Output = Result<Option<StoredVersions>, StoreError>> + Send;
+
+    /// Stores the versions that streams were sent to.
+    fn publish_streams(
+        &self,
+        records: &[StreamRecords],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads those that the store still keeps, oldest first.
+    fn stored_streams(&self)
+    -> impl Future<Output = Result<Vec<StreamRecords>, StoreError>> + Send;
+
     /// Decodes a configuration document that another daemon has read from the store.
     ///
     /// # Errors
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,5 +1,6 @@
 //! Load balancing: the known upstreams, the load on each, and the choice among them.
 
+use crate::backends::StoredVersions;
 use crate::limits::{LimitUse, UpstreamLimits};
 use crate::metrics::METRICS;
 use crate::pool::{ConnectionPool, Endpoint};
@@ -173,6 +174,11 @@
         }
     }
 
+    /// The versions of the upstreams of all services, those that left lately included.
+    pub fn all_versions(&self) -> StoredVersions {
+        self.state().registry.all_versions().into_iter().collect()
+    }
+
     /// Whether all versions are known that streams can have begun at.
     pub fn knows_versions(&self, now: MonotonicInstant) -> bool {
         self.state().registry.complete_for(now) == STREAM_LIFETIME_MAX
@@ -187,7 +193,7 @@
     ) {
         if self.state().registry.adopt_history(now, sent, history) {
             log::info!(
-                "event=versions_adopted complete_ms={} age_ms={} versions={}",
+                "event=versions_adopted source=daemon complete_ms={} age_ms={} versions={}",
                 history.complete_ms,
                 history.age_ms,
                 history.seen.len(),
@@ -195,6 +201,19 @@
         }
     }
 
+    /// Adopts the versions that the daemons had stored when all of them had stopped.
+    pub fn adopt_stored(
+        &self,
+        now: MonotonicInstant,
+        seen: &[(Service, Option<SoftwareVersion>)],
+    ) -> bool {
+        let adopted = self.state().registry.adopt_stored(now, seen);
+        if adopted {
+            log::info!("event=versions_adopted source=store versions={}", seen.len());
+        }
+        adopted
+    }
+
     /// What is known of the software versions of a service.
     pub fn versions(&self, now: MonotonicInstant, service: &Service) -> KnownVersions {
         self.state().registry.versions(now, service)
--- a/crates/relay/src/stream_keeper.rs
+++ b/crates/relay/src/stream_keeper.rs
@@ -6,6 +6,7 @@
 };
 use spindle_types::{MonotonicInstant, Service, SoftwareVersion};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Questions that may wait to be asked; further ones are answered with "unknown".
@@ -61,6 +62,21 @@
         self.versions().take_untold(now, has_one_version)
     }
 
+    /// Records what was stored before this daemon started.
+    pub fn on_stored(&self, now: MonotonicInstant, told: &StreamRecords) {
+        self.versions().on_stored(now, told);
+    }
+
+    /// Takes the streams of all daemons that are to be stored.
+    pub fn take_unstored(&self, now: MonotonicInstant) -> Vec<StreamRecords> {
+        self.versions().take_unstored(now)
+    }
+
+    /// Forgets the streams that another daemon stores, but for those told in the time `kept`.
+    pub fn drop_unstored(&self, now: MonotonicInstant, kept: Duration) {
+        self.versions().drop_unstored(now, kept);
+    }
+
     /// The version of a stream that is on record here.
     pub fn version(&self, now: MonotonicInstant, stream: StreamKey) -> Option<SoftwareVersion> {
         self.versions().version(now, stream).cloned()
--- a/src/node.rs
+++ b/src/node.rs
@@ -270,6 +270,7 @@
         components.clock,
         keeper,
         components.statuses.clone(),
+        (components.balancer.clone(), components.store.clone()),
     );
     tokio::spawn(exchange.run(questions));
 }
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use spindle_policy::crash_ledger::CrashNews;
+use spindle_policy::stream_versions::StreamRecords;
 use spindle_relay::backends::{
-    Appended, Feed, FeedBatch, FeedRecord, Store, StoreError, Topic, TopicRecords,
+    Appended, Feed, FeedBatch, FeedRecord, Store, StoreError, StoredVersions, Topic, TopicRecords,
 };
 use spindle_relay::{ActiveConfig, Limits};
-use spindle_types::Instance;
+use spindle_types::{Instance, Service, SoftwareVersion};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -122,6 +123,25 @@
         Err(StoreError::Refused("not supported by the fake store".to_owned()))
     }
 
+    async fn publish_versions(
+        &self,
+        _seen: &[(Service, Option<SoftwareVersion>)],
+    ) -> Result<(), StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
+    async fn stored_versions(&self) -> Result<Option<StoredVersions>, StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
+    async fn publish_streams(&self, _records: &[StreamRecords]) -> Result<(), StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
+    async fn stored_streams(&self) -> Result<Vec<StreamRecords>, StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
     fn decode_configuration(&self, _document: &[u8]) -> Result<ActiveConfig, String> {
         Err("not supported by the fake store".to_owned())
     }
--- a/src/node/stream_versions.rs
+++ b/src/node/stream_versions.rs
@@ -9,11 +9,15 @@
 use spindle_daemon::{PeerConnection, StatusExchangeClient};
 use spindle_policy::stream_versions::{
     KnownVersions, StreamAnswer, StreamQuestion, StreamRecords, VersionSource, decide, keepers,
+    stores_records,
 };
+use spindle_relay::Balancer;
+use spindle_relay::backends::{Store, StoredVersions};
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
-use spindle_types::{Clock, DataCentre, Instance, SoftwareVersion};
+use spindle_types::{Clock, DataCentre, Instance, MonotonicInstant, SoftwareVersion};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -45,38 +49,76 @@
     pub address: SocketAddr,
 }
 
-/// Tells and asks other daemons.
+/// Interval at which records are stored.
+const STORE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long a daemon keeps records that another one is to store: until it notices that this one is
+/// gone.
+const STORE_TAKEOVER: Duration = Duration::from_secs(3);
+
+/// Delay after which a call to the store that failed is made again.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Tells and asks other daemons, and stores what is to outlive all of them.
 #[derive(Debug)]
-pub struct StreamVersionExchange {
+pub struct StreamVersionExchange<S> {
     own: (Instance, DataCentre),
     clock: BootClock,
     keeper: StreamKeeper,
     statuses: PeerStatuses,
+    balancer: Balancer,
+    store: S,
+    /// The versions that the store holds.
+    stored: Arc<Mutex<Stored>>,
     /// Messages to each daemon, which are sent one after the other.
     outboxes: HashMap<SocketAddr, mpsc::Sender<Vec<StreamRecords>>>,
 }
 
-impl StreamVersionExchange {
+/// What this daemon knows of the versions in the store.
+#[derive(Debug, Default)]
+struct Stored {
+    /// The versions as of the last read or write; none before the first read.
+    seen: Option<Option<StoredVersions>>,
+    /// Whether a write is in progress.
+    is_writing: bool,
+    /// Whether this daemon needs what was stored no longer.
+    is_settled: bool,
+}
+
+impl<S: Store> StreamVersionExchange<S> {
     /// Creates an exchange for the daemon on an instance.
     pub fn new(
         own: (Instance, DataCentre),
         clock: BootClock,
         keeper: StreamKeeper,
         statuses: PeerStatuses,
+        (balancer, store): (Balancer, S),
     ) -> Self {
-        Self { own, clock, keeper, statuses, outboxes: HashMap::new() }
+        let stored = Arc::default();
+        Self { own, clock, keeper, statuses, balancer, store, stored, outboxes: HashMap::new() }
     }
 
     /// Answers the relay's questions and tells other daemons of streams, until the process exits.
     pub async fn run(mut self, mut questions: mpsc::Receiver<PendingQuestion>) {
+        let stored = Arc::clone(&self.stored);
+        tokio::spawn(load(self.store.clone(), self.clock, self.keeper.clone(), stored));
+        let mut store_ticks = tokio::time::interval(STORE_INTERVAL);
+        store_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = tokio::time::interval(TELL_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut history_ticks = tokio::time::interval(HISTORY_INTERVAL);
         history_ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = history_ticks.tick() => self.ask_history(),
-                _ = ticks.tick() => self.tell(),
+                _ = history_ticks.tick() => {
+                    self.ask_history();
+                    self.store_history();
+                }
+                _ = store_ticks.tick() => self.store_streams(),
+                _ = ticks.tick() => {
+                    self.adopt_stored();
+                    self.tell();
+                }
                 question = questions.recv() => match question {
                     Some(question) => self.ask(question),
                     None => return,
@@ -96,6 +138,71 @@
         }
     }
 
+    /// Adopts the stored versions as soon as this daemon has read them and all registrations.
+    fn adopt_stored(&self) {
+        let mut stored = self.stored();
+        let now = self.clock.now();
+        let Some(Some(seen)) = stored.seen.as_ref().filter(|_| !stored.is_settled) else { return };
+        let settled = self.balancer.adopt_stored(now, seen) || self.statuses.knows_versions(now);
+        stored.is_settled = settled;
+    }
+
+    /// Whether this daemon is the one that stores for all.
+    fn stores(&self, now: MonotonicInstant) -> bool {
+        let peers = self.statuses.live_peers(now);
+        stores_records(&self.own.0, peers.iter().map(|peer| &peer.instance))
+    }
+
+    /// Stores the versions that streams may have begun at, if they have changed. Only a daemon that
+    /// knows all of them does.
+    fn store_history(&self) {
+        let now = self.clock.now();
+        if !self.statuses.knows_versions(now) || !self.stores(now) {
+            return;
+        }
+        let seen: StoredVersions = self.balancer.all_versions();
+        let mut stored = self.stored();
+        let is_known = stored.seen.as_ref().is_some_and(|known| known.as_ref() == Some(&seen));
+        if stored.seen.is_none() || is_known || stored.is_writing || seen.is_empty() {
+            return;
+        }
+        stored.is_writing = true;
+        drop(stored);
+        let (store, stored) = (self.store.clone(), Arc::clone(&self.stored));
+        tokio::spawn(async move {
+            let result = store.publish_versions(&seen).await;
+            log::info!("event=versions_stored versions={} result={result:?}", seen.len());
+            let mut stored = stored.lock().unwrap_or_else(PoisonError::into_inner);
+            stored.is_writing = false;
+            if result.is_ok() {
+                stored.seen = Some(Some(seen));
+            }
+        });
+    }
+
+    /// Stores the versions of streams that daemons have told each other of.
+    fn store_streams(&self) {
+        let now = self.clock.now();
+        if !self.stores(now) {
+            return self.keeper.drop_unstored(now, STORE_TAKEOVER);
+        }
+        let records = self.keeper.take_unstored(now);
+        if records.is_empty() {
+            return;
+        }
+        let store = self.store.clone();
+        tokio::spawn(async move {
+            if let Err(error) = store.publish_streams(&records).await {
+                log::warn!("event=streams_unstored batches={} error={error:?}", records.len());
+            }
+        });
+    }
+
+    fn stored(&self) -> MutexGuard<'_, Stored> {
+        // A poisoned lock is safe to use: no holder panics halfway through a change.
+        self.stored.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn tell(&mut self) {
         let now = self.clock.now();
         let records = self
@@ -107,6 +214,11 @@
         let peers = self.statuses.live_peers(now);
         let own = (&self.own.0, &self.own.1);
         let chosen = keepers(own, peers.iter().map(|peer| (&peer.instance, &peer.data_centre)));
+        let storing = peers.iter().map(|peer| &peer.instance).filter(|instance| {
+            let others = peers.iter().map(|peer| &peer.instance).chain([&self.own.0]);
+            stores_records(instance, others.filter(|other| other != instance))
+        });
+        let chosen: Vec<&Instance> = chosen.into_iter().chain(storing).collect();
         let addresses: Vec<SocketAddr> = peers
             .iter()
             .filter(|peer| chosen.contains(&&peer.instance))
@@ -127,6 +239,7 @@
 
     fn ask(&self, pending: PendingQuestion) {
         let PendingQuestion { id, question, reply } = pending;
+        self.adopt_stored();
         let now = self.clock.now();
         let known = self.statuses.versions(now, &question.service);
         let peers = self.statuses.live_peers(now);
@@ -148,6 +261,38 @@
     }
 }
 
+/// Reads what was stored before this daemon started.
+async fn load<S: Store>(
+    store: S,
+    clock: BootClock,
+    keeper: StreamKeeper,
+    stored: Arc<Mutex<Stored>>,
+) {
+    loop {
+        match (store.stored_versions().await, store.stored_streams().await) {
+            (Ok(seen), Ok(records)) => {
+                let now = clock.now();
+                records.iter().for_each(|told| keeper.on_stored(now, told));
+                log::info!(
+                    "event=versions_read versions={} batches={}",
+                    seen.as_ref().map_or(0, Vec::len),
+                    records.len()
+                );
+                let mut stored = stored.lock().unwrap_or_else(PoisonError::into_inner);
+                stored.seen = Some(seen);
+                return;
+            }
+            (seen, records) => {
+                log::info!(
+                    "event=versions_unread error={:?}",
+                    seen.err().or_else(|| records.err())
+                );
+            }
+        }
+        tokio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+}
+
 /// Asks daemons until one has a record, or all have answered or had time to.
 async fn collect_answers(
     known: &KnownVersions,
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -11,6 +11,7 @@
 use spindle_http::Body;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 const SECOND_VERSION: &str = "v1.1";
 
@@ -263,3 +264,104 @@
     let resumed = take_up_after(&mut daemons, 1, Signal::SIGKILL).await;
     assert_eq!(check_versions(resumed).await.len(), 2);
 }
+
+/// Starts streams, kills all daemons at once and starts them again. Takes the streams up once each
+/// daemon serves requests. Returns what had arrived of each stream, and the response.
+async fn take_up_after_kill_of_all(
+    platform: &Platform,
+    daemons: Vec<Daemon>,
+    while_down: impl AsyncFnOnce(),
+) -> Vec<(String, Response<Incoming>)> {
+    platform.end_first_start();
+    let mut begun = Vec::new();
+    for stream in 0..STREAMS {
+        let id = format!("s-{stream}");
+        let daemon = &daemons[stream % daemons.len()];
+        begun.push((id.clone(), start_stream(daemon.caller, &id, &[]).await));
+    }
+    let mut texts = Vec::new();
+    for (id, mut response) in begun {
+        let (text, _) = read_events(&mut response, 5).await;
+        texts.push((id, text, response));
+    }
+    // Time to tell and store.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let restarts: Vec<_> = daemons
+        .iter()
+        .map(|daemon| {
+            (daemon.name.clone(), [daemon.caller, daemon.ready, daemon.peer, daemon.directory])
+        })
+        .collect();
+    drop(daemons);
+    while_down().await;
+    let seed = restarts[0].1[2];
+    let daemons: Vec<Daemon> = restarts
+        .iter()
+        .map(|(name, addresses)| Daemon::start(platform, name, *addresses, seed))
+        .collect();
+    for daemon in &daemons {
+        daemon.wait_for_server().await;
+        daemon.wait_for("/read/x", 200).await;
+    }
+    let mut resumed = Vec::new();
+    for (index, (id, text, _)) in texts.into_iter().enumerate() {
+        let daemon = daemons[(index + 1) % daemons.len()].caller;
+        let after = last_id(&text).to_string();
+        let headers = [("resumes", id.as_str()), ("last-event-id", after.as_str())];
+        let mut response = start_stream(daemon, &format!("{id}-2"), &headers).await;
+        if response.status() == 200 {
+            let (rest, complete) = read_events(&mut response, usize::MAX).await;
+            assert!(complete, "{rest}");
+            assert_eq!(rest, events(version_of(&text), last_id(&text)), "{text}");
+        }
+        resumed.push((text, response));
+    }
+    resumed
+}
+
+/// The number of streams that went on, of each version.
+fn went_on(resumed: &[(String, Response<Incoming>)], version: &str) -> usize {
+    let of_version = resumed.iter().filter(|(text, _)| version_of(text) == version);
+    of_version.filter(|(_, response)| response.status() == 200).count()
+}
+
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_all_daemons_were_killed() {
+    let (platform, _upstreams, daemons) = start_deployment(3).await;
+    let resumed = take_up_after_kill_of_all(&platform, daemons, async || {}).await;
+    assert!(went_on(&resumed, FIRST_VERSION) * 10 >= STREAMS * 9, "{resumed:?}");
+}
+
+#[tokio::test]
+async fn streams_of_two_versions_go_on_at_their_own_after_all_daemons_were_killed() {
+    let (platform, _upstreams, daemons) = start_versions(3).await;
+    let resumed = take_up_after_kill_of_all(&platform, daemons, async || {}).await;
+    let counts = [FIRST_VERSION, SECOND_VERSION].map(|version| went_on(&resumed, version));
+    assert!(counts.iter().sum::<usize>() * 10 >= STREAMS * 9, "{counts:?}");
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+}
+
+#[tokio::test]
+async fn streams_of_a_version_that_left_while_all_daemons_were_down_are_refused() {
+    let (platform, upstreams, daemons) = start_versions(3).await;
+    let old = upstreams[2..4].to_vec();
+    let resumed = take_up_after_kill_of_all(&platform, daemons, async || {
+        old.iter().for_each(|upstream| upstream.leave("model"));
+    })
+    .await;
+    assert_eq!(went_on(&resumed, FIRST_VERSION), 0);
+    assert!(went_on(&resumed, SECOND_VERSION) > 0);
+}
+
+#[tokio::test]
+async fn streams_are_refused_if_another_version_came_while_all_daemons_were_down() {
+    let (platform, _upstreams, daemons) = start_deployment(3).await;
+    let new = platform.clone();
+    let resumed = take_up_after_kill_of_all(&platform, daemons, async || {
+        let upstream = Upstream::start_version(&new, "i-9", "model", SECOND_VERSION).await;
+        std::mem::forget(upstream);
+    })
+    .await;
+    // None is mixed, which is checked for each that goes on.
+    assert_eq!(resumed.len(), STREAMS);
+}
