fix(relay): a daemon that is cut off blames no request for crashes of upstreams

When a daemon's connections to all upstreams are reset and new ones refused, each response that was beginning counted as a crash of its upstream, and what its request holds was blamed, at all daemons. Sound parts of prompts could be convicted and refused everywhere.

Cause: a refused connection was taken for the end of the upstream's process. Change: it is only if up to two other upstreams, not known to have crashed, accept connections; those of the same service are asked first.

--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -436,6 +436,24 @@
         rounds
     }
 
+    /// The upstreams other than `key` that may be used, those of the same service first.
+    pub(crate) fn others(
+        &self,
+        now: MonotonicInstant,
+        key: UpstreamKey,
+    ) -> Vec<(UpstreamKey, UpstreamId, SocketAddr)> {
+        let state = self.state();
+        let service = state.registry.get(key).map(|listed| listed.registration.service.clone());
+        let usable =
+            state.registry.iter().filter(|(other, listed)| *other != key && listed.usable(now));
+        let mut others: Vec<_> = usable.collect();
+        others.sort_by_key(|(_, listed)| Some(&listed.registration.service) != service.as_ref());
+        let others = others.into_iter().map(|(other, listed)| {
+            (other, listed.registration.id.clone(), listed.registration.address)
+        });
+        others.collect()
+    }
+
     /// Records the result of a test connection that began at `started`.
     pub(crate) fn on_test(
         &self,
@@ -747,6 +765,11 @@
         }
     }
 
+    /// The balancer that made the assignment.
+    pub(crate) const fn balancer(&self) -> &Balancer {
+        &self.balancer
+    }
+
     /// Records that bytes of a response have arrived.
     pub fn on_heard(&self, now: MonotonicInstant) {
         self.balancer.on_heard(now, self.key);
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -1,17 +1,19 @@
 //! What this daemon knows of crashes of upstreams: tells a crash from a lost connection, and keeps
 //! requests that hold what crashes upstreams from being sent.
 
-use crate::balancer::Assignment;
+use crate::balancer::{Assignment, Balancer};
+use crate::contact_test;
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
 use crate::relay::{AdmittedRequest, AttemptHistory, Relay, refuse};
 use crate::request::{BufferedRequest, Refusal};
 use crate::request_log::RequestLog;
+use futures_util::future::join_all;
 use opentelemetry::KeyValue;
 use spindle_policy::crash_ledger::{
     CrashLedger, CrashNews, LedgerChange, LedgerEvent, Verdict, WorkKey,
 };
-use spindle_policy::upstream_registry::UpstreamId;
+use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey};
 use spindle_types::{Clock, Instance, MonotonicInstant};
 use std::collections::BTreeSet;
 use std::io;
@@ -28,6 +30,12 @@
 /// When to test again whether a process that has closed a connection is ending.
 const RECHECK_DELAYS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(150)];
 
+/// Number of other upstreams that are tested to tell a crash from a cut.
+const OTHERS_TESTED_MAX: usize = 2;
+
+/// Time within which a cut takes effect on all connections.
+const CUT_SETTLE_TIME: Duration = Duration::from_millis(30);
+
 #[derive(Debug)]
 struct State {
     ledger: CrashLedger,
@@ -44,7 +52,9 @@
     /// Id of the caller's attempt.
     id: String,
     upstream: UpstreamId,
+    key: UpstreamKey,
     address: SocketAddr,
+    balancer: Balancer,
     /// What the request holds.
     keys: Vec<WorkKey>,
 }
@@ -69,8 +79,8 @@
     }
 
     /// Handles a response that was lost while it was beginning. Whatever the request holds is blamed
-    /// if the upstream's process has ended: a new connection is refused then. A connection that is
-    /// cut off or reset, and an upstream that leaves, blame nothing.
+    /// if the upstream's process has ended: a new connection is refused then, while other upstreams
+    /// are reached. A connection that is cut off or reset, and an upstream that leaves, blame nothing.
     pub(crate) async fn on_lost<K: Clock>(
         &self,
         clock: &K,
@@ -84,7 +94,9 @@
         let lost = LostResponse {
             id: id.to_owned(),
             upstream: assignment.upstream_id.clone(),
+            key: assignment.key,
             address: assignment.address,
+            balancer: assignment.balancer().clone(),
             keys: keys.to_vec(),
         };
         // In a task of its own, which goes on if the caller disconnects.
@@ -96,21 +108,39 @@
     async fn check<K: Clock>(self, clock: K, lost: LostResponse) {
         let is_known = self.state().ledger.has_crashed(&lost.upstream);
         if is_known || is_refused(lost.address).await {
-            self.on_crash(clock.now(), &lost);
-            return;
+            return self.on_refused(&clock, &lost).await;
         }
         tokio::spawn(async move {
             for delay in RECHECK_DELAYS {
                 tokio::time::sleep(delay).await;
                 if is_refused(lost.address).await {
-                    self.on_crash(clock.now(), &lost);
-                    return;
+                    return self.on_refused(&clock, &lost).await;
                 }
             }
             log::info!("event=no_crash id={} upstream={}", lost.id, lost.upstream.instance);
         });
     }
 
+    /// Handles an upstream that refuses connections. If others that have not crashed accept none
+    /// either, this daemon is cut off.
+    async fn on_refused<K: Clock>(&self, clock: &K, lost: &LostResponse) {
+        tokio::time::sleep(CUT_SETTLE_TIME).await;
+        let mut others = lost.balancer.others(clock.now(), lost.key);
+        others.retain(|(_, upstream, _)| !self.state().ledger.has_crashed(upstream));
+        others.truncate(OTHERS_TESTED_MAX);
+        let tests = others
+            .into_iter()
+            .map(|(key, _, address)| contact_test::test(&lost.balancer, clock, key, address));
+        if join_all(tests).await.into_iter().all(|reached| reached) {
+            return self.on_crash(clock.now(), lost);
+        }
+        log::info!(
+            "event=no_crash id={} upstream={} cause=others_unreached",
+            lost.id,
+            lost.upstream.instance
+        );
+    }
+
     fn on_crash(&self, now: MonotonicInstant, lost: &LostResponse) {
         let LostResponse { id, upstream, keys, .. } = lost;
         log::warn!(
--- a/tests/platform/partitions.rs
+++ b/tests/platform/partitions.rs
@@ -324,3 +324,26 @@
     let sum: usize = there.iter().sum();
     assert!(sum * 3 <= REQUESTS * 2, "{there:?} of {REQUESTS} at the upstreams that are reached");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_a_daemon_whose_connections_are_all_reset_are_not_blamed_for_crashes() {
+    let deployment = start(3).await;
+    for round in 0..3 {
+        let mut streams = JoinSet::new();
+        for request in 0..8 {
+            let caller = deployment.daemons[0].caller;
+            streams.spawn(async move {
+                send(caller, &format!("r-{round}-{request}"), "/draft/x").await
+            });
+        }
+        // The streams have begun, and few events have arrived.
+        tokio::time::sleep(POLL_INTERVAL * 2).await;
+        deployment.cut(&[0], Cut::Resets);
+        streams.join_all().await;
+        deployment.cut(&[0], Cut::None);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let log = deployment.daemons[0].log();
+    assert!(log.contains("event=contact_lost"), "the connections were not reset");
+    assert_eq!(log.matches("event=upstream_crashed").count(), 0);
+}
