fix(relay): brittle upstreams get no more requests than they have slots, and one

Cause: nothing read the header. Each daemon filled the queues of the upstreams by its own view of the others' requests, was rejected, and sent what was rejected on to the next full one; seven took the load of eight.

Change: the slots and one more place are divided among the daemons (upstream_brittleness, Position::places), what waits waits in the daemons, and a rejection pauses the daemon there for 4 x daemons / N s on average.

Why it works: the parts add up to what the upstream takes, without news of the others' requests.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod steering;
 pub mod store_era;
 pub mod stream_versions;
+pub mod upstream_brittleness;
 pub mod upstream_contact;
 pub mod upstream_limit;
 pub mod upstream_pause;
--- a/crates/policy/src/rate_share.rs
+++ b/crates/policy/src/rate_share.rs
@@ -66,6 +66,11 @@
         Some(Self { rank, daemons })
     }
 
+    /// This daemon's part of so many places. The parts of all daemons add up to them.
+    pub const fn places(self, total: u32) -> u32 {
+        total / self.daemons + if self.rank < total % self.daemons { 1 } else { 0 }
+    }
+
     /// The part of a rate that this daemon may spend.
     fn part(self, rate: f64) -> f64 {
         let holders = (1.0 + rate).floor().min(f64::from(self.daemons)).max(1.0);
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -359,10 +359,27 @@
         position: impl Fn(&Service, &UpstreamId) -> Option<Position>,
     ) {
         let mut state = self.state();
-        let State { registry, limits, .. } = &mut *state;
+        let State { registry, limits, upstreams, .. } = &mut *state;
+        for (key, upstream) in upstreams.iter_mut() {
+            if upstream.brittleness.is_named()
+                && let Some(listed) = registry.get(key)
+            {
+                let Registration { service, id, .. } = &listed.registration;
+                upstream.brittleness.set_position(now, position(service, id));
+            }
+        }
         limits.set_positions(now, registry, position);
     }
 
+    /// Whether an upstream of a service says that it is brittle.
+    pub(crate) fn has_brittle(&self, service: &Service) -> bool {
+        let state = self.state();
+        state.registry.iter().any(|(key, listed)| {
+            listed.registration.service == *service
+                && state.upstreams.get(key).is_some_and(|upstream| upstream.brittleness.is_named())
+        })
+    }
+
     /// The rates that the limited upstreams of a service take, in requests per second.
     pub fn limited_rates(&self, now: MonotonicInstant, service: &Service) -> Vec<f64> {
         let state = self.state();
@@ -672,7 +689,7 @@
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
                 slots: listed.registration.slots,
                 breaker: upstream.breaker_state(now),
-                limit: match upstream.pause.left(now) {
+                limit: match upstream.wait(now, upstream.running, listed.registration.slots) {
                     Some(left) => LimitState::Exhausted(left),
                     None => self.limits.state(now, key),
                 },
@@ -711,7 +728,11 @@
             return SendPermission::Left;
         }
         let upstream = state.upstreams.get(self.key);
-        if upstream.is_some_and(|upstream| upstream.pause.left(now).is_some()) {
+        let slots = state.registry.get(self.key).map_or(0, |listed| listed.registration.slots);
+        // This request is counted among those that run there.
+        let wait = upstream
+            .and_then(|upstream| upstream.wait(now, upstream.running.saturating_sub(1), slots));
+        if wait.is_some() {
             return SendPermission::Limited;
         }
         if !self.counted {
@@ -748,6 +769,22 @@
         limits.on_answer((now, self.assigned_at), upstream, named);
     }
 
+    /// Records whether a response says that the upstream is brittle, and whether it is a rejection.
+    pub fn on_brittle(&self, now: MonotonicInstant, rejections: Option<u32>, is_rejection: bool) {
+        let mut state = self.balancer.state();
+        let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
+        if upstream.brittleness.on_answer(now, self.assigned_at, rejections) {
+            log::warn!(
+                "event=upstream_brittle upstream={} rejections_per_s={}",
+                self.upstream_id.instance,
+                rejections.map_or(-1, i64::from),
+            );
+        }
+        if is_rejection {
+            upstream.brittleness.on_rejected(now, rand::random());
+        }
+    }
+
     /// Records the first byte of the response: the prompt has left the queue, and the measured
     /// latency updates the upstream's slowdown. Later calls have no effect.
     pub fn on_first_byte(&mut self, now: MonotonicInstant) {
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -24,6 +24,8 @@
     if tells_limit {
         assignment.on_limit(now, notice.limit);
     }
+    let is_rejection = matches!(class, ResponseClass::Refused { .. });
+    assignment.on_brittle(now, notice.brittle, is_rejection);
     if notice.leaving {
         assignment.on_leaving(now);
     }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -78,6 +78,9 @@
     pub pause: NamedPause,
     /// The rate of requests that the upstream accepts.
     pub limit: NamedLimit,
+    /// The number of rejections in a second at which the upstream fails, if it says that it is
+    /// brittle.
+    pub brittle: Option<u32>,
 }
 
 /// How long an upstream that has rejected a request accepts no further ones of this daemon.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -57,6 +57,9 @@
 /// retried all at once.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
 
+/// Interval at which a waiting request looks for a place at a brittle upstream.
+const PLACE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Highest priority number that an engine takes, which is its lowest priority.
 const ENGINE_PRIORITY_MAX: u32 = 9;
 
@@ -502,7 +505,7 @@
         let Attempt { admitted, buffered, .. } = attempt;
         self.check_crash_causes(admitted, buffered, past, request_log)?;
         if !self.prefers_helper(admitted, past) {
-            match self.assign(admitted, buffered, past, request_log) {
+            match self.assign_waiting(attempt, past, request_log).await {
                 Ok(assignment) => return Ok(Way::Upstream(Box::new(assignment))),
                 Err(refusal) if self.may_hand_over(admitted, past, refusal) => {
                     past.prefers_helper = true;
@@ -519,6 +522,28 @@
         Ok(Way::Upstream(Box::new(assignment)))
     }
 
+    /// Assigns a request to an upstream. While upstreams are brittle, it waits here for a place there,
+    /// for as long as the response would still be in time.
+    async fn assign_waiting(
+        &self,
+        attempt: Attempt<'_>,
+        past: &AttemptHistory,
+        request_log: &mut RequestLog<K>,
+    ) -> Result<Assignment, Refusal> {
+        let Attempt { admitted, buffered, .. } = attempt;
+        let until = self.0.clock.now() + admitted.route.target_latency;
+        loop {
+            let result = self.assign(admitted, buffered, past, request_log);
+            let may_wait = matches!(result, Err(Refusal::Overloaded { .. }))
+                && self.0.clock.now() < until
+                && self.0.balancer.has_brittle(&admitted.service);
+            if !may_wait {
+                return result;
+            }
+            tokio::time::sleep(PLACE_INTERVAL).await;
+        }
+    }
+
     fn assign(
         &self,
         admitted: &AdmittedRequest,
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -1,6 +1,7 @@
 //! What a daemon has observed of one upstream.
 
 use spindle_policy::breaker::{BreakerState, CircuitBreaker};
+use spindle_policy::upstream_brittleness::Brittleness;
 use spindle_policy::upstream_pause::UpstreamPause;
 use spindle_types::MonotonicInstant;
 use std::collections::HashMap;
@@ -39,6 +40,7 @@
     pub(crate) identity: u64,
     pub(crate) breaker: CircuitBreaker,
     pub(crate) pause: UpstreamPause,
+    pub(crate) brittleness: Brittleness,
     /// When it was last heard, on any connection.
     pub(crate) heard_at: MonotonicInstant,
     /// Whether the newest connection to it has failed.
@@ -58,6 +60,11 @@
 }
 
 impl TrackedUpstream {
+    /// The time until this daemon may send a request there, if it may send none now.
+    pub(crate) fn wait(&self, now: MonotonicInstant, running: u32, slots: u32) -> Option<Duration> {
+        self.pause.left(now).max(self.brittleness.wait(now, running, slots))
+    }
+
     /// The state of its breaker. One that is not reached is tested by connections, not by requests.
     pub(crate) fn breaker_state(&self, now: MonotonicInstant) -> BreakerState {
         if self.unreached {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! Daemons as separate processes on a stand-in of the users' platform.
 
+mod brittle;
 mod crashes;
 mod daemon;
 mod endless;
