--- a/src/trace.rs
+++ b/src/trace.rs
@@ -14,7 +14,7 @@
 const LOOKAHEAD: Duration = Duration::from_secs(1);
 
 /// Events that change the state of a whole daemon, as opposed to its view of one upstream.
-const DAEMON_STATE_EVENTS: [&str; 12] = [
+const DAEMON_STATE_EVENTS: [&str; 14] = [
     "configuration_in_force",
     "configuration_current",
     "configuration_unreadable",
@@ -22,6 +22,8 @@
     "store_regained",
     "history_expired",
     "daemons_changed",
+    "contact_lost",
+    "contact_regained",
     "civil_time_changed",
     "log_lines_dropped",
     "starting",
