--- a/tests/platform/partitions.rs
+++ b/tests/platform/partitions.rs
@@ -1,7 +1,7 @@
 //! Daemons that reach no upstream, while callers, the store and the other daemons reach them.
 
 use crate::body;
-use crate::daemon::{CALL_TIMEOUT, Daemon, POLL_INTERVAL, POLLS_MAX, client};
+use crate::daemon::{CALL_TIMEOUT, Daemon, POLL_INTERVAL, POLLS_MAX, addresses, client};
 use crate::standin::{self, Cut, Links, Platform, STREAM_EVENTS, Upstream};
 use http::Request;
 use http_body_util::BodyExt;
@@ -347,3 +347,23 @@
     assert!(log.contains("event=contact_lost"), "the connections were not reset");
     assert_eq!(log.matches("event=upstream_crashed").count(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_cut_off_from_all_upstreams_serves_first_tries() {
+    let deployment = start(2).await;
+    let links = deployment.platform.link("d-late").await;
+    links.set(Cut::Hangs);
+    let (ports, seed) = (addresses(), deployment.daemons[0].peer);
+    let late = Daemon::start(&deployment.platform, "d-late", ports, seed);
+    late.wait_for_server().await;
+    late.wait_for_addresses(3).await;
+    let mut tries = JoinSet::new();
+    for request in 0..REQUESTS {
+        let (caller, path) = (late.caller, PATHS[request % PATHS.len()]);
+        tries.spawn(async move { send(caller, &format!("late-{request}"), path).await });
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let served = tries.join_all().await.into_iter().flatten().filter(|(status, _)| *status == 200);
+    let served = served.count();
+    assert!(served * 20 >= REQUESTS * 19, "{served} of {REQUESTS} served");
+}
