--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt: sending a request to one upstream and reading the head of its response.
 
-use crate::balancer::{Assignment, UpstreamResult};
+use crate::admission::AdmittedRequest;
+use crate::assignment::{Assignment, UpstreamResult};
 use crate::config::{RepeatPolicy, Route};
 use crate::connection::SendError;
 use crate::contact_test;
 use crate::notices;
 use crate::pool::{Endpoint, PoolError, PooledConnection};
 use crate::protocol::{ForwardContext, ResponseClass, UpstreamProtocol};
-use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN};
+use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN};
 use crate::request::{BufferedRequest, Refusal};
 use crate::response_end::Framing;
 use crate::tracked_upstream::SendPermission;
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -1,48 +1,38 @@
 //! Load balancing: the known upstreams, the load on each, and the choice among them.
 
+use crate::assignment::Assignment;
 use crate::backends::StoredVersions;
-use crate::limits::{LimitUse, UpstreamLimits};
-use crate::metrics::METRICS;
+use crate::limits::UpstreamLimits;
 use crate::pool::{ConnectionPool, Endpoint};
-use crate::protocol::{NamedLimit, ReportedLoad};
-use crate::tracked_upstream::{SendPermission, TrackedUpstream};
-use opentelemetry::KeyValue;
+use crate::tracked_upstream::TrackedUpstream;
 use slotmap::SecondaryMap;
-use spindle_policy::breaker::{BreakerTransition, FailureKind};
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
 use spindle_policy::stream_versions::{
     KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
 };
-use spindle_policy::upstream_contact::{ContactChange, ContactTest, ServiceContact};
+use spindle_policy::upstream_contact::ServiceContact;
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Weight of the newest response in the moving average of an upstream's slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.2;
-
-/// Maximum ratio of measured to estimated latency; its reciprocal is the minimum.
-const SLOWDOWN_MAX: f64 = 8.0;
-
 /// Latency that does not depend on the upstream's work, in milliseconds; added to both the measured
 /// and the estimated time so that short requests don't distort their ratio.
-const FIXED_LATENCY_MS: f64 = 30.0;
+pub(crate) const FIXED_LATENCY_MS: f64 = 30.0;
 
 #[derive(Debug, Default)]
-struct State {
-    registry: UpstreamRegistry,
-    upstreams: SecondaryMap<UpstreamKey, TrackedUpstream>,
-    limits: UpstreamLimits,
-    contacts: HashMap<Service, ServiceContact>,
+pub(crate) struct State {
+    pub(crate) registry: UpstreamRegistry,
+    pub(crate) upstreams: SecondaryMap<UpstreamKey, TrackedUpstream>,
+    pub(crate) limits: UpstreamLimits,
+    pub(crate) contacts: HashMap<Service, ServiceContact>,
 }
 
 /// Load balancer over all known upstreams. Clones share all state.
@@ -53,31 +43,6 @@
     own_data_centre: DataCentre,
 }
 
-/// A request assigned to an upstream. It counts towards the load there until it is dropped.
-#[derive(Debug)]
-pub struct Assignment {
-    balancer: Balancer,
-    /// The chosen upstream.
-    pub key: UpstreamKey,
-    /// Instance and start time of the upstream; a restarted instance differs in the latter.
-    pub upstream_id: UpstreamId,
-    /// Address of the upstream.
-    pub address: SocketAddr,
-    /// Version of the upstream's software, if it states one.
-    pub version: Option<SoftwareVersion>,
-    /// When the upstream was chosen.
-    pub assigned_at: MonotonicInstant,
-    /// Time that processing the prompt adds to the upstream's queue until the response begins, in
-    /// milliseconds.
-    queued_ms: f64,
-    /// Estimated time until the response begins, in milliseconds.
-    expected_ms: f64,
-    /// Whether the request counts against the limit of the upstream.
-    counted: bool,
-    /// Whether the request has been sent, at least in part.
-    sent: bool,
-}
-
 /// Upstreams that were recently found to be shutting down or gone.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LeavingUpstreams {
@@ -88,15 +53,6 @@
     pub complete: bool,
 }
 
-/// Test connections to upstreams of one service that are begun together.
-#[derive(Clone, Debug)]
-pub(crate) struct ContactRound {
-    pub(crate) service: Service,
-    pub(crate) upstreams: Vec<(UpstreamKey, SocketAddr)>,
-    /// Whether they are a sample that tells of the whole service.
-    pub(crate) is_sample: bool,
-}
-
 /// Which upstreams of a service an attempt may use.
 #[derive(Clone, Copy, Debug)]
 pub struct Restrictions<'a> {
@@ -106,19 +62,6 @@
     pub versions: &'a PermittedVersions,
 }
 
-/// Outcome of an attempt, as far as it concerns the circuit breaker of the upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum UpstreamResult {
-    /// A complete response other than a server error.
-    Answered,
-    /// The upstream refused the request without executing it.
-    Refused,
-    /// A server error, an invalid or incomplete response, or silence for too long.
-    Failed,
-    /// No connection could be made.
-    Unreachable,
-}
-
 impl Balancer {
     /// Creates a balancer without upstreams for a daemon in the given data centre.
     pub fn new(own_data_centre: DataCentre, pool: ConnectionPool) -> Self {
@@ -386,169 +329,6 @@
         state.limits.rates(now, &state.registry, service)
     }
 
-    /// Whether this daemon reaches no upstream of a service.
-    pub fn has_lost(&self, service: &Service) -> bool {
-        self.state().contacts.get(service).is_some_and(ServiceContact::is_lost)
-    }
-
-    /// The share of the upstreams of a service to which the newest connection has failed.
-    pub fn unreached_share(&self, now: MonotonicInstant, service: &Service) -> f64 {
-        let state = self.state();
-        let (unreached, known) = count_unreached(&state.registry, &state.upstreams, now, service);
-        unreached as f64 / known.max(1) as f64
-    }
-
-    /// Services of which this daemon reaches no upstream, for long enough to tell others.
-    pub fn lost_services(&self, now: MonotonicInstant) -> BTreeSet<Service> {
-        let state = self.state();
-        let lost = state.contacts.iter().filter(|(_, contact)| contact.is_confirmed(now));
-        lost.map(|(service, _)| service.clone()).collect()
-    }
-
-    /// Test connections that are due. `random` returns numbers between 0 and 1.
-    pub(crate) fn take_tests(
-        &self,
-        now: MonotonicInstant,
-        mut random: impl FnMut() -> f64,
-    ) -> Vec<ContactRound> {
-        let mut state = self.state();
-        let State { registry, contacts, upstreams, .. } = &mut *state;
-        let unreached = |key| upstreams.get(key).is_some_and(|upstream| upstream.unreached);
-        if !upstreams.values().any(|upstream| upstream.unreached)
-            && !contacts.values().any(ServiceContact::is_lost)
-        {
-            return Vec::new();
-        }
-        let lost = lost_services(contacts);
-        let mut rounds = Vec::new();
-        for (service, contact) in contacts {
-            let usable = registry.iter().filter(|(_, listed)| {
-                listed.registration.service == *service && listed.usable(now)
-            });
-            let usable = usable.map(|(key, listed)| (key, listed.registration.address));
-            let mut usable: Vec<_> = usable.collect();
-            let any_unreached = usable.iter().any(|(key, _)| unreached(*key));
-            let others_lost = lost.iter().any(|lost| lost != service);
-            let Some(test) = contact.take_test(now, others_lost, any_unreached, random()) else {
-                continue;
-            };
-            let (count, is_sample) = match test {
-                ContactTest::Sample(count) => (count, true),
-                ContactTest::Others(count) => {
-                    usable.retain(|(key, _)| !unreached(*key));
-                    (count, false)
-                }
-                ContactTest::Failed(count) => {
-                    usable.retain(|(key, _)| unreached(*key));
-                    (count, false)
-                }
-            };
-            let mut drawn = Vec::new();
-            while drawn.len() < count && !usable.is_empty() {
-                let index = (random() * usable.len() as f64) as usize;
-                drawn.push(usable.swap_remove(index.min(usable.len() - 1)));
-            }
-            rounds.push(ContactRound { service: service.clone(), upstreams: drawn, is_sample });
-        }
-        rounds
-    }
-
-    /// The upstreams other than `key` that may be used, those of the same service first.
-    pub(crate) fn others(
-        &self,
-        now: MonotonicInstant,
-        key: UpstreamKey,
-    ) -> Vec<(UpstreamKey, UpstreamId, SocketAddr)> {
-        let state = self.state();
-        let service = state.registry.get(key).map(|listed| listed.registration.service.clone());
-        let usable =
-            state.registry.iter().filter(|(other, listed)| *other != key && listed.usable(now));
-        let mut others: Vec<_> = usable.collect();
-        others.sort_by_key(|(_, listed)| Some(&listed.registration.service) != service.as_ref());
-        let others = others.into_iter().map(|(other, listed)| {
-            (other, listed.registration.id.clone(), listed.registration.address)
-        });
-        others.collect()
-    }
-
-    /// Records the result of a test connection that began at `started`.
-    pub(crate) fn on_test(
-        &self,
-        now: MonotonicInstant,
-        started: MonotonicInstant,
-        key: UpstreamKey,
-        reached: bool,
-    ) {
-        if reached {
-            self.on_heard(now, key);
-        } else {
-            self.on_connection_failed(now, started, key);
-        }
-    }
-
-    /// Records how many upstreams of a sample have accepted test connections.
-    pub(crate) fn on_sample(
-        &self,
-        now: MonotonicInstant,
-        service: &Service,
-        reached: usize,
-        tested: usize,
-    ) {
-        let mut state = self.state();
-        let Some(contact) = state.contacts.get_mut(service) else { return };
-        if contact.on_sample(now, reached, tested) == ContactChange::Regained {
-            log::info!(
-                "event=contact_regained service={service} reached={reached} tested={tested}"
-            );
-        }
-    }
-
-    /// Records that bytes have arrived from an upstream, or that it has accepted a connection.
-    pub(crate) fn on_heard(&self, now: MonotonicInstant, key: UpstreamKey) {
-        let mut state = self.state();
-        let State { registry, contacts, upstreams, .. } = &mut *state;
-        let Some(listed) = registry.get(key) else { return };
-        if let Some(upstream) = upstreams.get_mut(key) {
-            upstream.heard_at = now;
-            if std::mem::take(&mut upstream.unreached) {
-                log::info!("event=upstream_reached upstream={}", listed.registration.id.instance);
-            }
-        }
-        let service = &listed.registration.service;
-        match contacts.get_mut(service) {
-            Some(contact) => contact.on_heard(now),
-            None => contacts.entry(service.clone()).or_default().on_heard(now),
-        }
-    }
-
-    fn on_connection_failed(
-        &self,
-        now: MonotonicInstant,
-        started: MonotonicInstant,
-        key: UpstreamKey,
-    ) {
-        let mut state = self.state();
-        let State { registry, contacts, upstreams, .. } = &mut *state;
-        let Some(listed) = registry.get(key) else { return };
-        let instance = &listed.registration.id.instance;
-        if let Some(upstream) = upstreams.get_mut(key)
-            && upstream.heard_at < started
-            && !std::mem::replace(&mut upstream.unreached, true)
-        {
-            log::warn!("event=upstream_unreached upstream={instance}");
-        }
-        let service = listed.registration.service.clone();
-        let (unreached, known) = count_unreached(registry, upstreams, now, &service);
-        let contact = contacts.entry(service.clone()).or_default();
-        let counts = (unreached, known.max(1));
-        if contact.on_failed(now, started, key, counts) == ContactChange::Lost {
-            log::warn!(
-                "event=contact_lost service={service} unreached={unreached} upstreams={known}"
-            );
-            METRICS.contact_losses.add(1, &[KeyValue::new("service", service.to_string())]);
-        }
-    }
-
     /// Load that this daemon puts on each instance: number of requests, and processing time of the
     /// prompts queued there, in milliseconds.
     pub fn own_load(&self) -> BTreeMap<Instance, (u32, u32)> {
@@ -635,34 +415,13 @@
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         // A poisoned lock is still consistent: no code that holds it panics in the middle of a
         // change.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// The number of upstreams of a service to which the newest connection has failed, and of all that may
-/// be used.
-fn count_unreached(
-    registry: &UpstreamRegistry,
-    upstreams: &SecondaryMap<UpstreamKey, TrackedUpstream>,
-    now: MonotonicInstant,
-    service: &Service,
-) -> (usize, usize) {
-    let usable = registry
-        .iter()
-        .filter(|(_, listed)| listed.registration.service == *service && listed.usable(now));
-    let reached = usable.map(|(key, _)| upstreams.get(key).is_none_or(|found| !found.unreached));
-    reached
-        .fold((0, 0), |(unreached, known), reached| (unreached + usize::from(!reached), known + 1))
-}
-
-fn lost_services(contacts: &HashMap<Service, ServiceContact>) -> BTreeSet<Service> {
-    let lost = contacts.iter().filter(|(_, contact)| contact.is_lost());
-    lost.map(|(service, _)| service.clone()).collect()
-}
-
 impl State {
     fn candidates(
         &self,
@@ -700,172 +459,3 @@
         candidates.collect()
     }
 }
-
-impl Assignment {
-    /// Records the load that the upstream has reported in a response.
-    pub fn on_load(&self, now: MonotonicInstant, reported_load: Option<ReportedLoad>) {
-        let Some(reported_load) = reported_load else { return };
-        if let Some(upstream) = self.balancer.state().upstreams.get_mut(self.key) {
-            upstream.reported_load = Some((now, reported_load.requests));
-        }
-    }
-
-    /// Whether the upstream is known to be shutting down or gone.
-    pub(crate) fn is_leaving(&self) -> bool {
-        let state = self.balancer.state();
-        let listed = state.registry.get(self.key);
-        listed.is_none_or(|listed| listed.state == UpstreamState::Leaving)
-    }
-
-    /// Whether the request may be sent now. Checked right before sending: the upstream may have left
-    /// or named a limit since it was chosen.
-    pub fn may_send(&mut self, now: MonotonicInstant) -> SendPermission {
-        let mut state = self.balancer.state();
-        let is_same = state.registry.get(self.key).is_some_and(|listed| {
-            listed.usable(now) && listed.registration.version == self.version
-        });
-        if !is_same {
-            return SendPermission::Left;
-        }
-        let upstream = state.upstreams.get(self.key);
-        let slots = state.registry.get(self.key).map_or(0, |listed| listed.registration.slots);
-        // This request is counted among those that run there.
-        let wait = upstream
-            .and_then(|upstream| upstream.wait(now, upstream.running.saturating_sub(1), slots));
-        if wait.is_some() {
-            return SendPermission::Limited;
-        }
-        if !self.counted {
-            match state.limits.take(now, self.key) {
-                Some(false) => return SendPermission::Limited,
-                Some(true) => self.counted = true,
-                None => {}
-            }
-        }
-        SendPermission::Granted
-    }
-
-    /// Records whether the request has been sent, at least in part. A request that was not sent
-    /// does not count against the limit of the upstream.
-    pub const fn set_sent(&mut self, sent: bool) {
-        self.sent = sent;
-    }
-
-    /// The limit of the upstream, for the logs.
-    pub(crate) fn limit_use(&self, now: MonotonicInstant) -> Option<LimitUse> {
-        self.balancer.state().limits.in_use(now, self.key)
-    }
-
-    /// Records what a response says of the limit of the upstream.
-    pub fn on_limit(&self, now: MonotonicInstant, named: NamedLimit) {
-        let mut state = self.balancer.state();
-        let State { registry, limits, .. } = &mut *state;
-        let Some(listed) = registry.get(self.key) else { return };
-        if named != NamedLimit::None {
-            let service = KeyValue::new("service", listed.registration.service.to_string());
-            METRICS.limited_sends.add(1, &[service]);
-        }
-        let upstream = (self.key, &self.upstream_id.instance);
-        limits.on_answer((now, self.assigned_at), upstream, named);
-    }
-
-    /// Records whether a response says that the upstream is brittle, and whether it is a rejection.
-    pub fn on_brittle(&self, now: MonotonicInstant, rejections: Option<u32>, is_rejection: bool) {
-        let mut state = self.balancer.state();
-        let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
-        if upstream.brittleness.on_answer(now, self.assigned_at, rejections) {
-            log::warn!(
-                "event=upstream_brittle upstream={} rejections_per_s={}",
-                self.upstream_id.instance,
-                rejections.map_or(-1, i64::from),
-            );
-        }
-        if is_rejection {
-            upstream.brittleness.on_rejected(now, rand::random());
-        }
-    }
-
-    /// Records the first byte of the response: the prompt has left the queue, and the measured
-    /// latency updates the upstream's slowdown. Later calls have no effect.
-    pub fn on_first_byte(&mut self, now: MonotonicInstant) {
-        let queued_ms = std::mem::take(&mut self.queued_ms);
-        let expected_ms = std::mem::take(&mut self.expected_ms);
-        let mut state = self.balancer.state();
-        let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
-        upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
-        if expected_ms > 0.0 {
-            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 + FIXED_LATENCY_MS;
-            let ratio = (measured_ms / expected_ms).clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
-            let slowdown =
-                upstream.slowdown(now) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
-            upstream.slowdown = Some((now, slowdown));
-        }
-    }
-
-    /// The balancer that made the assignment.
-    pub(crate) const fn balancer(&self) -> &Balancer {
-        &self.balancer
-    }
-
-    /// Records that bytes of a response have arrived.
-    pub fn on_heard(&self, now: MonotonicInstant) {
-        self.balancer.on_heard(now, self.key);
-    }
-
-    /// Whether the upstream has sent anything since `time`, on any connection of this daemon.
-    pub(crate) fn is_heard_since(&self, time: MonotonicInstant) -> bool {
-        let state = self.balancer.state();
-        state.upstreams.get(self.key).is_some_and(|upstream| upstream.heard_at >= time)
-    }
-
-    /// Records how the attempt ended, which may open or close the circuit breaker of the upstream.
-    pub fn on_result(&self, now: MonotonicInstant, result: UpstreamResult) {
-        if result == UpstreamResult::Unreachable {
-            return self.balancer.on_connection_failed(now, self.assigned_at, self.key);
-        }
-        let mut state = self.balancer.state();
-        let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
-        let transition = match result {
-            UpstreamResult::Answered => upstream.breaker.on_success(),
-            UpstreamResult::Failed => {
-                upstream.breaker.on_failure(now, self.assigned_at, FailureKind::Failed)
-            }
-            UpstreamResult::Refused | UpstreamResult::Unreachable => BreakerTransition::Unchanged,
-        };
-        match transition {
-            BreakerTransition::Unchanged => {}
-            BreakerTransition::Opened => {
-                log::warn!("event=breaker_opened upstream={}", self.upstream_id.instance);
-            }
-            BreakerTransition::Recovered => {
-                log::info!("event=breaker_closed upstream={}", self.upstream_id.instance);
-            }
-        }
-    }
-
-    /// Records that the upstream is shutting down, or that its address now belongs to another one.
-    pub fn on_leaving(&self, now: MonotonicInstant) {
-        self.balancer.on_leaving(now, &self.upstream_id, "answer");
-    }
-
-    /// Records that the upstream accepts no requests of this daemon for a time. Returns the time
-    /// that is observed.
-    pub fn on_pause(&self, now: MonotonicInstant, pause: Duration) -> Duration {
-        let mut state = self.balancer.state();
-        let upstream = state.upstreams.get_mut(self.key);
-        upstream.map_or(Duration::ZERO, |upstream| upstream.pause.on_named(now, pause))
-    }
-}
-
-impl Drop for Assignment {
-    fn drop(&mut self) {
-        let mut state = self.balancer.state();
-        if self.counted && !self.sent {
-            state.limits.give_back(self.key);
-        }
-        if let Some(upstream) = state.upstreams.get_mut(self.key) {
-            upstream.running = upstream.running.saturating_sub(1);
-            upstream.queued_ms = (upstream.queued_ms - self.queued_ms).max(0.0);
-        }
-    }
-}
--- a/crates/relay/src/contact_test.rs
+++ b/crates/relay/src/contact_test.rs
@@ -1,8 +1,9 @@
 //! Test connections to upstreams, by which a daemon learns that it is cut off from them, and that it
 //! no longer is.
 
-use crate::balancer::{Balancer, ContactRound};
+use crate::balancer::Balancer;
 use crate::connection::CONNECT_TIMEOUT;
+use crate::upstream_contacts::ContactRound;
 use futures_util::future::join_all;
 use rand::RngExt;
 use spindle_policy::upstream_registry::UpstreamKey;
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -1,11 +1,13 @@
 //! What this daemon knows of crashes of upstreams: tells a crash from a lost connection, and keeps
 //! requests that hold what crashes upstreams from being sent.
 
-use crate::balancer::{Assignment, Balancer};
+use crate::admission::AdmittedRequest;
+use crate::assignment::Assignment;
+use crate::balancer::Balancer;
 use crate::contact_test;
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
-use crate::relay::{AdmittedRequest, AttemptHistory, Relay, refuse};
+use crate::relay::{AttemptHistory, Relay, refuse};
 use crate::request::{BufferedRequest, Refusal};
 use crate::request_log::RequestLog;
 use futures_util::future::join_all;
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -10,13 +10,14 @@
 //! closes cancels the work. One header tells the helper what has been decided, and one tells this
 //! daemon how it ended.
 
+use crate::admission::AdmittedRequest;
 use crate::attempt::{Attempt, silence_limit};
 use crate::connection::SendError;
 use crate::helpers::HelperUse;
 use crate::metrics::METRICS;
 use crate::pool::{Endpoint, PooledConnection};
 use crate::protocol::UpstreamProtocol;
-use crate::relay::{AdmittedRequest, AttemptHistory, Relay, TIME_LEFT_MIN, refuse};
+use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN, refuse};
 use crate::request::{Inbound, PromptPart, Refusal};
 use crate::request_log::RequestLog;
 use crate::response_end::Framing;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,8 @@
 //! the upstreams ([`UpstreamProtocol`]), the store and the cloud ([`backends`]) and the time
 //! ([`spindle_types::Clock`]). The decision logic, which does no I/O, is in `spindle-policy`.
 
+mod admission;
+pub mod assignment;
 mod attempt;
 pub mod backends;
 pub mod balancer;
@@ -19,6 +21,7 @@
 pub mod helpers;
 mod limits;
 pub mod metrics;
+mod next_attempt;
 mod notices;
 pub mod pool;
 pub mod protocol;
@@ -33,6 +36,7 @@
 mod stream_origin;
 mod tracked_upstream;
 mod unacknowledged;
+mod upstream_contacts;
 mod upstream_response;
 pub mod usage;
 
--- /dev/null
+++ b/crates/relay/src/next_attempt.rs
@@ -0,0 +1,133 @@
+//! The next attempt at sending a request: to an upstream, or through another daemon.
+
+use crate::admission::AdmittedRequest;
+use crate::assignment::Assignment;
+use crate::attempt::Attempt;
+use crate::balancer::Restrictions;
+use crate::connection::CONNECT_TIMEOUT;
+use crate::handoff::HandoffError;
+use crate::protocol::UpstreamProtocol;
+use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN, backoff, refuse};
+use crate::request::{BufferedRequest, Refusal};
+use crate::request_log::RequestLog;
+use crate::upstream_response::UpstreamResponse;
+use spindle_policy::stream_versions::PermittedVersions;
+use spindle_policy::upstream_selection::Choice;
+use spindle_types::Clock;
+use std::time::Duration;
+
+/// A request is refused if its response is expected to begin later than this multiple of the
+/// route's target latency. Callers give up after four times the target at the latest.
+const LATENESS_FACTOR_MAX: u32 = 3;
+
+/// Number of attempts that did not reach an upstream after which a request is refused.
+const UNREACHED_ATTEMPTS_MAX: usize = 4;
+
+/// Interval at which a waiting request looks for a place at a brittle upstream.
+const PLACE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// The next attempt at sending a request.
+pub(crate) enum NextAttempt {
+    /// To an upstream.
+    Upstream(Box<Assignment>),
+    /// Through another daemon, which has sent the head of a response.
+    Helper(Box<UpstreamResponse>),
+}
+
+impl<P: UpstreamProtocol, K: Clock> Relay<P, K> {
+    /// Assigns a request to an upstream, or sends it through another daemon if this one reaches none.
+    pub(crate) async fn next_attempt(
+        &self,
+        attempt: Attempt<'_>,
+        past: &mut AttemptHistory,
+        request_log: &mut RequestLog<K>,
+    ) -> Result<NextAttempt, Refusal> {
+        let Attempt { admitted, buffered, .. } = attempt;
+        self.check_crash_causes(admitted, buffered, past, request_log)?;
+        if !self.prefers_helper(admitted, past) {
+            match self.assign_waiting(attempt, past, request_log).await {
+                Ok(assignment) => return Ok(NextAttempt::Upstream(Box::new(assignment))),
+                Err(refusal) if self.may_hand_over(admitted, past, refusal) => {
+                    past.prefers_helper = true;
+                }
+                Err(refusal) => return Err(refusal),
+            }
+        }
+        match self.send_through_helper(attempt, past, request_log).await {
+            Ok(upstream_response) => return Ok(NextAttempt::Helper(Box::new(upstream_response))),
+            Err(HandoffError::Refused(refusal)) => return Err(refusal),
+            Err(HandoffError::Unavailable) => past.helpers_exhausted = true,
+        }
+        let assignment = self.assign(admitted, buffered, past, request_log)?;
+        Ok(NextAttempt::Upstream(Box::new(assignment)))
+    }
+
+    /// Assigns a request to an upstream. While upstreams are brittle, it waits here for a place there,
+    /// for as long as the response would still be in time.
+    async fn assign_waiting(
+        &self,
+        attempt: Attempt<'_>,
+        past: &AttemptHistory,
+        request_log: &mut RequestLog<K>,
+    ) -> Result<Assignment, Refusal> {
+        let Attempt { admitted, buffered, .. } = attempt;
+        let until = self.0.clock.now() + admitted.route.target_latency;
+        loop {
+            let result = self.assign(admitted, buffered, past, request_log);
+            let may_wait = matches!(result, Err(Refusal::Overloaded { .. }))
+                && self.0.clock.now() < until
+                && self.0.balancer.has_brittle(&admitted.service);
+            if !may_wait {
+                return result;
+            }
+            tokio::time::sleep(PLACE_INTERVAL).await;
+        }
+    }
+
+    fn assign(
+        &self,
+        admitted: &AdmittedRequest,
+        buffered: &BufferedRequest,
+        past: &AttemptHistory,
+        request_log: &mut RequestLog<K>,
+    ) -> Result<Assignment, Refusal> {
+        let now = self.0.clock.now();
+        if admitted.deadline.since(now) <= TIME_LEFT_MIN {
+            return Err(refuse(past, Refusal::Expired));
+        }
+        if self.0.helpers.served_config() > admitted.config.version && !admitted.is_handed_over {
+            return Err(refuse(past, Refusal::NoConfiguration { retry_after: backoff() }));
+        }
+        let is_hanging = past.unreached > 0
+            && past.unreached_time >= CONNECT_TIMEOUT
+            && self.0.balancer.has_lost(&admitted.service);
+        if past.unreached >= UNREACHED_ATTEMPTS_MAX || is_hanging {
+            return Err(refuse(past, Refusal::NoUpstream { retry_after: backoff() }));
+        }
+        let prompt = buffered.inbound.prompt();
+        let max_wait =
+            (admitted.route.target_latency * LATENESS_FACTOR_MAX).min(admitted.deadline.since(now));
+        let balancer = &self.0.balancer;
+        let assign = |versions| {
+            let restrictions = Restrictions { tried: &past.tried, versions };
+            balancer.assign(now, &admitted.service, prompt.as_ref(), max_wait, restrictions)
+        };
+        // Others may have been told of the version that the stream was sent to first.
+        let recorded = past.recorded_version.clone().filter(|_| past.versions.is_any());
+        let assignment = match recorded.map(|version| PermittedVersions::Only(Some(version))) {
+            Some(recorded) => assign(&recorded).or_else(|_| assign(&past.versions)),
+            None => assign(&past.versions),
+        };
+        assignment.map_err(|choice| {
+            let refusal = match choice {
+                Choice::Overloaded(after) => Refusal::Overloaded { retry_after: after + backoff() },
+                Choice::Limited(after) => {
+                    request_log.cause = "upstreams_limited".to_owned();
+                    Refusal::Overloaded { retry_after: after + backoff() }
+                }
+                _ => Refusal::NoUpstream { retry_after: backoff() },
+            };
+            refuse(past, refusal)
+        })
+    }
+}
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,6 +1,6 @@
 //! Applies what upstreams say of their own state in the heads of their responses.
 
-use crate::balancer::Assignment;
+use crate::assignment::Assignment;
 use crate::metrics::METRICS;
 use crate::protocol::{NamedLimit, NamedPause, ResponseClass, UpstreamNotice};
 use opentelemetry::KeyValue;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,15 +1,17 @@
 //! The path of one request: admission, choice of an upstream, attempts and retries, and delivery of
 //! the response.
 
+use crate::admission::AdmittedRequest;
+use crate::assignment::UpstreamResult;
 use crate::attempt::{Attempt, AttemptOutcome, silence_limit};
-use crate::balancer::{Assignment, Balancer, Restrictions, UpstreamResult};
-use crate::config::{ActiveConfig, Route, TeamSpec};
-use crate::connection::CONNECT_TIMEOUT;
+use crate::balancer::{Balancer, Restrictions};
+use crate::config::ActiveConfig;
 use crate::crash_keeper::CrashKeeper;
-use crate::handoff::{Handoff, HandoffError, HandoffReply};
+use crate::handoff::{Handoff, HandoffReply};
 use crate::handoff_server::AcceptedHandoff;
 use crate::helpers::Helpers;
 use crate::metrics::METRICS;
+use crate::next_attempt::NextAttempt;
 use crate::protocol::UpstreamProtocol;
 use crate::request::{BufferedRequest, Inbound, Refusal};
 use crate::request_log::{Outcome, RequestLog};
@@ -17,7 +19,6 @@
 use crate::response_end::ResponseEnd;
 use crate::stream;
 use crate::stream_keeper::StreamKeeper;
-use crate::stream_origin::choose_service;
 use crate::upstream_response::{ResponseSource, UpstreamResponse};
 use crate::usage::UsageTracker;
 use bytes::Bytes;
@@ -26,15 +27,13 @@
 use opentelemetry::KeyValue;
 use rand::RngExt;
 use spindle_http::{Body, Drain, ReadError};
-use spindle_policy::crash_ledger::WorkKey;
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_registry::UpstreamKey;
-use spindle_policy::upstream_selection::Choice;
 use spindle_service::headers::remove_hop_by_hop;
-use spindle_types::{Clock, Instance, MonotonicInstant, Service, SoftwareVersion, Team};
+use spindle_types::{Clock, Instance, SoftwareVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -42,27 +41,14 @@
 /// centres.
 pub(crate) const TIME_LEFT_MIN: Duration = Duration::from_millis(5);
 
-/// A request is refused if its response is expected to begin later than this multiple of the
-/// route's target latency. Callers give up after four times the target at the latest.
-const LATENESS_FACTOR_MAX: u32 = 3;
-
-/// Number of attempts that did not reach an upstream after which a request is refused.
-const UNREACHED_ATTEMPTS_MAX: usize = 4;
-
 /// Shortest delay after which a refused request may be retried. Capacity frees up by then: requests
 /// at an engine end every few hundred milliseconds.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
+pub(crate) const RETRY_AFTER_MIN: Duration = Duration::from_millis(250);
 
 /// Upper bound of the random jitter added to the retry delay, so that refused requests are not
 /// retried all at once.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
 
-/// Interval at which a waiting request looks for a place at a brittle upstream.
-const PLACE_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Highest priority number that an engine takes, which is its lowest priority.
-const ENGINE_PRIORITY_MAX: u32 = 9;
-
 /// Dependencies and shared state of a [`Relay`].
 #[derive(Debug)]
 pub struct RelayParts<P, K> {
@@ -107,36 +93,15 @@
     }
 }
 
-/// A request that has passed admission, with what was decided then. It keeps the configuration that
-/// it was checked against until it ends, even if a newer one comes into force.
-#[derive(Clone, Debug)]
-pub(crate) struct AdmittedRequest {
-    pub(crate) config: Arc<ActiveConfig>,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: Service,
-    pub(crate) team: Option<Team>,
-    /// Priority at an engine; `None` if the service does not run on engines.
-    pub(crate) engine_priority: Option<u32>,
-    /// Units charged to the team's quota.
-    pub(crate) cost: f64,
-    pub(crate) deadline: MonotonicInstant,
-    /// What the request holds that may crash an upstream.
-    pub(crate) work_keys: Arc<[WorkKey]>,
-    /// Whether another daemon has handed it over, which has charged it.
-    pub(crate) is_handed_over: bool,
-    /// Whether the start of its response has been counted as usage.
-    pub(crate) is_counted: bool,
-}
-
 /// Counts of the attempts of one request so far, and what is known of their effect.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptHistory {
     /// Upstreams that the request has been assigned to.
     pub(crate) tried: Vec<UpstreamKey>,
     /// Attempts that did not reach an upstream.
-    unreached: usize,
+    pub(crate) unreached: usize,
     /// Time that these attempts took.
-    unreached_time: Duration,
+    pub(crate) unreached_time: Duration,
     /// Attempts that reached an upstream.
     pub(crate) reached: u32,
     /// Attempts that count against the route's limit.
@@ -305,84 +270,6 @@
         }
     }
 
-    /// Checks a request against one configuration and charges the quota of its team. One that was
-    /// handed over has been charged.
-    fn admit(
-        &self,
-        inbound: &Inbound,
-        config: Arc<ActiveConfig>,
-        handoff: Option<&Handoff>,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<AdmittedRequest, Refusal> {
-        request_log.config_version = config.version;
-        if config.version == 0 || handoff.is_some_and(|handoff| config.version < handoff.config) {
-            return Err(Refusal::NoConfiguration { retry_after: backoff() });
-        }
-        let path = inbound.target.path();
-        let route = config.route(&inbound.host, path).ok_or_else(|| self.deny(Refusal::NoRoute))?;
-        let route = Arc::clone(route);
-        request_log.route.clone_from(&route.name);
-        request_log.kind = route.repeat.into();
-        if route.repeat.is_stream() && self.0.refuse_streams.load(Ordering::Relaxed) {
-            return Err(Refusal::Leaving { retry_after: RETRY_AFTER_MIN });
-        }
-        let spec = self.team(inbound, &config, &route)?;
-        if let Some(spec) = spec {
-            request_log.team = spec.team.to_string();
-        }
-        let service = choose_service(&route, inbound);
-        request_log.service = service.to_string();
-        let now = self.0.clock.now();
-        let cost = match spec.filter(|_| handoff.is_none()) {
-            Some(spec) => self.0.usage.admit(now, spec, inbound.tokens),
-            None => Ok(0.0),
-        };
-        let cost =
-            cost.map_err(|wait| Refusal::OverQuota { retry_after: wait.max(RETRY_AFTER_MIN) })?;
-        if handoff.is_none() {
-            let prompt = inbound.tokens.map_or(0, |(prompt, _)| prompt);
-            self.0.usage.on_request(now, &service, prompt);
-        }
-        let timeout = inbound.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let has_engine =
-            config.services.get(&service).is_some_and(|spec| spec.engine_slots.is_some());
-        let priority = spec.and_then(|spec| spec.priority).unwrap_or(route.priority);
-        Ok(AdmittedRequest {
-            team: spec.map(|spec| spec.team.clone()),
-            engine_priority: has_engine.then_some(priority.min(ENGINE_PRIORITY_MAX)),
-            deadline: inbound.received_at + timeout,
-            work_keys: Arc::default(),
-            is_handed_over: handoff.is_some(),
-            is_counted: handoff.is_some_and(|handoff| handoff.is_counted),
-            config,
-            route,
-            service,
-            cost,
-        })
-    }
-
-    fn team<'a>(
-        &self,
-        inbound: &Inbound,
-        config: &'a ActiveConfig,
-        route: &Route,
-    ) -> Result<Option<&'a TeamSpec>, Refusal> {
-        if route.public || config.teams().is_empty() {
-            return Ok(None);
-        }
-        let spec = inbound.key.as_deref().and_then(|key| config.team_of(key));
-        spec.map(Some).ok_or_else(|| self.deny(Refusal::UnknownKey))
-    }
-
-    /// Returns `refusal` if the configuration can be the newest, else a refusal that asks for a
-    /// retry, since a newer configuration may allow the request.
-    fn deny(&self, refusal: Refusal) -> Refusal {
-        if self.0.config_is_current.load(Ordering::Relaxed) {
-            return refusal;
-        }
-        Refusal::NoConfiguration { retry_after: backoff() }
-    }
-
     /// Sends a request, with retries, until there is a response to return or no retry is allowed.
     async fn forward(
         &self,
@@ -439,9 +326,9 @@
     ) -> Result<UpstreamResponse, Refusal> {
         let Attempt { admitted, buffered, .. } = attempt;
         loop {
-            let assignment = match self.find_way(attempt, past, request_log).await? {
-                Way::Upstream(assignment) => *assignment,
-                Way::Helper(upstream_response) => return Ok(*upstream_response),
+            let assignment = match self.next_attempt(attempt, past, request_log).await? {
+                NextAttempt::Upstream(assignment) => *assignment,
+                NextAttempt::Helper(upstream_response) => return Ok(*upstream_response),
             };
             past.tried.push(assignment.key);
             self.record_version(admitted, &buffered.inbound, past, assignment.version.as_ref());
@@ -495,102 +382,6 @@
         }
     }
 
-    /// Assigns a request to an upstream, or sends it through another daemon if this one reaches none.
-    async fn find_way(
-        &self,
-        attempt: Attempt<'_>,
-        past: &mut AttemptHistory,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<Way, Refusal> {
-        let Attempt { admitted, buffered, .. } = attempt;
-        self.check_crash_causes(admitted, buffered, past, request_log)?;
-        if !self.prefers_helper(admitted, past) {
-            match self.assign_waiting(attempt, past, request_log).await {
-                Ok(assignment) => return Ok(Way::Upstream(Box::new(assignment))),
-                Err(refusal) if self.may_hand_over(admitted, past, refusal) => {
-                    past.prefers_helper = true;
-                }
-                Err(refusal) => return Err(refusal),
-            }
-        }
-        match self.send_through_helper(attempt, past, request_log).await {
-            Ok(upstream_response) => return Ok(Way::Helper(Box::new(upstream_response))),
-            Err(HandoffError::Refused(refusal)) => return Err(refusal),
-            Err(HandoffError::Unavailable) => past.helpers_exhausted = true,
-        }
-        let assignment = self.assign(admitted, buffered, past, request_log)?;
-        Ok(Way::Upstream(Box::new(assignment)))
-    }
-
-    /// Assigns a request to an upstream. While upstreams are brittle, it waits here for a place there,
-    /// for as long as the response would still be in time.
-    async fn assign_waiting(
-        &self,
-        attempt: Attempt<'_>,
-        past: &AttemptHistory,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<Assignment, Refusal> {
-        let Attempt { admitted, buffered, .. } = attempt;
-        let until = self.0.clock.now() + admitted.route.target_latency;
-        loop {
-            let result = self.assign(admitted, buffered, past, request_log);
-            let may_wait = matches!(result, Err(Refusal::Overloaded { .. }))
-                && self.0.clock.now() < until
-                && self.0.balancer.has_brittle(&admitted.service);
-            if !may_wait {
-                return result;
-            }
-            tokio::time::sleep(PLACE_INTERVAL).await;
-        }
-    }
-
-    fn assign(
-        &self,
-        admitted: &AdmittedRequest,
-        buffered: &BufferedRequest,
-        past: &AttemptHistory,
-        request_log: &mut RequestLog<K>,
-    ) -> Result<Assignment, Refusal> {
-        let now = self.0.clock.now();
-        if admitted.deadline.since(now) <= TIME_LEFT_MIN {
-            return Err(refuse(past, Refusal::Expired));
-        }
-        if self.0.helpers.served_config() > admitted.config.version && !admitted.is_handed_over {
-            return Err(refuse(past, Refusal::NoConfiguration { retry_after: backoff() }));
-        }
-        let is_hanging = past.unreached > 0
-            && past.unreached_time >= CONNECT_TIMEOUT
-            && self.0.balancer.has_lost(&admitted.service);
-        if past.unreached >= UNREACHED_ATTEMPTS_MAX || is_hanging {
-            return Err(refuse(past, Refusal::NoUpstream { retry_after: backoff() }));
-        }
-        let prompt = buffered.inbound.prompt();
-        let max_wait =
-            (admitted.route.target_latency * LATENESS_FACTOR_MAX).min(admitted.deadline.since(now));
-        let balancer = &self.0.balancer;
-        let assign = |versions| {
-            let restrictions = Restrictions { tried: &past.tried, versions };
-            balancer.assign(now, &admitted.service, prompt.as_ref(), max_wait, restrictions)
-        };
-        // Others may have been told of the version that the stream was sent to first.
-        let recorded = past.recorded_version.clone().filter(|_| past.versions.is_any());
-        let assignment = match recorded.map(|version| PermittedVersions::Only(Some(version))) {
-            Some(recorded) => assign(&recorded).or_else(|_| assign(&past.versions)),
-            None => assign(&past.versions),
-        };
-        assignment.map_err(|choice| {
-            let refusal = match choice {
-                Choice::Overloaded(after) => Refusal::Overloaded { retry_after: after + backoff() },
-                Choice::Limited(after) => {
-                    request_log.cause = "upstreams_limited".to_owned();
-                    Refusal::Overloaded { retry_after: after + backoff() }
-                }
-                _ => Refusal::NoUpstream { retry_after: backoff() },
-            };
-            refuse(past, refusal)
-        })
-    }
-
     /// Reads a response that is not a stream to its end.
     ///
     /// # Errors
@@ -682,14 +473,6 @@
     }
 }
 
-/// The next attempt at sending a request.
-enum Way {
-    /// To an upstream.
-    Upstream(Box<Assignment>),
-    /// Through another daemon, which has sent the head of a response.
-    Helper(Box<UpstreamResponse>),
-}
-
 /// Result of forwarding a request: a complete response, or a stream of which only the head has been
 /// read.
 enum ForwardResult {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -1,6 +1,6 @@
 //! The log line and the metrics of each request, written when it ends in whatever way.
 
-use crate::balancer::Assignment;
+use crate::assignment::Assignment;
 use crate::handoff::HandoffReply;
 use crate::handoff_server::AcceptedHandoff;
 use crate::limits::LimitUse;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,12 +5,13 @@
 //! is cut off without a proper end, so that the caller does not take it for complete. The end of
 //! the connection completes a stream only between two events.
 
+use crate::admission::AdmittedRequest;
+use crate::assignment::UpstreamResult;
 use crate::attempt::{Attempt, first_event_silence};
-use crate::balancer::UpstreamResult;
 use crate::events::EventSplitter;
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
-use crate::relay::{AdmittedRequest, AttemptHistory, Relay, response_head};
+use crate::relay::{AttemptHistory, Relay, response_head};
 use crate::request::BufferedRequest;
 use crate::request_log::{Outcome, RequestLog};
 use crate::response_end::{Framing, ResponseEnd};
--- a/crates/relay/src/stream_origin.rs
+++ b/crates/relay/src/stream_origin.rs
@@ -1,10 +1,11 @@
 //! What a stream that a caller takes up is bound to by the attempt that began it: the service of a
 //! split route, and the version of the upstreams' software.
 
+use crate::admission::AdmittedRequest;
 use crate::config::{RepeatPolicy, Route};
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
-use crate::relay::{AdmittedRequest, AttemptHistory, Relay, backoff};
+use crate::relay::{AttemptHistory, Relay, backoff};
 use crate::request::{Inbound, Refusal};
 use crate::request_log::RequestLog;
 use opentelemetry::KeyValue;
--- a/crates/relay/src/upstream_response.rs
+++ b/crates/relay/src/upstream_response.rs
@@ -1,6 +1,6 @@
 //! The response of an upstream, which arrives from the upstream itself or through another daemon.
 
-use crate::balancer::{Assignment, UpstreamResult};
+use crate::assignment::{Assignment, UpstreamResult};
 use crate::helpers::HelperUse;
 use crate::pool::PooledConnection;
 use crate::response_end::Framing;
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,5 +1,6 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
+mod suitable;
 mod versions;
 
 use super::boot_clock::BootClock;
@@ -16,16 +17,15 @@
     ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
-use spindle_policy::upstream_contact::in_contact;
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
 use spindle_relay::balancer::LeavingUpstreams;
-use spindle_relay::helpers::{HelperDaemon, Helpers};
+use spindle_relay::helpers::Helpers;
 use spindle_relay::{ActiveConfig, Balancer, UsageTracker};
 use spindle_types::{
-    Clock, DataCentre, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
+    Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -211,27 +211,6 @@
         }
     }
 
-    /// Whether this daemon accepts requests: it has a configuration and is not shutting down.
-    pub fn is_ready(&self) -> bool {
-        !self.parts.draining.started() && self.parts.config.borrow().version > 0
-    }
-
-    /// The caller addresses of all daemons that are ready and reach the upstreams, sorted and without
-    /// duplicates.
-    pub fn ready_addresses(&self, now: MonotonicInstant) -> Vec<SocketAddr> {
-        let own_lost = self.parts.balancer.lost_services(now);
-        let state = self.state();
-        let others = state.presence.live(now).filter(|daemon| daemon.status.phase == Phase::Ready);
-        let others = others.map(|daemon| (daemon.identity.caller, &daemon.status.lost));
-        let own = self.is_ready().then_some((self.parts.settings.caller_address, &own_lost));
-        let (ready, lost): (Vec<SocketAddr>, Vec<_>) = others.chain(own).unzip();
-        let suitable = ready.into_iter().zip(in_contact(lost)).filter(|(_, suitable)| *suitable);
-        let mut addresses: Vec<SocketAddr> = suitable.map(|(address, _)| address).collect();
-        addresses.sort();
-        addresses.dedup();
-        addresses
-    }
-
     /// Sets the fencing token of the leader lease, or none if this daemon does not hold it.
     pub fn set_fencing(&self, fencing: Option<Fencing>) {
         self.state().fencing = fencing;
@@ -385,7 +364,7 @@
             }
         }
         parts.balancer.on_peer_load(&peer_load);
-        parts.helpers.set(helper_daemons(now, &parts.settings.data_centre, &state.presence));
+        parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
         };
@@ -577,26 +556,6 @@
     leaving.ids.iter().any(|upstream| status.leaving.get(upstream).is_none())
 }
 
-/// The other daemons that accept requests from this one.
-fn helper_daemons(
-    now: MonotonicInstant,
-    own: &DataCentre,
-    presence: &Presence,
-) -> Vec<HelperDaemon> {
-    let ready = presence.live(now).filter(|daemon| daemon.status.phase == Phase::Ready);
-    let daemons = ready.filter_map(|daemon| {
-        Some(HelperDaemon {
-            instance: daemon.identity.instance.clone(),
-            address: daemon.identity.handoff?,
-            is_local: daemon.identity.data_centre == *own,
-            load: daemon.status.running.values().map(|(requests, _)| requests).sum(),
-            lost: daemon.status.lost.clone(),
-            config: daemon.status.config,
-        })
-    });
-    daemons.collect()
-}
-
 /// Limits as a daemon that started at `started_at` publishes them.
 fn published_limits(
     started_at: MonotonicInstant,
--- a/tests/platform/crashes.rs
+++ b/tests/platform/crashes.rs
@@ -61,12 +61,18 @@
     response.status() == 200 && read_events(&mut response, 3).await.0.contains("\n\n")
 }
 
-#[tokio::test]
-async fn requests_with_a_part_that_crashes_upstreams_stop_reaching_them_from_all_daemons() {
+/// Starts three daemons before upstreams that a part of prompts crashes.
+async fn start_with_bad_part() -> (Platform, Vec<Upstream>, Vec<Daemon>) {
     let (platform, upstreams, daemons) = start_four(3, "model").await;
     for upstream in &upstreams[2..] {
         upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
     }
+    (platform, upstreams, daemons)
+}
+
+#[tokio::test]
+async fn requests_with_a_part_that_crashes_upstreams_stop_reaching_them_from_all_daemons() {
+    let (platform, _upstreams, daemons) = start_with_bad_part().await;
     for number in 0..REQUESTS_MAX {
         if platform.crashes() >= CRASHES_KNOWN {
             break;
@@ -239,10 +245,7 @@
 /// others: with hundreds of daemons, lines of each key of each crash would be most of the log.
 #[tokio::test]
 async fn daemons_log_what_others_saw_of_crashes_in_one_line_a_message() {
-    let (platform, upstreams, daemons) = start_four(3, "model").await;
-    for upstream in &upstreams[2..] {
-        upstream.set_crash_cause(Some(CrashCause::Parts(vec![BAD_PART.to_owned()])));
-    }
+    let (platform, _upstreams, daemons) = start_with_bad_part().await;
     for number in 0..REQUESTS_MAX {
         if platform.crashes() >= CRASHES_KNOWN {
             break;
