fix(relay): one lost keepalive probe drops no connection

Cause: with 1.5 s set, and the first probe after 2 s, Linux drops a connection a second after the first probe, 3 s after the last bytes, though two probes were meant. A request that waits in silence is lost with it. Change: the first probe after 1 s, and 2.5 s for unacknowledged data: two probes, a dead peer is noticed after 3 s as before. one_lost_keepalive_probe_drops_no_connection applies the rule of Linux to the constants: dropped after 1 probe before, 2 now.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -19,18 +19,28 @@
 /// connection; data centres of a region are a few milliseconds apart.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long sent data may stay unacknowledged before the connection is dropped
-/// (`TCP_USER_TIMEOUT`). Longer than one packet loss and its retransmission.
-pub(crate) const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_500);
-
-/// Time without traffic after which the first keepalive probe is sent.
-const PROBE_AFTER: Duration = Duration::from_secs(2);
-
-/// Interval between keepalive probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// When the peer of a connection counts as dead.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerTimeouts {
+    /// How long sent data may stay unacknowledged (`TCP_USER_TIMEOUT`). Linux also applies it to
+    /// keepalive probes, in place of their number.
+    pub(crate) unacknowledged_max: Duration,
+    /// Time without traffic after which the first keepalive probe is sent.
+    probe_after: Duration,
+    /// Interval between keepalive probes.
+    probe_interval: Duration,
+    /// Number of unanswered probes after which the connection is dropped, where the time above does
+    /// not apply.
+    probes_max: u32,
+}
 
-/// Number of unanswered keepalive probes after which the connection is dropped.
-const PROBES_MAX: u32 = 2;
+/// The timeouts of connections to upstreams, to other daemons and of callers.
+pub(crate) const PEER_TIMEOUTS: PeerTimeouts = PeerTimeouts {
+    unacknowledged_max: Duration::from_millis(2_500),
+    probe_after: Duration::from_secs(1),
+    probe_interval: Duration::from_secs(1),
+    probes_max: 2,
+};
 
 /// How long an idle connection is kept if the upstream states no timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
@@ -54,11 +64,11 @@
 pub fn set_dead_peer_timeouts(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
+    socket.set_tcp_user_timeout(Some(PEER_TIMEOUTS.unacknowledged_max))?;
     let probes = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES_MAX);
+        .with_time(PEER_TIMEOUTS.probe_after)
+        .with_interval(PEER_TIMEOUTS.probe_interval)
+        .with_retries(PEER_TIMEOUTS.probes_max);
     socket.set_tcp_keepalive(&probes)
 }
 
--- a/crates/relay/src/connection/tests.rs
+++ b/crates/relay/src/connection/tests.rs
@@ -37,3 +37,21 @@
     drop((response.unwrap(), connection));
     assert_eq!(upstream.read(&mut [0; 1_024]).await.unwrap(), 0);
 }
+
+/// After how many unanswered keepalive probes, and how long after the last bytes, Linux drops a
+/// connection: the limit on unacknowledged data also decides when probes give up.
+fn unanswered_probes(timeouts: &PeerTimeouts) -> (u32, Duration) {
+    let (mut probes, mut idle) = (0, timeouts.probe_after);
+    while probes == 0 || idle < timeouts.unacknowledged_max {
+        probes += 1;
+        idle += timeouts.probe_interval;
+    }
+    (probes, idle)
+}
+
+#[test]
+fn one_lost_keepalive_probe_drops_no_connection() {
+    let (probes, idle) = unanswered_probes(&PEER_TIMEOUTS);
+    assert!(probes >= 2, "dropped after {probes} probe, {idle:?} after the last bytes");
+    assert!(idle <= Duration::from_secs(4), "a dead peer is noticed after {idle:?}");
+}
--- a/crates/relay/src/unacknowledged.rs
+++ b/crates/relay/src/unacknowledged.rs
@@ -4,7 +4,7 @@
 //! the short limit a caller that pauses its reading counts as gone. A window can only be closed after
 //! more has been sent than a receiver buffers; from there on the long limit applies.
 
-use crate::connection::UNACKNOWLEDGED_MAX;
+use crate::connection::PEER_TIMEOUTS;
 use socket2::SockRef;
 use std::time::Duration;
 
@@ -34,7 +34,7 @@
     /// Records that the caller has begun another request, so it has read the response before.
     pub(crate) fn on_request(&mut self, socket: SockRef<'_>) {
         if std::mem::take(&mut self.sent) >= BUFFERED_MIN_BYTES {
-            set(socket, UNACKNOWLEDGED_MAX);
+            set(socket, PEER_TIMEOUTS.unacknowledged_max);
         }
     }
 }
