fix(relay): a stream at an upstream that falls silent for a second is not started again

A stream that waited for its head when its upstream fell silent for 1.3 s was started again at another one: the test connection after the target latency failed, as a silent upstream accepts none, and the stream was given up at once. Cause: one upstream that accepts no connection was taken for a cut.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -39,6 +39,9 @@
 /// retransmission of TCP takes 200 ms.
 const TEST_AFTER_MIN: Duration = Duration::from_millis(300);
 
+/// Interval at which a request without a response looks whether its service is still reached.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What one attempt sends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt<'a> {
@@ -242,7 +245,8 @@
     }
 
     /// Waits for the head of a response to a request that was sent at `sent_at`. A silent upstream
-    /// is tested: one that accepts no connection either is given up at once.
+    /// is tested. It is given up at once only if the whole service is not reached: one that accepts
+    /// no connection may go on in a moment.
     async fn wait_for_head<F: Future>(
         &self,
         mut sending: Pin<&mut F>,
@@ -251,39 +255,42 @@
         admitted: &AdmittedRequest,
         past: &AttemptHistory,
     ) -> HeadWait<F::Output> {
-        let left = || admitted.deadline.since(self.0.clock.now());
-        let test_after = test_after(&admitted.route);
-        if let Ok(result) = tokio::time::timeout(test_after.min(left()), &mut sending).await {
-            return HeadWait::Ended(result);
-        }
-        if !assignment.is_heard_since(sent_at) {
-            let (key, address) = (assignment.key, assignment.address);
-            let testing = contact_test::test(&self.0.balancer, &self.0.clock, key, address);
-            tokio::select! {
-                biased;
-                result = &mut sending => return HeadWait::Ended(result),
-                reached = testing => {
-                    if !reached && self.may_switch_upstream(admitted, past) {
-                        return HeadWait::Abandoned;
-                    }
-                }
-            }
-        }
         let silence_limit = silence_limit(&admitted.route);
-        let silent_for = self.0.clock.now().since(sent_at);
-        let wait = silence_limit.saturating_sub(silent_for).min(left());
-        if let Ok(result) = tokio::time::timeout(wait, &mut sending).await {
-            return HeadWait::Ended(result);
-        }
-        if !left().is_zero() && self.may_switch_upstream(admitted, past) {
-            return HeadWait::Abandoned;
-        }
-        match tokio::time::timeout(left(), sending).await {
-            Ok(result) => HeadWait::Ended(result),
-            Err(_) => HeadWait::TimedOut,
+        let mut next_check = test_after(&admitted.route);
+        let mut is_tested = false;
+        loop {
+            let now = self.0.clock.now();
+            let (left, silent_for) = (admitted.deadline.since(now), now.since(sent_at));
+            let may_check = silent_for < silence_limit;
+            let until = if may_check { next_check.min(silence_limit) } else { Duration::MAX };
+            let wait = until.saturating_sub(silent_for).min(left);
+            if let Ok(result) = tokio::time::timeout(wait, &mut sending).await {
+                return HeadWait::Ended(result);
+            }
+            let now = self.0.clock.now();
+            if admitted.deadline.since(now).is_zero() {
+                return HeadWait::TimedOut;
+            }
+            if !std::mem::replace(&mut is_tested, true) && !assignment.is_heard_since(sent_at) {
+                self.test(assignment);
+            }
+            let is_cut_off =
+                self.0.balancer.has_lost(&admitted.service) && !assignment.is_heard_since(sent_at);
+            let is_late = now.since(sent_at) >= silence_limit;
+            if (is_late || is_cut_off) && self.may_switch_upstream(admitted, past) {
+                return HeadWait::Abandoned;
+            }
+            next_check = now.since(sent_at) + CHECK_INTERVAL;
         }
     }
 
+    /// Begins a test connection to an upstream.
+    fn test(&self, assignment: &Assignment) {
+        let (balancer, clock) = (self.0.balancer.clone(), self.0.clock.clone());
+        let (key, address) = (assignment.key, assignment.address);
+        tokio::spawn(async move { contact_test::test(&balancer, &clock, key, address).await });
+    }
+
     /// Whether a request is to be moved from a silent upstream to another one. Takes a retry from
     /// the budget if so.
     pub(crate) fn may_switch_upstream(
--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -28,7 +28,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves connections until `drain` starts, then finishes the requests in progress. A connection keeps
-/// the limits that `limits` returns when it is accepted. Connections beyond `connections_max` wait in the listen queue.
+/// the limits that `limits` returns when it is accepted. Connections beyond `connections_max` wait in
+/// the listen queue.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: H,
--- a/tests/platform/partitions.rs
+++ b/tests/platform/partitions.rs
@@ -367,3 +367,44 @@
     let served = served.count();
     assert!(served * 20 >= REQUESTS * 19, "{served} of {REQUESTS} served");
 }
+
+/// The time for which an upstream in good order may fall silent.
+const SILENCE: Duration = Duration::from_millis(1_300);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_falls_silent_for_a_second_keeps_its_work() {
+    let deployment = start(2).await;
+    let silent = ["p-0", "s-0"];
+    // Some streams still wait for the head of their response when the silence begins.
+    deployment.upstreams[1].set_capacity(8, Duration::from_millis(300), 100);
+    for round in 0..3 {
+        let mut works = JoinSet::new();
+        for request in 0..12 {
+            let caller = deployment.daemons[request % 2].caller;
+            // Streams that have begun, streams and plain requests that have just been sent.
+            let path = ["/draft/x", "/draft/once/x"][request / 2 % 2];
+            let id = format!("silent-{round}-{request}");
+            works.spawn(async move { (id.clone(), path, send(caller, &id, path).await) });
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        let spared: Vec<_> = deployment
+            .upstreams
+            .iter()
+            .filter(|upstream| !silent.contains(&upstream.name()))
+            .map(Upstream::address)
+            .collect();
+        for links in &deployment.links {
+            links.set_except(Cut::Hangs, spared.clone());
+        }
+        tokio::time::sleep(SILENCE).await;
+        deployment.cut(&[0, 1], Cut::None);
+        for (id, path, response) in works.join_all().await {
+            let whole = response.as_ref().is_some_and(|(status, _)| *status == 200);
+            assert!(whole, "{id} {path}: {response:?}");
+            assert_eq!(deployment.platform.executions(&id).len(), 1, "{id} ran again");
+        }
+    }
+    for daemon in &deployment.daemons {
+        assert!(!daemon.log().contains("event=contact_lost"), "taken for cut off");
+    }
+}
