test(review): case 5, callers that pause their reading lose short answers in a planned stop (LOST)

Cause: TCP_USER_TIMEOUT of 2.5 s also counts a closed window; the longer limit applies only from 16,384 bytes of an answer on.

--- a/review/standin.py
+++ b/review/standin.py
@@ -216,7 +216,7 @@
         self.zone, self.slots = zone, slots
         self.events, self.interval, self.work = events, interval, work
         self.running, self.prefill, self.mute = 0, 0.0, 0.0
-        self.runs = []
+        self.runs, self.whole = [], []
         self.sequence = 0
         self.born = int(time.time() * 1000)
 
@@ -225,6 +225,9 @@
         self.beating = asyncio.create_task(self.beat())
         return self
 
+    def event(self, request, number):
+        return b"id: %d\ndata: %s %d\n\n" % (number, request.encode(), number)
+
     async def beat(self):
         while True:
             self.sequence += 1
@@ -272,11 +275,12 @@
             writer.write(head.encode() + b"\r\n")
             for event in range(int(headers.get("last-event-id", 0)) + 1, self.events + 1):
                 await asyncio.sleep(self.interval)
-                data = b"id: %d\ndata: %s %d\n\n" % (event, request.encode(), event)
+                data = self.event(request, event)
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
             await writer.drain()
+            self.whole.append(request)
         finally:
             self.running -= 1
 
