--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -10,6 +10,8 @@
     store: FakeStore,
     config: watch::Receiver<Arc<ActiveConfig>>,
     outages: watch::Sender<u64>,
+    versions: ConfigVersions,
+    clock: SystemClock,
 }
 
 fn follow() -> TestFollower {
@@ -32,16 +34,17 @@
     let senders = (sender, watch::Sender::new(Limits::default()));
     let outages = watch::Sender::new(0);
     let clock = SystemClock::new();
+    let versions = ConfigVersions::default();
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
-        (usage, ConfigVersions::default()),
+        (usage, versions.clone()),
         senders,
         outages.subscribe(),
         (Arc::clone(daemon_count), seed),
     );
     tokio::spawn(follower.run());
-    TestFollower { store, config, outages }
+    TestFollower { store, config, outages, versions, clock }
 }
 
 async fn sleep_ms(millis: u64) {
@@ -75,7 +78,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_unanswered_read_is_abandoned_when_another_reader_reports_an_outage() {
-    let TestFollower { store, config, outages } = follow();
+    let TestFollower { store, config, outages, .. } = follow();
     sleep_ms(1_000).await;
     store.unreachable.store(true, Ordering::Relaxed);
     sleep_ms(500).await;
@@ -89,7 +92,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_older_version_never_replaces_a_newer_one() {
-    let TestFollower { store, config, outages } = follow();
+    let TestFollower { store, config, outages, .. } = follow();
     store.set(5);
     sleep_ms(1_000).await;
     assert_eq!(config.borrow().version, 5);
@@ -154,3 +157,22 @@
     let informed = followers.iter().filter(|found| found.config.borrow().version == 2).count();
     assert_eq!(informed, 195);
 }
+
+/// Half of the shortest time that the users' documentation allows for a change.
+const IN_FORCE_MS: u64 = 1_000;
+
+#[tokio::test(start_paused = true)]
+#[ignore = "KNOWN-RED"]
+async fn a_daemon_that_heard_of_a_version_rests_on_and_has_it_late() {
+    for count in [1, 9, 25, 58, 195, 400] {
+        let (store, _, followers) = follow_together(count).await;
+        sleep_ms(20_000).await;
+        store.set(2);
+        for follower in &followers {
+            follower.versions.on_heard(follower.clock.now(), 2, "status");
+        }
+        sleep_ms(IN_FORCE_MS).await;
+        let late = followers.iter().filter(|found| found.config.borrow().version != 2).count();
+        assert_eq!(late, 0, "{count} daemons");
+    }
+}
