test(platform): the test of late second copies waits until the daemon uses its upstream

Its 40 attempts take about as long as the daemon's longest interval between two reads of the registrations (312 ms), until which they are refused. 40 runs of the test alone: 4 to 13 own answers of 40 each, so most attempts are spent before that read. Now the attempts begin after the first request there; what is asserted is the same, for 40 attempts that count.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -532,6 +532,16 @@
         });
         platform.put("keyed.servers", "i-copy", Some(&entry));
         upstreams[..2].iter().for_each(|upstream| upstream.leave("desk"));
+        // The daemon reads of the upstream within a third of a second.
+        for attempt in 0..POLLS_MAX {
+            if !upstream.requests().is_empty() {
+                break;
+            }
+            // Whether it is answered doesn't matter; only the attempts below count.
+            let _ = body(daemons[0].send(&format!("w{attempt:07}"), "GET", "/read/x").await).await;
+            tokio::time::sleep(POLL_INTERVAL / 4).await;
+        }
+        let before = upstream.requests().len();
         let (mut own, mut failed) = (0, 0);
         for attempt in 0..40 {
             let id = format!("{attempt:08}");
@@ -549,7 +559,7 @@
             tokio::time::sleep(POLL_INTERVAL / 4).await;
         }
         println!("{status}: {own} own answers, {failed} without one");
-        let reused = upstream.requests().len();
+        let reused = upstream.requests().len() - before;
         assert!(reused > 0 && own > 0, "{status}: {own} own answers, {reused} requests");
         // A request that may have run is sent once.
         let mut posts: Vec<_> = upstream.requests().into_iter().map(|found| found.id).collect();
