fix(relay): a daemon that knows for long that it is behind decides nothing by its old configuration (CONFIG)

Cause: three answers to which version counts, one each for admission, denials and handoffs, and the one for denials up to 200 ms old. Change: policy::config_news gives one. After half of config-ms a version that a live daemon has is needed: requests go through a daemon that has it, or are refused as not run. From the first news on nothing is denied for good. A version that no live daemon has isn't waited for, so that an outage of the store ends no service.

--- a/crates/policy/src/config_news.rs
+++ b/crates/policy/src/config_news.rs
@@ -1,10 +1,12 @@
-//! Which versions of the configuration a daemon has heard of and does not have yet, and since when.
+//! Which versions of the configuration a daemon has heard of and does not have yet, and when it must no
+//! longer decide by the one that it has.
 //!
 //! The load is 1 to 400 daemons with a few changes a second, each of which a daemon hears of from
 //! several others.
 
 use spindle_types::MonotonicInstant;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// The maximum number of missing versions that are kept, to bound memory.
 const MISSING_MAX: usize = 64;
@@ -16,6 +18,10 @@
     own: u64,
     /// Newer versions, lowest first, each with when this daemon first heard of it or a higher one.
     missing: VecDeque<(u64, MonotonicInstant)>,
+    /// The highest version by which a request of this daemon has been served through another one.
+    served: u64,
+    /// The highest version in force at a daemon that is heard now.
+    held: u64,
 }
 
 impl ConfigNews {
@@ -40,6 +46,29 @@
         since
     }
 
+    /// Records that a request of this daemon has been served under a version by another one. This
+    /// daemon must not go back behind it.
+    pub fn on_served(&mut self, now: MonotonicInstant, version: u64) -> bool {
+        self.served = self.served.max(version);
+        self.on_heard(now, version)
+    }
+
+    /// Sets the highest version in force at a daemon that is heard now.
+    pub const fn set_held(&mut self, version: u64) {
+        self.held = version;
+    }
+
+    /// The version by which requests are to be decided, if that is not the own one: it has been known
+    /// for longer than `patience` and another daemon has it, or requests have been served by it. A
+    /// version that no daemon has any more is not waited for: a store that is down would end all
+    /// service.
+    pub fn needed(&self, now: MonotonicInstant, patience: Duration) -> Option<u64> {
+        let due = |(_, since): &&(u64, MonotonicInstant)| now.since(*since) >= patience;
+        let held = |(version, _): &&(u64, MonotonicInstant)| *version <= self.held;
+        let overdue = self.missing.iter().filter(due).filter(held).map(|(version, _)| *version);
+        overdue.max().max(Some(self.served)).filter(|version| *version > self.own)
+    }
+
     /// The version in force; 0 if there is none.
     pub const fn own(&self) -> u64 {
         self.own
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -47,7 +47,12 @@
         request_log: &mut RequestLog<K>,
     ) -> Result<AdmittedRequest, Refusal> {
         request_log.config_version = config.version;
-        if config.version == 0 || handoff.is_some_and(|handoff| config.version < handoff.config) {
+        if let Some(handoff) = handoff {
+            self.0.versions.on_heard(self.0.clock.now(), handoff.config, "handoff");
+        }
+        let needed = self.0.versions.needed(self.0.clock.now()).unwrap_or_default();
+        let oldest = handoff.map_or(1, |handoff| handoff.config.max(needed));
+        if config.version < oldest {
             return Err(Refusal::NoConfiguration { retry_after: backoff() });
         }
         let path = inbound.target.path();
@@ -109,7 +114,7 @@
     /// Returns `refusal` if the configuration can be the newest, else a refusal that asks for a
     /// retry, since a newer configuration may allow the request.
     fn deny(&self, refusal: Refusal) -> Refusal {
-        if self.0.config_is_current.load(Ordering::Relaxed) {
+        if self.0.config_is_current.load(Ordering::Relaxed) && !self.0.versions.is_behind() {
             return refusal;
         }
         Refusal::NoConfiguration { retry_after: backoff() }
--- a/crates/relay/src/config_versions.rs
+++ b/crates/relay/src/config_versions.rs
@@ -27,13 +27,20 @@
 }
 
 /// The versions known to this daemon, and their changes. Clones share all state.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConfigVersions {
     news: Arc<Mutex<ConfigNews>>,
     known: watch::Sender<KnownVersions>,
+    patience: Duration,
 }
 
 impl ConfigVersions {
+    /// Creates the versions of a daemon that has none. It decides by what it has for up to `patience`
+    /// after it has heard of a newer version that another daemon has.
+    pub fn new(patience: Duration) -> Self {
+        Self { news: Arc::default(), known: watch::Sender::default(), patience }
+    }
+
     /// Records that a version exists, as `source` tells.
     pub fn on_heard(&self, now: MonotonicInstant, version: u64, source: &'static str) {
         let mut news = self.state();
@@ -53,6 +60,32 @@
         self.publish(&news);
     }
 
+    /// Records that a request of this daemon has been served under a version by another one.
+    pub(crate) fn on_served(&self, now: MonotonicInstant, version: u64) {
+        let mut news = self.state();
+        let own = news.own();
+        if news.on_served(now, version) {
+            log::info!("event=configuration_heard version={version} own={own} source=helper");
+            self.publish(&news);
+        }
+    }
+
+    /// Sets the highest version in force at a daemon that is heard now.
+    pub fn set_held(&self, version: u64) {
+        self.state().set_held(version);
+    }
+
+    /// The version by which requests are to be decided, if that is not the own one.
+    pub(crate) fn needed(&self, now: MonotonicInstant) -> Option<u64> {
+        self.state().needed(now, self.patience)
+    }
+
+    /// Whether this daemon has heard of a version that it lacks.
+    pub(crate) fn is_behind(&self) -> bool {
+        let news = self.state();
+        news.newest() > news.own()
+    }
+
     /// For how long this daemon has known that it lacks a version; zero if it lacks none.
     pub fn behind(&self, now: MonotonicInstant) -> Duration {
         self.state().behind_since().map(|since| now.since(since)).unwrap_or_default()
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -188,7 +188,13 @@
         !is_excluded
             && (past.prefers_helper
                 || self.0.balancer.has_lost(&admitted.service)
-                || self.0.helpers.served_config() > admitted.config.version)
+                || self.is_outdated(admitted))
+    }
+
+    /// Whether a newer configuration than that by which a request was admitted is to be used.
+    pub(crate) fn is_outdated(&self, admitted: &AdmittedRequest) -> bool {
+        let needed = self.0.versions.needed(self.0.clock.now());
+        needed.is_some_and(|needed| needed > admitted.config.version)
     }
 
     /// Whether a request that was refused here may go through a helper: because some upstreams are
@@ -220,7 +226,8 @@
         request_log: &mut RequestLog<K>,
     ) -> Result<UpstreamResponse, HandoffError> {
         let admitted = attempt.admitted;
-        let config = admitted.config.version.max(self.0.helpers.served_config());
+        let needed = self.0.versions.needed(self.0.clock.now()).unwrap_or_default();
+        let config = admitted.config.version.max(self.0.versions.own()).max(needed);
         for _ in 0..HELPERS_MAX {
             let now = self.0.clock.now();
             if admitted.deadline.since(now) <= TIME_LEFT_MIN {
@@ -369,8 +376,9 @@
         past.counted = past.counted.max(reply.attempts);
         past.reached += reply.sends;
         request_log.on_handoff_reply(&reply, past.reached);
+        self.0.versions.on_heard(self.0.clock.now(), reply.config, "helper");
         let Some(refused) = reply.refusal else {
-            self.0.helpers.on_served(reply.config);
+            self.0.versions.on_served(self.0.clock.now(), reply.config);
             past.may_have_run = true;
             past.recorded_version.clone_from(&reply.version);
             let source = HelperResponse { _in_use: helper, version: reply.version };
--- a/crates/relay/src/helpers.rs
+++ b/crates/relay/src/helpers.rs
@@ -31,8 +31,6 @@
     in_flight: HashMap<SocketAddr, u32>,
     /// When a connection to a daemon last failed.
     failed_at: HashMap<SocketAddr, MonotonicInstant>,
-    /// Newest version of the configuration by which a helper has served a request.
-    served_config: u64,
 }
 
 /// The daemons that can help this one. Clones share all state.
@@ -104,18 +102,6 @@
         self.state().failed_at.insert(address, now);
     }
 
-    /// Records the version of the configuration by which a helper has served a request.
-    pub(crate) fn on_served(&self, config: u64) {
-        let mut state = self.state();
-        state.served_config = state.served_config.max(config);
-    }
-
-    /// Newest version of the configuration by which a request of this daemon has been served through
-    /// another one. This daemon must not go back behind it.
-    pub(crate) fn served_config(&self) -> u64 {
-        self.state().served_config
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         // A poisoned lock is safe to use: no holder panics halfway through a change.
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/next_attempt.rs
+++ b/crates/relay/src/next_attempt.rs
@@ -95,7 +95,8 @@
         if admitted.deadline.since(now) <= TIME_LEFT_MIN {
             return Err(refuse(past, Refusal::Expired));
         }
-        if self.0.helpers.served_config() > admitted.config.version && !admitted.is_handed_over {
+        if self.is_outdated(admitted) && !admitted.is_handed_over {
+            request_log.cause = "configuration_outdated".to_owned();
             return Err(refuse(past, Refusal::NoConfiguration { retry_after: backoff() }));
         }
         let is_hanging = past.unreached > 0
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,6 +6,7 @@
 use crate::attempt::{Attempt, AttemptOutcome, silence_limit};
 use crate::balancer::{Balancer, Restrictions};
 use crate::config::ActiveConfig;
+use crate::config_versions::ConfigVersions;
 use crate::crash_keeper::CrashKeeper;
 use crate::handoff::{Handoff, HandoffReply};
 use crate::handoff_server::AcceptedHandoff;
@@ -65,6 +66,8 @@
     /// Whether the configuration in force can be the newest one. While it is false, no request is
     /// refused for a missing route or key, as a newer configuration may hold it.
     pub config_is_current: Arc<AtomicBool>,
+    /// Versions of the configuration that this daemon has and has heard of.
+    pub versions: ConfigVersions,
     /// Number of live daemons, which divide the connection limit of each upstream among them.
     pub daemon_count: Arc<AtomicU32>,
     /// Set shortly before the daemon shuts down: new streams are refused from then on.
--- a/src/node.rs
+++ b/src/node.rs
@@ -79,6 +79,10 @@
 /// Maximum size of the head of a request that is handed over, as a multiple of a caller's.
 const HANDOFF_HEAD_FACTOR: usize = 3;
 
+/// Part of the time within which a configuration must be in force for which a daemon that has heard of
+/// a newer one decides by its own. The news takes up to as long.
+const CONFIG_PATIENCE_DIVISOR: u32 = 2;
+
 /// Fraction of the shutdown grace period after which new streams are refused. Most callers cache
 /// daemon addresses for two seconds, and streams take a few seconds.
 const STREAMS_END_FRACTION: f64 = 0.3;
@@ -205,6 +209,7 @@
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
+    let versions = ConfigVersions::new(settings.bounds.configuration / CONFIG_PATIENCE_DIVISOR);
     let config_is_current: Arc<AtomicBool> = Arc::default();
     let senders = (config_sender, limits_sender);
     let registrations = RegistrationFollower::new(
@@ -218,7 +223,7 @@
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
-        (usage.clone(), ConfigVersions::default()),
+        (usage.clone(), versions.clone()),
         senders,
         registrations.outages(),
         (Arc::clone(&daemon_count), rand::random()),
@@ -245,6 +250,7 @@
         usage,
         config: config.clone(),
         config_is_current,
+        versions,
         daemon_count,
         refuse_streams: Arc::clone(&shutdown.refuse_streams),
         give_up: shutdown.give_up.signal(),
--- a/src/node/config_exchange/tests.rs
+++ b/src/node/config_exchange/tests.rs
@@ -163,7 +163,7 @@
         for index in 0..count {
             let (sender, config) = watch::channel(Arc::new(ActiveConfig::default()));
             let (uplink, downlink) = (FakeLink::default(), FakeLink::default());
-            let versions = ConfigVersions::default();
+            let versions = ConfigVersions::new(Duration::from_secs(1));
             let follower = ConfigurationFollower::new(
                 store.behind(downlink.clone()),
                 clock,
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -34,7 +34,7 @@
     let senders = (sender, watch::Sender::new(Limits::default()));
     let outages = watch::Sender::new(0);
     let clock = SystemClock::new();
-    let versions = ConfigVersions::default();
+    let versions = ConfigVersions::new(Duration::from_secs(1));
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -376,6 +376,7 @@
             .map(|daemon| (daemon.status.config, age(daemon.status.age, now.since(daemon.at))));
         let all: Vec<_> = others.chain([own]).collect();
         let newest = all.iter().map(|(config, _)| *config).max().unwrap_or(own.0);
+        parts.follower.versions().set_held(newest);
         let min_age = all.into_iter().filter_map(|(_, age)| age).min();
         let current = own.0 == newest && min_age.is_some_and(|age| age <= CONFIG_MAX_AGE);
         if parts.config_is_current.swap(current, Ordering::Relaxed) != current {
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -15,8 +15,8 @@
 use spindle_relay::stream_keeper::StreamKeeper;
 use spindle_relay::usage::UsageRules;
 use spindle_relay::{
-    ActiveConfig, Balancer, Limits, Relay, RepeatPolicy, Route, ServiceSpec, UsageTracker,
-    caller_server,
+    ActiveConfig, Balancer, ConfigVersions, Limits, Relay, RepeatPolicy, Route, ServiceSpec,
+    UsageTracker, caller_server,
 };
 use spindle_types::{Clock, MonotonicInstant, SystemClock};
 use std::collections::HashMap;
@@ -31,10 +31,15 @@
 /// The most retries that requests may take from the budget in these tests.
 pub(crate) const RETRIES_MAX: f64 = 40.0;
 
+/// How long the relay decides by its configuration after it has heard of a newer one.
+pub(crate) const CONFIG_PATIENCE: Duration = Duration::from_millis(50);
+
 /// A relay before one fake upstream, which is registered under several names.
 pub(crate) struct Front {
     pub(crate) caller: SocketAddr,
     pub(crate) pool: ConnectionPool,
+    pub(crate) versions: ConfigVersions,
+    pub(crate) clock: SystemClock,
     _stop: DrainTrigger,
     _senders: (watch::Sender<Arc<ActiveConfig>>, watch::Sender<Limits>),
 }
@@ -102,6 +107,8 @@
             window: second,
         };
         let usage = UsageTracker::new(rules, ClusterClock::new(clock.now(), clock.utc()));
+        let versions = ConfigVersions::new(CONFIG_PATIENCE);
+        versions.on_in_force(clock.now(), 1, "test");
         let stop = DrainTrigger::new();
         let relay = Relay::new(RelayParts {
             clock,
@@ -110,6 +117,7 @@
             usage,
             config,
             config_is_current: Arc::new(AtomicBool::new(true)),
+            versions: versions.clone(),
             daemon_count: Arc::new(AtomicU32::new(1)),
             refuse_streams: Arc::default(),
             give_up: stop.signal(),
@@ -129,15 +137,30 @@
             1_000,
             stop.signal(),
         ));
-        Self { caller, pool, _stop: stop, _senders: (config_sender, limits_sender) }
+        Self {
+            caller,
+            pool,
+            versions,
+            clock,
+            _stop: stop,
+            _senders: (config_sender, limits_sender),
+        }
     }
 
     /// Sends a request and reads what arrives until the connection ends.
     pub(crate) async fn ask(&self, version: &str, repeat: RepeatPolicy, id: &str) -> Received {
-        let path = <&'static str>::from(repeat);
+        self.ask_at(version, &format!("/{repeat}/x"), id).await
+    }
+
+    /// The status of the response to a request for a path.
+    pub(crate) async fn status_of(&self, path: &str) -> u16 {
+        self.ask_at("1.1", path, "status").await.status
+    }
+
+    async fn ask_at(&self, version: &str, path: &str, id: &str) -> Received {
         let mut stream = TcpStream::connect(self.caller).await.unwrap();
         let request = format!(
-            "POST /{path}/x HTTP/{version}\r\nhost: h.example\r\nx-request-id: {id}\r\n\
+            "POST {path} HTTP/{version}\r\nhost: h.example\r\nx-request-id: {id}\r\n\
              x-deadline-remaining-ms: 4000\r\nconnection: close\r\ncontent-length: 1\r\n\r\nq"
         );
         stream.write_all(request.as_bytes()).await.unwrap();
--- a/tests/response_ends/main.rs
+++ b/tests/response_ends/main.rs
@@ -1,5 +1,6 @@
 //! Responses of upstreams that end at every byte, with each kind of framing.
 
+mod behind;
 mod front;
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
