fix(relay): a daemon that is cut from upstreams hands over right after a change too (CONFIG, RECOVER)

Callers at daemons without a way to the upstreams got 503 for about half of their requests while the configuration changed every 0.7 s: a route that was added or moved wasn't served there.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -47,9 +47,6 @@
         request_log: &mut RequestLog<K>,
     ) -> Result<AdmittedRequest, Refusal> {
         request_log.config_version = config.version;
-        if let Some(handoff) = handoff {
-            self.0.versions.on_heard(self.0.clock.now(), handoff.config, "handoff");
-        }
         let needed = self.0.versions.needed(self.0.clock.now()).unwrap_or_default();
         let oldest = handoff.map_or(1, |handoff| handoff.config.max(needed));
         if config.version < oldest {
--- a/crates/relay/src/config_versions.rs
+++ b/crates/relay/src/config_versions.rs
@@ -86,6 +86,12 @@
         news.newest() > news.own()
     }
 
+    /// Waits until at least `version` is in force.
+    pub(crate) async fn wait_for(&self, version: u64) {
+        // The sender lives as long as this value.
+        let _ = self.subscribe().wait_for(|known| known.own >= version).await;
+    }
+
     /// For how long this daemon has known that it lacks a version; zero if it lacks none.
     pub fn behind(&self, now: MonotonicInstant) -> Duration {
         self.state().behind_since().map(|since| now.since(since)).unwrap_or_default()
--- a/crates/relay/src/helpers.rs
+++ b/crates/relay/src/helpers.rs
@@ -66,8 +66,9 @@
         state.daemons.iter().any(|daemon| state.is_eligible(now, daemon, service, tried))
     }
 
-    /// Selects a daemon other than `tried` that reaches the upstreams of a service and has at least
-    /// version `config` of the configuration.
+    /// Selects a daemon other than `tried` that reaches the upstreams of a service. Those that have at
+    /// least version `config` of the configuration are preferred: right after a change no status says
+    /// so yet, though most daemons have it.
     pub(crate) fn select(
         &self,
         now: MonotonicInstant,
@@ -76,12 +77,14 @@
         tried: &[SocketAddr],
     ) -> Option<HelperUse> {
         let mut state = self.state();
-        let eligible: Vec<&HelperDaemon> = state
+        let mut eligible: Vec<&HelperDaemon> = state
             .daemons
             .iter()
-            .filter(|daemon| daemon.config >= config)
             .filter(|daemon| state.is_eligible(now, daemon, service, tried))
             .collect();
+        if eligible.iter().any(|daemon| daemon.config >= config) {
+            eligible.retain(|daemon| daemon.config >= config);
+        }
         let candidates: Vec<Helper> = eligible
             .iter()
             .map(|daemon| {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -50,6 +50,9 @@
 /// retried all at once.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(500);
 
+/// How long a request that was handed over waits for the configuration by which it was admitted.
+const HANDOFF_CONFIG_WAIT: Duration = Duration::from_millis(250);
+
 /// Dependencies and shared state of a [`Relay`].
 #[derive(Debug)]
 pub struct RelayParts<P, K> {
@@ -175,6 +178,10 @@
         request_log.on_accepted(&handoff.entry, accepted);
         let mut past = AttemptHistory { counted: handoff.attempts, ..AttemptHistory::default() };
         let buffered = BufferedRequest { inbound, body };
+        self.0.versions.on_heard(self.0.clock.now(), handoff.config, "handoff");
+        let newer = self.0.versions.wait_for(handoff.config);
+        // Afterwards, admission checks whether the version has arrived.
+        let _ = tokio::time::timeout(HANDOFF_CONFIG_WAIT, newer).await;
         let result = self.serve_buffered(buffered, Some(handoff), &mut past, &mut request_log);
         let result = self.unless_given_up(result).await;
         let version = match &result {
--- a/tests/platform/partitions.rs
+++ b/tests/platform/partitions.rs
@@ -408,3 +408,78 @@
         assert!(!daemon.log().contains("event=contact_lost"), "taken for cut off");
     }
 }
+
+/// Number of services that a route moves between, each with two upstreams.
+const MOVED_SERVICES: usize = 8;
+
+/// The time between two changes of the configuration.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(700);
+
+/// A configuration whose plain routes lead to one of several services.
+fn moved_configuration(version: u64) -> serde_json::Value {
+    let mut configuration = standin::configuration(version);
+    let services: Vec<_> = (0..MOVED_SERVICES)
+        .map(|service| json!({"name": format!("desk-{service}"), "max-connections": 100}))
+        .collect();
+    configuration["services"].as_array_mut().unwrap().extend(services);
+    let service = format!("desk-{}", version as usize % MOVED_SERVICES);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        if route["kind"] != "streaming" {
+            route["service"] = json!(service);
+        }
+    }
+    configuration
+}
+
+async fn check_moves_while_cut(cut: Cut) {
+    let platform = Platform::start().await;
+    platform.configure(&moved_configuration(8));
+    let mut upstreams = Vec::new();
+    for service in 0..MOVED_SERVICES {
+        for index in 0..2 {
+            let name = format!("m-{service}-{index}");
+            upstreams.push(Upstream::start(&platform, &name, &format!("desk-{service}")).await);
+        }
+    }
+    let mut links = Vec::new();
+    for index in 0..8 {
+        links.push(platform.link(&format!("d-{index}")).await);
+    }
+    let daemons = Daemon::start_all(&platform, 8).await;
+    for daemon in &daemons {
+        daemon.wait_for("/read/x", 200).await;
+    }
+    links[..4].iter().for_each(|links| links.set(cut));
+    let changes = tokio::spawn(async move {
+        for version in 9.. {
+            tokio::time::sleep(CHANGE_INTERVAL).await;
+            platform.configure(&moved_configuration(version));
+        }
+    });
+    tokio::time::sleep(CONTACT_TIME).await;
+    let mut tries = JoinSet::new();
+    for request in 0..80 {
+        for (index, daemon) in daemons.iter().enumerate() {
+            let (caller, path) = (daemon.caller, ["/read/x", "/book/x"][request % 2]);
+            let id = format!("moved-{index}-{request}");
+            tries.spawn(async move { (index < 4, send(caller, &id, path).await) });
+        }
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let tries = tries.join_all().await;
+    changes.abort();
+    let served = |is_cut: bool| {
+        let those = tries.iter().filter(|(cut, _)| *cut == is_cut);
+        those.filter(|(_, response)| matches!(response, Some((200, _)))).count()
+    };
+    let (there, others, count) = (served(true), served(false), tries.len() / 2);
+    println!("{cut:?}: {there} of {count} at the cut daemons, {others} of {count} else");
+    assert!(3 * there >= 2 * others && 50 * (count - there) <= 500 + 2 * count);
+    assert!(others * 50 >= count * 49);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_that_are_cut_from_upstreams_serve_routes_that_move_to_other_services() {
+    check_moves_while_cut(Cut::Resets).await;
+    check_moves_while_cut(Cut::Hangs).await;
+}
