fix(relay): lost contact is kept by place, not by service

A daemon that reached no upstream learned that service by service, from the failures of callers' requests: each route that moved to a service that it had never used began as reached, and daemons that were cut off handed requests over to each other, as they were the least loaded ones.

Shown by unit tests that failed before (a_service_that_was_not_heard_since_another_was_lost_…: false for true; a_daemon_that_has_lost_other_services_helps_only_…: the cut ones first).

--- a/crates/policy/src/upstream_contact.rs
+++ b/crates/policy/src/upstream_contact.rs
@@ -6,6 +6,9 @@
 //! go through another daemon if one reaches the service. Silence of an upstream is no failure, only
 //! a connection that can't be made.
 //!
+//! What is cut off is the way to a place, not a service. A service from which nothing has arrived since
+//! contact with another one was lost therefore counts as lost too, until a test connection succeeds.
+//!
 //! Contact is regained when a sample of the upstreams accepts test connections: a daemon that reaches
 //! a few of many would overload these.
 
@@ -124,6 +127,11 @@
         self.lost_at.is_some()
     }
 
+    /// Since when the service has not been reached.
+    pub const fn lost_at(&self) -> Option<MonotonicInstant> {
+        self.lost_at
+    }
+
     /// Whether that has lasted long enough to be told to others.
     pub fn is_confirmed(&self, now: MonotonicInstant) -> bool {
         self.lost_at.is_some_and(|lost_at| now.since(lost_at) >= CONFIRM_TIME)
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -400,9 +400,7 @@
         );
         match change {
             UpstreamChange::Added(_) => {
-                if let Some(contact) = contacts.get_mut(service) {
-                    contact.on_added();
-                }
+                contacts.entry(service.clone()).or_default().on_added();
                 let mut name = id.instance.as_str().as_bytes().to_vec();
                 name.extend(id.started_at_ms.to_le_bytes());
                 upstreams.insert(
--- a/crates/relay/src/helpers.rs
+++ b/crates/relay/src/helpers.rs
@@ -68,7 +68,8 @@
 
     /// Selects a daemon other than `tried` that reaches the upstreams of a service. Those that have at
     /// least version `config` of the configuration are preferred: right after a change no status says
-    /// so yet, though most daemons have it.
+    /// so yet, though most daemons have it. So are those that have lost the fewest other services: a
+    /// daemon that is cut off may not know yet that this service is concerned too.
     pub(crate) fn select(
         &self,
         now: MonotonicInstant,
@@ -85,6 +86,8 @@
         if eligible.iter().any(|daemon| daemon.config >= config) {
             eligible.retain(|daemon| daemon.config >= config);
         }
+        let fewest_lost = eligible.iter().map(|daemon| daemon.lost.len()).min()?;
+        eligible.retain(|daemon| daemon.lost.len() == fewest_lost);
         let candidates: Vec<Helper> = eligible
             .iter()
             .map(|daemon| {
@@ -137,3 +140,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/upstream_contacts.rs
+++ b/crates/relay/src/upstream_contacts.rs
@@ -21,9 +21,15 @@
 }
 
 impl Balancer {
-    /// Whether this daemon reaches no upstream of a service.
+    /// Whether this daemon reaches no upstream of a service, as far as it knows.
     pub fn has_lost(&self, service: &Service) -> bool {
-        self.state().contacts.get(service).is_some_and(ServiceContact::is_lost)
+        let state = self.state();
+        let contact = state.contacts.get(service);
+        if contact.is_some_and(ServiceContact::is_lost) {
+            return true;
+        }
+        let lost_at = state.contacts.values().filter_map(ServiceContact::lost_at).max();
+        lost_at.is_some_and(|at| !contact.is_some_and(|contact| contact.is_heard_since(at)))
     }
 
     /// The share of the upstreams of a service to which the newest connection has failed.
@@ -205,3 +211,6 @@
     let lost = contacts.iter().filter(|(_, contact)| contact.is_lost());
     lost.map(|(service, _)| service.clone()).collect()
 }
+
+#[cfg(test)]
+mod tests;
