--- a/src/node.rs
+++ b/src/node.rs
@@ -209,7 +209,6 @@
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
-    let versions = ConfigVersions::new(settings.bounds.configuration / CONFIG_PATIENCE_DIVISOR);
     let config_is_current: Arc<AtomicBool> = Arc::default();
     let senders = (config_sender, limits_sender);
     let registrations = RegistrationFollower::new(
@@ -223,7 +222,7 @@
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
-        (usage.clone(), versions.clone()),
+        (usage.clone(), build_versions(settings)),
         senders,
         registrations.outages(),
         (Arc::clone(&daemon_count), rand::random()),
@@ -250,7 +249,7 @@
         usage,
         config: config.clone(),
         config_is_current,
-        versions,
+        versions: follower.versions().clone(),
         daemon_count,
         refuse_streams: Arc::clone(&shutdown.refuse_streams),
         give_up: shutdown.give_up.signal(),
@@ -263,6 +262,10 @@
     Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
 
+fn build_versions(settings: &NodeSettings) -> ConfigVersions {
+    ConfigVersions::new(settings.bounds.configuration / CONFIG_PATIENCE_DIVISOR)
+}
+
 fn build_balancer(settings: &NodeSettings) -> Balancer {
     let balancer = Balancer::new(settings.data_centre.clone(), ConnectionPool::default());
     if settings.first_start {
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -81,6 +81,15 @@
     }
 }
 
+fn usage_rules() -> UsageRules {
+    let second = Duration::from_secs(1);
+    UsageRules {
+        retries: RetryBudgetSpec { ratio: 0.0, slack: RETRIES_MAX, window: 60 * second },
+        tolerance: QuotaTolerance { overage: 0.0, slack: 0.0, window: second },
+        window: second,
+    }
+}
+
 impl Front {
     /// Starts a relay. The upstream is registered under `names` names.
     pub(crate) async fn start(upstream: &RawUpstream, names: usize) -> Self {
@@ -100,13 +109,7 @@
         let config = ActiveConfig::new(1, Limits::default(), services, routes, Vec::new());
         let (config_sender, config) = watch::channel(Arc::new(config));
         let (limits_sender, limits) = watch::channel(Limits::default());
-        let second = Duration::from_secs(1);
-        let rules = UsageRules {
-            retries: RetryBudgetSpec { ratio: 0.0, slack: RETRIES_MAX, window: 60 * second },
-            tolerance: QuotaTolerance { overage: 0.0, slack: 0.0, window: second },
-            window: second,
-        };
-        let usage = UsageTracker::new(rules, ClusterClock::new(clock.now(), clock.utc()));
+        let usage = UsageTracker::new(usage_rules(), ClusterClock::new(clock.now(), clock.utc()));
         let versions = ConfigVersions::new(CONFIG_PATIENCE);
         versions.on_in_force(clock.now(), 1, "test");
         let stop = DrainTrigger::new();
