fix(node): a daemon that hears no other goes on with no stream at the only version that it knows (ORDER)

Cause: without a record, the only version that the daemon knows of counted, although none of the daemons that it asked had answered and its last read of the registrations was up to 6 s old. Change: it counts only if all daemons that may be running have answered and know of no other, or if the store has been read since the question; else the stream is refused as not run.

--- a/crates/policy/src/read_schedule.rs
+++ b/crates/policy/src/read_schedule.rs
@@ -43,6 +43,8 @@
     Interval,
     /// Neither this daemon nor a peer that it heard of has read the store recently enough.
     Age,
+    /// A decision needs registrations that are newer than those known.
+    Question,
 }
 
 /// The reads of one daemon.
--- a/crates/policy/src/stream_versions.rs
+++ b/crates/policy/src/stream_versions.rs
@@ -266,10 +266,12 @@
 }
 
 /// Decides at which version a stream began that this daemon has no record of, from what it and the
-/// other daemons know.
+/// other daemons know. `is_confirmed` tells whether the known versions include all that any daemon may
+/// have sent the stream to: each of them has answered, or this daemon has read the store since.
 pub fn decide(
     known: &KnownVersions,
     answers: &[StreamAnswer],
+    is_confirmed: bool,
 ) -> (Option<SoftwareVersion>, VersionSource) {
     let recorded: BTreeSet<&SoftwareVersion> =
         answers.iter().filter_map(|answer| answer.version.as_ref()).collect();
@@ -283,7 +285,9 @@
         answers.iter().filter_map(|answer| answer.sole.as_ref()).chain(&known.sole).collect();
     match sole.first() {
         Some(version)
-            if sole.len() == 1 && known.seen.iter().all(|seen| seen.as_ref() == Some(*version)) =>
+            if is_confirmed
+                && sole.len() == 1
+                && known.seen.iter().all(|seen| seen.as_ref() == Some(*version)) =>
         {
             (Some((*version).clone()), VersionSource::Sole)
         }
--- a/crates/policy/src/stream_versions/tests.rs
+++ b/crates/policy/src/stream_versions/tests.rs
@@ -81,9 +81,9 @@
 #[test]
 fn a_version_is_never_guessed() {
     type Version = Option<u8>;
-    type Input = ((Version, Vec<Version>), Vec<(Version, Version)>);
+    type Input = ((Version, Vec<Version>, bool), Vec<(Version, Version)>);
     let named = |number: Version| version(&format!("v{}", number? % 3));
-    bolero::check!().with_type::<Input>().for_each(|((sole, seen), answers)| {
+    bolero::check!().with_type::<Input>().for_each(|((sole, seen, is_confirmed), answers)| {
         let known = KnownVersions {
             sole: named(*sole),
             seen: seen.iter().map(|number| named(*number)).collect(),
@@ -92,7 +92,7 @@
             .iter()
             .map(|(version, sole)| StreamAnswer { version: named(*version), sole: named(*sole) })
             .collect();
-        let (decided, source) = decide(&known, &answers);
+        let (decided, source) = decide(&known, &answers, *is_confirmed);
         assert_eq!(decided.is_none(), source == VersionSource::Unknown);
         let Some(decided) = decided else { return };
         let mut records = answers.iter().filter_map(|answer| answer.version.as_ref());
@@ -101,6 +101,7 @@
             return;
         }
         assert_eq!(records.next(), None);
+        assert!(is_confirmed);
         assert!(known.seen.iter().all(|version| version.as_ref() == Some(&decided)));
         let soles = answers.iter().filter_map(|answer| answer.sole.as_ref()).chain(&known.sole);
         assert!(soles.count() > 0);
@@ -206,9 +207,17 @@
     assert_eq!(sole(Some(SOLE_AGE_MAX + Duration::from_millis(1))), None);
     assert_eq!(sole(None), None);
     let outdated = known.clone().at_age(None);
-    assert_eq!(decide(&outdated, &[]), (None, VersionSource::Unknown));
+    assert_eq!(decide(&outdated, &[], true), (None, VersionSource::Unknown));
     let recent = StreamAnswer { version: None, sole: version("v1") };
-    assert_eq!(decide(&outdated, &[recent]), (version("v1"), VersionSource::Sole));
+    assert_eq!(decide(&outdated, &[recent], true), (version("v1"), VersionSource::Sole));
+}
+
+#[test]
+fn a_daemon_that_is_cut_off_does_not_go_on_with_a_stream_at_the_only_version_that_it_knows() {
+    let known = KnownVersions { sole: version("v1"), seen: BTreeSet::from([version("v1")]) };
+    assert_eq!(decide(&known, &[], false), (None, VersionSource::Unknown));
+    let record = StreamAnswer { version: version("v2"), sole: None };
+    assert_eq!(decide(&known, &[record], false), (version("v2"), VersionSource::Peer));
 }
 
 #[test]
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Fraction of the time allowed for acting on a leaving upstream after which a daemon that has not
 /// heard of a recent read reads the store itself. The rest is left for the read and for stalls.
@@ -24,6 +24,9 @@
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Minimum time between two reads for decisions that need newer registrations.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Reads registrations from the store and passes them to the balancer.
 #[derive(Clone, Debug)]
 pub struct RegistrationFollower<S, K> {
@@ -34,6 +37,8 @@
     outages: watch::Sender<u64>,
     restores: watch::Sender<u64>,
     reads: Arc<Mutex<Reads>>,
+    questions: Arc<Notify>,
+    read_count: watch::Sender<u64>,
     drain: Duration,
 }
 
@@ -60,7 +65,19 @@
         let schedule = ReadSchedule::new(drain.mul_f64(MAX_AGE_FRACTION));
         let generator = ChaCha8Rng::seed_from_u64(seed);
         let reads = Arc::new(Mutex::new(Reads { schedule, generator }));
-        Self { store, clock, balancer, daemon_count, outages, restores, reads, drain }
+        let (questions, read_count) = (Arc::default(), watch::Sender::new(0));
+        Self {
+            store,
+            clock,
+            balancer,
+            daemon_count,
+            outages,
+            restores,
+            reads,
+            questions,
+            read_count,
+            drain,
+        }
     }
 
     /// A counter that increases whenever the store is lost, regained or restored from an older
@@ -79,6 +96,15 @@
         self.reads().schedule.last_read()
     }
 
+    /// Reads the store soon, and waits until all is known that it had acknowledged before `since`.
+    /// Returns whether that succeeded within `timeout`.
+    pub async fn read_after(&self, since: MonotonicInstant, timeout: Duration) -> bool {
+        let mut reads = self.read_count.subscribe();
+        self.questions.notify_one();
+        let is_read = || self.last_success().is_some_and(|sent| sent >= since);
+        tokio::time::timeout(timeout, reads.wait_for(|_| is_read())).await.is_ok()
+    }
+
     /// The time for which this daemon may have missed that an upstream is leaving; none before its
     /// first read.
     pub fn age(&self, now: MonotonicInstant) -> Option<Duration> {
@@ -178,8 +204,11 @@
     }
 
     fn on_complete_read(&self, sent: MonotonicInstant) {
-        let Reads { schedule, generator } = &mut *self.reads();
-        schedule.on_read(sent, generator);
+        {
+            let Reads { schedule, generator } = &mut *self.reads();
+            schedule.on_read(sent, generator);
+        }
+        self.read_count.send_modify(|count| *count += 1);
     }
 
     /// Waits until the next read is due, and returns the reason for it. The time is evaluated
@@ -193,7 +222,13 @@
             if remaining.is_zero() {
                 return reason;
             }
-            tokio::time::sleep(remaining.min(CHECK_INTERVAL)).await;
+            tokio::select! {
+                () = tokio::time::sleep(remaining.min(CHECK_INTERVAL)) => {}
+                () = self.questions.notified() => {
+                    tokio::time::sleep(QUESTION_INTERVAL.min(remaining)).await;
+                    return ReadReason::Question;
+                }
+            }
         }
     }
 
--- a/src/node/registrations/tests.rs
+++ b/src/node/registrations/tests.rs
@@ -22,6 +22,8 @@
 }
 
 struct TestFollower {
+    follower: RegistrationFollower<FakeStore, SystemClock>,
+    clock: SystemClock,
     store: FakeStore,
     daemon_count: Arc<AtomicU32>,
 }
@@ -36,14 +38,14 @@
     let count = Arc::clone(&daemon_count);
     let follower = RegistrationFollower::new(store.clone(), clock, balancer, count, drain, 7);
     tokio::spawn(follower.clone().run());
-    let count = Arc::clone(&daemon_count);
+    let (count, informed) = (Arc::clone(&daemon_count), follower.clone());
     tokio::spawn(async move {
         while count.load(Ordering::Relaxed) > 1 {
             tokio::time::sleep(ROUND_INTERVAL).await;
-            follower.on_peer(clock.now(), Duration::ZERO);
+            informed.on_peer(clock.now(), Duration::ZERO);
         }
     });
-    TestFollower { store, daemon_count }
+    TestFollower { follower, clock, store, daemon_count }
 }
 
 /// The mean number of store calls of one daemon in 60 s, over a hundred minutes.
@@ -76,6 +78,26 @@
     assert!(test.store.calls.load(Ordering::Relaxed) > before);
 }
 
+#[tokio::test(start_paused = true)]
+async fn many_questions_wait_for_one_read_that_was_sent_after_them() {
+    let TestFollower { follower, clock, store, .. } = follow(58);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (asked, before) = (clock.now(), store.calls.load(Ordering::Relaxed));
+    let timeout = Duration::from_millis(300);
+    let questions = (0..100).map(|_| {
+        let follower = follower.clone();
+        tokio::spawn(async move { follower.read_after(asked, timeout).await })
+    });
+    for question in questions.collect::<Vec<_>>() {
+        assert!(question.await.unwrap());
+    }
+    assert!(follower.last_success() >= Some(asked));
+    assert!(store.calls.load(Ordering::Relaxed) - before <= 2);
+    store.unreachable.store(true, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    assert!(!follower.read_after(clock.now(), timeout).await);
+}
+
 fn registration(index: u64, leaving: bool) -> Registration {
     Registration {
         id: UpstreamId {
--- a/src/node/status_exchange/versions.rs
+++ b/src/node/status_exchange/versions.rs
@@ -25,6 +25,16 @@
         self.parts.registrations.last_success().map(|at| now.since(at))
     }
 
+    /// Reads the upstreams from the store, and returns whether all is known within `timeout` that the
+    /// store had acknowledged before `since`.
+    pub(in crate::node) async fn read_upstreams_after(
+        &self,
+        since: MonotonicInstant,
+        timeout: Duration,
+    ) -> bool {
+        self.parts.registrations.read_after(since, timeout).await
+    }
+
     /// Adopts what another daemon knows of the versions before this one started.
     pub(in crate::node) async fn adopt_history(self, peer: SocketAddr) {
         let sent = self.parts.clock.now();
--- a/src/node/stream_versions.rs
+++ b/src/node/stream_versions.rs
@@ -8,8 +8,7 @@
 use rand::seq::IndexedRandom;
 use spindle_daemon::{PeerConnection, StatusExchangeClient};
 use spindle_policy::stream_versions::{
-    KnownVersions, StreamAnswer, StreamQuestion, StreamRecords, VersionSource, decide, keepers,
-    stores_records,
+    StreamAnswer, StreamQuestion, StreamRecords, decide, keepers, stores_records,
 };
 use spindle_relay::Balancer;
 use spindle_relay::backends::{Store, StoredVersions};
@@ -31,6 +30,9 @@
 /// The same if all that this daemon knows says which version it is.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// How long a read of the store is awaited that tells whether there are other versions by now.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Interval at which a daemon that started lately asks another one for the versions of the time
 /// before.
 const HISTORY_INTERVAL: Duration = Duration::from_millis(500);
@@ -243,16 +245,31 @@
         let now = self.clock.now();
         let known = self.statuses.versions(now, &question.service);
         let peers = self.statuses.live_peers(now);
-        let connections: Vec<PeerConnection> =
-            peers.iter().filter_map(|peer| self.statuses.connection(peer.address).ok()).collect();
+        let connections: Vec<(Instance, PeerConnection)> = peers
+            .into_iter()
+            .filter_map(|peer| Some((peer.instance, self.statuses.connection(peer.address).ok()?)))
+            .collect();
+        let statuses = self.statuses.clone();
         tokio::spawn(async move {
             let asked = connections.len();
-            let (version, source) = collect_answers(&known, connections, &question).await;
+            let timeout = if known.sole.is_some() { CONFIRM_TIMEOUT } else { ANSWER_TIMEOUT };
+            let (answered, answers) = collect_answers(connections, &question, timeout).await;
+            let has_record = answers.iter().any(|answer| answer.version.is_some());
+            let sole = known.sole.as_ref().or_else(|| answers.first()?.sole.as_ref());
+            // One that doesn't know of an only version may have heard of another one.
+            let mut is_confirmed = answers.iter().all(|answer| answer.sole.as_ref() == sole)
+                && statuses.possible_peers(now).iter().all(|possible| answered.contains(possible));
+            if !is_confirmed && !has_record && sole.is_some() {
+                is_confirmed = statuses.read_upstreams_after(now, READ_TIMEOUT).await;
+            }
+            let known = statuses.versions(BootClock.now(), &question.service);
+            let (version, source) = decide(&known, &answers, is_confirmed);
             log::info!(
                 "event=stream_version id={id} service={} version={} source={source} asked={asked} \
-                 seen={}",
+                 answered={} confirmed={is_confirmed} seen={}",
                 question.service,
                 version.as_ref().map_or("-", SoftwareVersion::as_str),
+                answered.len(),
                 known.seen.len(),
             );
             // An error means that the caller has disconnected.
@@ -293,24 +310,27 @@
     }
 }
 
-/// Asks daemons until one has a record, or all have answered or had time to.
+/// Asks daemons until one has a record, or all have answered or had time to. Also returns which have
+/// answered.
 async fn collect_answers(
-    known: &KnownVersions,
-    connections: Vec<PeerConnection>,
+    connections: Vec<(Instance, PeerConnection)>,
     question: &StreamQuestion,
-) -> (Option<SoftwareVersion>, VersionSource) {
+    timeout: Duration,
+) -> (Vec<Instance>, Vec<StreamAnswer>) {
     let mut calls: FuturesUnordered<_> = connections
         .into_iter()
-        .map(|connection| async move { connection.stream_version(question.clone()).await })
+        .map(|(instance, connection)| async move {
+            (instance, connection.stream_version(question.clone()).await)
+        })
         .collect();
-    let timeout = if known.sole.is_some() { CONFIRM_TIMEOUT } else { ANSWER_TIMEOUT };
-    let mut answers: Vec<StreamAnswer> = Vec::new();
+    let (mut answered, mut answers) = (Vec::new(), Vec::new());
     let collecting = async {
-        while let Some(answer) = calls.next().await {
+        while let Some((instance, answer)) = calls.next().await {
             match answer {
                 Ok(answer) => {
                     let has_record = answer.version.is_some();
                     answers.push(answer);
+                    answered.push(instance);
                     if has_record {
                         return;
                     }
@@ -321,7 +341,7 @@
     };
     // What has been answered by then is used.
     let _ = tokio::time::timeout(timeout, collecting).await;
-    decide(known, &answers)
+    (answered, answers)
 }
 
 /// Sends messages to a daemon until it is no longer chosen.
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -365,3 +365,27 @@
     // None is mixed, which is checked for each that goes on.
     assert_eq!(resumed.len(), STREAMS);
 }
+
+/// The others are suspended, so that none of them answers. The daemon that takes the stream up has read
+/// the store before the second version joined, another one after it.
+#[tokio::test]
+async fn a_daemon_that_hears_no_other_goes_on_with_no_stream_at_the_only_version_that_it_knows() {
+    let (platform, _upstreams, daemons) = start_deployment(8).await;
+    let _joined = Upstream::start_version(&platform, "i-5", "model", SECOND_VERSION).await;
+    let knows = |daemon: &Daemon| daemon.log().contains("event=upstream_added upstream=i-5");
+    while !daemons.iter().any(knows) {
+        tokio::time::sleep(POLL_INTERVAL / 4).await;
+    }
+    let Some(late) = daemons.iter().find(|daemon| !knows(daemon)) else {
+        println!("not tested: all daemons have read of the second version at once");
+        return;
+    };
+    for daemon in daemons.iter().filter(|daemon| daemon.name != late.name) {
+        daemon.signal(Signal::SIGSTOP);
+    }
+    // Nobody has this stream on record, as if the daemon that began it could tell no other.
+    let headers = [("resumes", "unrecorded"), ("last-event-id", "3")];
+    let response = start_stream(late.caller, "cut", &headers).await;
+    assert_eq!(response.status(), 503);
+    assert!(platform.executions("cut").is_empty());
+}
