--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod limits;
 mod notices;
+mod odd_entries;
 mod partitions;
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
