--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -76,6 +76,10 @@
     pub versions: PermittedVersions,
     /// Number of attempts that count against the route's limit.
     pub attempts: u32,
+    /// Number of further attempts that are left to the entry, which can't know how many a helper has
+    /// made that doesn't answer.
+    #[serde(default)]
+    pub reserved: u32,
     /// Whether the start of its response has been counted as usage.
     pub is_counted: bool,
 }
@@ -263,6 +267,7 @@
                 HelperExchange::Lost | HelperExchange::Silent => {
                     self.0.helpers.on_failed(self.0.clock.now(), helper.address);
                     past.may_have_run = true;
+                    past.on_helper_lost(admitted.route.attempts_max);
                     request_log.cause = format!("handoff_{ended}");
                     if !admitted.route.repeat.allows_retry() || !self.may_retry(admitted, past) {
                         return Err(HandoffError::Refused(Refusal::Lost));
@@ -341,6 +346,7 @@
             config,
             versions: past.versions.clone(),
             attempts: past.counted,
+            reserved: past.reserved_for_entry(attempt.admitted.route.attempts_max),
             is_counted,
         };
         let mut request = Request::new(Full::new(buffered.body.clone()));
@@ -401,6 +407,13 @@
         }
         match refused {
             _ if refused.concerns_helper() => Err(None),
+            // The attempt that was reserved here.
+            HandoffRefusal::Refused(Refusal::Lost)
+                if attempt.admitted.route.repeat.allows_retry()
+                    && self.may_retry(attempt.admitted, past) =>
+            {
+                Err(None)
+            }
             HandoffRefusal::Refused(refusal) => Err(Some(refuse(past, refusal))),
             HandoffRefusal::Busy => Err(None),
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -112,6 +112,8 @@
     pub(crate) reached: u32,
     /// Attempts that count against the route's limit.
     pub(crate) counted: u32,
+    /// Attempts within the route's limit that are left to the daemon that handed the request over.
+    pub(crate) reserved: u32,
     /// Whether an upstream may have executed the request.
     pub(crate) may_have_run: bool,
     /// Versions of the upstreams' software that may serve the next attempt.
@@ -133,6 +135,22 @@
         self.unreached_time += time;
     }
 
+    /// Attempts that a helper leaves to this daemon: one, if there are two or more.
+    pub(crate) fn reserved_for_entry(&self, attempts_max: u32) -> u32 {
+        u32::from(attempts_max.saturating_sub(self.counted) >= 2)
+    }
+
+    /// Records that a helper has not answered: it may have made all attempts that were not reserved.
+    pub(crate) fn on_helper_lost(&mut self, attempts_max: u32) {
+        self.counted =
+            self.counted.max(attempts_max.saturating_sub(self.reserved_for_entry(attempts_max)));
+    }
+
+    /// Whether another attempt is within the route's limit.
+    pub(crate) const fn has_attempts(&self, attempts_max: u32) -> bool {
+        self.counted + self.reserved < attempts_max
+    }
+
     /// Which upstreams the next attempt may use.
     pub(crate) fn restrictions(&self) -> Restrictions<'_> {
         Restrictions { tried: &self.tried, versions: &self.versions }
@@ -176,7 +194,11 @@
         let mut request_log =
             RequestLog::new(self.0.clock.clone(), &inbound.id, inbound.received_at);
         request_log.on_accepted(&handoff.entry, accepted);
-        let mut past = AttemptHistory { counted: handoff.attempts, ..AttemptHistory::default() };
+        let mut past = AttemptHistory {
+            counted: handoff.attempts,
+            reserved: handoff.reserved,
+            ..AttemptHistory::default()
+        };
         let buffered = BufferedRequest { inbound, body };
         self.0.versions.on_heard(self.0.clock.now(), handoff.config, "handoff");
         let newer = self.0.versions.wait_for(handoff.config);
@@ -294,9 +316,8 @@
             let now = self.0.clock.now();
             request_log.status = upstream_response.head.status.as_u16();
             let failed = upstream_response.head.status.is_server_error();
-            // A helper has itself sent the request again if that was allowed.
-            let may_repeat = upstream_response.source.assignment().is_some()
-                && admitted.route.repeat.allows_retry();
+            // A helper has itself sent the request again as far as it was allowed.
+            let may_repeat = admitted.route.repeat.allows_retry();
             if failed && may_repeat && self.may_retry(admitted, past) {
                 upstream_response.source.on_result(now, UpstreamResult::Failed);
                 self.on_first_byte(admitted, &upstream_response.source, request_log);
@@ -321,7 +342,7 @@
     /// time left and the retry budget must allow it. Takes a retry from the budget if so.
     pub(crate) fn may_retry(&self, admitted: &AdmittedRequest, past: &AttemptHistory) -> bool {
         let now = self.0.clock.now();
-        past.counted < admitted.route.attempts_max
+        past.has_attempts(admitted.route.attempts_max)
             && admitted.deadline.since(now) > TIME_LEFT_MIN
             && self.0.usage.take_retry(now, &admitted.service)
     }
--- a/tests/platform/partitions.rs
+++ b/tests/platform/partitions.rs
@@ -2,12 +2,13 @@
 
 use crate::body;
 use crate::daemon::{CALL_TIMEOUT, Daemon, POLL_INTERVAL, POLLS_MAX, addresses, client};
-use crate::standin::{self, Cut, Links, Platform, STREAM_EVENTS, Upstream};
+use crate::standin::{self, Cut, Links, Platform, STREAM_EVENTS, Upstream, UpstreamBehaviour};
 use http::Request;
 use http_body_util::BodyExt;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use spindle_http::Body;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -368,6 +369,33 @@
     assert!(served * 20 >= REQUESTS * 19, "{served} of {REQUESTS} served");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_helpers_stay_silent_runs_at_no_more_upstreams_than_its_route_allows() {
+    let deployment = start(4).await;
+    deployment.cut(&[0], Cut::Hangs);
+    deployment.send_all("passing", &[0], 20).await;
+    for upstream in deployment.upstreams.iter().step_by(2) {
+        upstream.set_behaviour(UpstreamBehaviour::Silent);
+    }
+    let mut tries = JoinSet::new();
+    for request in 0..20 {
+        let caller = deployment.daemons[0].caller;
+        tries.spawn(async move { send(caller, &format!("silent-{request}"), "/read/x").await });
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    tries.join_all().await;
+    // Longer than a helper goes on with a request.
+    tokio::time::sleep(Duration::from_millis(PLAIN_TIME_LIMIT_MS)).await;
+    let mut total = 0;
+    for request in 0..20 {
+        let runs = deployment.platform.executions(&format!("silent-{request}"));
+        let upstreams: BTreeSet<&String> = runs.iter().collect();
+        assert!(upstreams.len() <= 2, "request {request} ran at {runs:?}");
+        total += runs.len();
+    }
+    assert!(total >= 10, "{total} runs of 20 requests");
+}
+
 /// The time for which an upstream in good order may fall silent.
 const SILENCE: Duration = Duration::from_millis(1_300);
 
