--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -15,6 +15,12 @@
         /// The limit, in bytes.
         max: usize,
     },
+    /// All bodies together exceed the memory that they may use.
+    #[error("bodies exceed {max} bytes together")]
+    Memory {
+        /// The limit, in bytes.
+        max: usize,
+    },
     /// The body did not arrive in time.
     #[error("body did not arrive within {0:?}")]
     Timeout(Duration),
--- a/crates/relay/src/handoff_server.rs
+++ b/crates/relay/src/handoff_server.rs
@@ -4,10 +4,10 @@
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
 use crate::relay::Relay;
-use crate::request::Refusal;
+use crate::request::{Refusal, read_request_body};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use spindle_http::{Body, Drain, Handler, read_body, text};
+use spindle_http::{Body, Drain, Handler, ReadError, text};
 use spindle_types::Clock;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,8 +89,12 @@
         METRICS.accepted_handoffs.add(1, &[]);
         let inbound = handoff.clone().inbound(&request, self.relay.0.clock.now());
         let body_bytes_max = self.relay.0.config.borrow().limits.body_bytes_max;
-        let Ok(body) = read_body(request.into_body(), body_bytes_max, BODY_TIMEOUT).await else {
-            return refused(HandoffRefusal::Refused(Refusal::SlowBody));
+        let memory = &self.relay.0.request_memory;
+        let read = read_request_body(request.into_body(), body_bytes_max, BODY_TIMEOUT, memory);
+        let body = match read.await {
+            Ok(body) => body,
+            Err(ReadError::Memory { .. }) => return refused(HandoffRefusal::Busy),
+            Err(_) => return refused(HandoffRefusal::Refused(Refusal::SlowBody)),
         };
         let (result, mut reply) =
             self.relay.serve_handed_over(inbound, body, &handoff, accepted).await;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -77,6 +77,8 @@
     pub refuse_streams: Arc<AtomicBool>,
     /// Started at the end of the shutdown period: requests without a response are given up.
     pub give_up: Drain,
+    /// Memory of the request bodies that are being read or held until their responses end.
+    pub request_memory: BodyMemory,
     /// Memory of the response bodies that are being read or sent.
     pub body_memory: BodyMemory,
     /// Versions that streams were sent to.
@@ -175,7 +177,7 @@
         let mut past = AttemptHistory::default();
         let result = async {
             let limits = self.0.config.borrow().limits;
-            let body = inbound.read_body(body, &limits).await?;
+            let body = inbound.read_body(body, &limits, &self.0.request_memory).await?;
             let buffered = BufferedRequest { inbound, body };
             self.serve_buffered(buffered, None, &mut past, &mut request_log).await
         };
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,12 +1,15 @@
 //! A caller's request, and the reasons for which it can be refused.
 
 use crate::config::Limits;
+use crate::relay::backoff;
+use crate::response_body::{BodyMemory, PartialBody};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Uri};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use serde::{Deserialize, Serialize};
-use spindle_http::{ReadError, read_body};
+use spindle_http::ReadError;
 use spindle_policy::crash_ledger::WorkKey;
 use spindle_policy::upstream_selection::Prompt;
 use spindle_types::{MonotonicInstant, Service, Team};
@@ -60,10 +63,13 @@
         &self,
         body: Incoming,
         limits: &Limits,
+        memory: &BodyMemory,
     ) -> Result<Bytes, Refusal> {
         let timeout = self.timeout.unwrap_or(limits.idle_timeout).min(limits.idle_timeout);
-        read_body(body, limits.body_bytes_max, timeout).await.map_err(|error| match error {
+        let read = read_request_body(body, limits.body_bytes_max, timeout, memory).await;
+        read.map_err(|error| match error {
             ReadError::Size { .. } => Refusal::TooLarge,
+            ReadError::Memory { .. } => Refusal::Overloaded { retry_after: backoff() },
             ReadError::Timeout(_) => Refusal::SlowBody,
             _ => Refusal::Invalid,
         })
@@ -83,6 +89,34 @@
     }
 }
 
+/// Reads the body of a request, which counts against `memory` until its last copy is dropped.
+///
+/// # Errors
+///
+/// The body is larger than `body_max` bytes, takes longer than `timeout` or breaks off, or all bodies
+/// together are too large. What its head states is too large at once.
+pub(crate) async fn read_request_body(
+    mut body: Incoming,
+    body_max: usize,
+    timeout: Duration,
+    memory: &BodyMemory,
+) -> Result<Bytes, ReadError> {
+    let reading = async {
+        let length = body.size_hint().exact();
+        let read = match PartialBody::of_request(memory, body_max, length) {
+            Ok(mut partial) => partial.read_rest(&mut body).await,
+            Err(error) => Err(error),
+        };
+        if matches!(read, Err(ReadError::Memory { .. })) {
+            // A connection that is closed with unread data is reset, and the caller would not get the
+            // refusal.
+            while let Some(Ok(_)) = body.frame().await {}
+        }
+        read
+    };
+    tokio::time::timeout(timeout, reading).await.map_err(|_| ReadError::Timeout(timeout))?
+}
+
 /// A request whose body has been read completely, so that it can be sent more than once.
 #[derive(Clone, Debug)]
 pub struct BufferedRequest {
--- a/crates/relay/src/response_body.rs
+++ b/crates/relay/src/response_body.rs
@@ -1,4 +1,4 @@
-//! Reading of whole response bodies, with a limit on the memory that all of them use together.
+//! Reading of whole bodies, with a limit on the memory that all of them use together.
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -11,8 +11,8 @@
 /// largest request body of the users' example configuration.
 const BODY_MAX_BYTES: usize = 4_194_304;
 
-/// Memory that all bodies being read or sent may use together, in bytes, beyond [`BODY_FREE_BYTES`]
-/// each.
+/// Memory that all response bodies being read or sent may use together, in bytes, beyond
+/// [`BODY_FREE_BYTES`] each.
 const BODIES_MAX_BYTES: usize = 33_554_432;
 
 /// Part of each body that doesn't count, in bytes: large bodies don't keep small ones from being
@@ -20,8 +20,25 @@
 const BODY_FREE_BYTES: usize = 16_384;
 
 /// Memory of the bodies that are being read or sent. Clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct BodyMemory(Arc<AtomicUsize>);
+#[derive(Clone, Debug)]
+pub struct BodyMemory {
+    used: Arc<AtomicUsize>,
+    max: usize,
+}
+
+impl BodyMemory {
+    /// Creates the memory of bodies that may use `max` bytes together, beyond a small part of each.
+    pub fn new(max: usize) -> Self {
+        Self { used: Arc::default(), max }
+    }
+}
+
+impl Default for BodyMemory {
+    /// The memory of response bodies.
+    fn default() -> Self {
+        Self::new(BODIES_MAX_BYTES)
+    }
+}
 
 /// The part of the memory that a body uses; given back when it is dropped.
 #[derive(Debug)]
@@ -32,7 +49,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.memory.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
@@ -40,6 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct PartialBody {
     content: BytesMut,
+    body_max: usize,
     reservation: Reservation,
 }
 
@@ -58,7 +76,24 @@
 impl PartialBody {
     pub(crate) fn new(memory: &BodyMemory) -> Self {
         let reservation = Reservation { memory: memory.clone(), bytes: 0 };
-        Self { content: BytesMut::new(), reservation }
+        Self { content: BytesMut::new(), body_max: BODY_MAX_BYTES, reservation }
+    }
+
+    /// A body of a request, of up to `body_max` bytes, that states its length if `length` is given.
+    ///
+    /// # Errors
+    ///
+    /// That length is more than one body or all together may have.
+    pub(crate) fn of_request(
+        memory: &BodyMemory,
+        body_max: usize,
+        length: Option<u64>,
+    ) -> Result<Self, ReadError> {
+        let mut partial = Self { body_max, ..Self::new(memory) };
+        let length = length.map_or(0, |length| usize::try_from(length).unwrap_or(usize::MAX));
+        partial.reserve(length)?;
+        partial.content.reserve(length);
+        Ok(partial)
     }
 
     /// Reads the rest of the body. If this future is dropped, another call goes on where it stopped.
@@ -89,17 +124,24 @@
     }
 
     fn add(&mut self, data: &[u8]) -> Result<(), ReadError> {
-        let length = self.content.len() + data.len();
-        if length > BODY_MAX_BYTES {
-            return Err(ReadError::Size { max: BODY_MAX_BYTES });
+        self.reserve(self.content.len() + data.len())?;
+        self.content.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Counts a body of at least `length` bytes against the memory.
+    fn reserve(&mut self, length: usize) -> Result<(), ReadError> {
+        if length > self.body_max {
+            return Err(ReadError::Size { max: self.body_max });
         }
-        let added = length.saturating_sub(BODY_FREE_BYTES) - self.reservation.bytes;
+        let counted = length.saturating_sub(BODY_FREE_BYTES);
+        let added = counted.saturating_sub(self.reservation.bytes);
         self.reservation.bytes += added;
-        let all = self.reservation.memory.0.fetch_add(added, Ordering::Relaxed) + added;
-        if added > 0 && all > BODIES_MAX_BYTES {
-            return Err(ReadError::Size { max: BODIES_MAX_BYTES });
+        let memory = &self.reservation.memory;
+        let all = memory.used.fetch_add(added, Ordering::Relaxed) + added;
+        if added > 0 && all > memory.max {
+            return Err(ReadError::Memory { max: memory.max });
         }
-        self.content.extend_from_slice(data);
         Ok(())
     }
 }
--- a/crates/relay/src/response_end.rs
+++ b/crates/relay/src/response_end.rs
@@ -57,7 +57,7 @@
     /// How a response ended whose body could not be read.
     pub(crate) const fn of_read(error: &ReadError) -> Self {
         match error {
-            ReadError::Size { .. } => Self::Oversized,
+            ReadError::Size { .. } | ReadError::Memory { .. } => Self::Oversized,
             ReadError::Timeout(_) => Self::Expired,
             ReadError::Broken(_) | ReadError::Form(_) => Self::Broken,
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -70,6 +70,10 @@
 /// descriptor for the connection to its upstream.
 const CALLER_DESCRIPTOR_FRACTION: f64 = 0.4;
 
+/// Fraction of the memory that request bodies may use together. They are held until their responses
+/// end, in case they are sent again.
+const REQUEST_MEMORY_FRACTION: f64 = 0.25;
+
 /// Fraction of the file descriptors up to which requests of other daemons are in flight here.
 const HANDOFF_DESCRIPTOR_FRACTION: f64 = 0.08;
 
@@ -253,6 +257,7 @@
         daemon_count,
         refuse_streams: Arc::clone(&shutdown.refuse_streams),
         give_up: shutdown.give_up.signal(),
+        request_memory: BodyMemory::new(request_memory(settings)),
         body_memory: BodyMemory::default(),
         keeper,
         crashes,
@@ -262,6 +267,11 @@
     Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
 
+/// Memory that all request bodies may use together, in bytes.
+fn request_memory(settings: &NodeSettings) -> usize {
+    (settings.memory_bytes as f64 * REQUEST_MEMORY_FRACTION) as usize
+}
+
 fn build_versions(settings: &NodeSettings) -> ConfigVersions {
     ConfigVersions::new(settings.bounds.configuration / CONFIG_PATIENCE_DIVISOR)
 }
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -31,6 +31,9 @@
 /// The most retries that requests may take from the budget in these tests.
 pub(crate) const RETRIES_MAX: f64 = 40.0;
 
+/// The memory that all request bodies may use together in these tests.
+pub(crate) const REQUEST_MEMORY_BYTES: usize = 1_000_000;
+
 /// How long the relay decides by its configuration after it has heard of a newer one.
 pub(crate) const CONFIG_PATIENCE: Duration = Duration::from_millis(50);
 
@@ -124,6 +127,7 @@
             daemon_count: Arc::new(AtomicU32::new(1)),
             refuse_streams: Arc::default(),
             give_up: stop.signal(),
+            request_memory: BodyMemory::new(REQUEST_MEMORY_BYTES),
             body_memory: BodyMemory::default(),
             keeper: StreamKeeper::new().0,
             crashes: CrashKeeper::new("d-1".try_into().unwrap()),
