test(platform): callers that pause and leave begin together

Its log tells why: the 8 callers began one after the other, each after the first bytes of the one before (first_ms=855 and 719), so that with the 4 s of the pause the first one's deadline of 10 s had passed (whole_ms=10104, ended=expired). What is asserted is unchanged.

--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -3,6 +3,7 @@
 use crate::daemon::{Daemon, POLL_INTERVAL, POLLS_MAX, start_deployment};
 use crate::raw::{Ending, RawUpstream, Script};
 use crate::standin::{self, FIRST_VERSION, Platform};
+use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -162,13 +163,12 @@
 #[tokio::test]
 async fn callers_that_pause_and_leave_blame_no_upstream() {
     let (_platform, _upstream, daemons) = start_streaming(UNBUFFERED_BYTES).await;
-    let mut callers = Vec::new();
-    for caller in 0..8 {
-        let id = format!("left-{caller}");
-        callers.push(begin(daemons[0].caller, &id, "/draft/x", DEADLINE_MS).await);
-    }
+    let ids: Vec<String> = (0..8).map(|caller| format!("left-{caller}")).collect();
+    // Begun together, so that no deadline passes before all leave.
+    let begun = ids.iter().map(|id| begin(daemons[0].caller, id, "/draft/x", DEADLINE_MS));
+    let callers = join_all(begun).await;
     tokio::time::sleep(Duration::from_secs(4)).await;
-    callers.clear();
+    drop(callers);
     for caller in 0..8 {
         let line = end_of(&daemons[0], &format!("left-{caller}")).await;
         assert!(line.contains("ended=caller_left"), "{line}");
