test(platform): changes of a large configuration among many daemons with little processor time (CONFIG)

This rig starts real daemons, each limited to 0.12 of a processor (paused for the rest of each 100 ms), behind links of 10 Mbit/s to the store, with 1,400 routes and changes 0.33 s apart.

The rig lacks links with a rate between the daemons, as a daemon listens on the address that it announces.

--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -57,9 +57,26 @@
         ports: [SocketAddr; 4],
         seed: SocketAddr,
     ) -> Self {
+        Self::start_with(name, ports, &platform.settings(name, &ports, &[seed]))
+    }
+
+    /// Starts a daemon that reaches the store at an address of its own.
+    pub(crate) fn start_at_store(
+        platform: &Platform,
+        name: &str,
+        ports: [SocketAddr; 4],
+        (seeds, store): (&[SocketAddr], SocketAddr),
+    ) -> Self {
+        let settings = platform.settings(name, &ports, seeds);
+        let mut settings: serde_json::Value = serde_json::from_str(&settings).unwrap();
+        settings["platform"]["address"] = store.to_string().into();
+        Self::start_with(name, ports, &settings.to_string())
+    }
+
+    fn start_with(name: &str, ports: [SocketAddr; 4], settings: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("boot.yaml");
-        std::fs::write(&path, platform.settings(name, &ports, &[seed])).unwrap();
+        std::fs::write(&path, settings).unwrap();
         let output = folder.path().join("output");
         let child = Command::new(env!("CARGO_BIN_EXE_bronzespindle"))
             .arg("node")
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod endless;
 mod limits;
+mod many_daemons;
 mod notices;
 mod odd_entries;
 mod partitions;
