--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -8,11 +8,13 @@
 use serde_with::serde_as;
 use spindle_policy::crash_ledger::CrashNews;
 use spindle_policy::presence::Message;
+use spindle_policy::shared_limits::{QuotaGrant, QuotaQuestion};
 use spindle_policy::store_era::FeedMark;
 use spindle_policy::stream_versions::{
     StreamAnswer, StreamQuestion, StreamRecords, VersionHistory,
 };
 use spindle_policy::upstream_registry::Registration;
+use spindle_types::Team;
 use std::net::SocketAddr;
 
 /// An encoded configuration, as read from the store.
@@ -104,6 +106,14 @@
     #[method(name = "config_notice")]
     async fn config_notice(&self, notice: ConfigNotice) -> RpcResult<()>;
 
+    /// Grants units of the quota of a team that the daemon keeps; none if it knows no such quota.
+    #[method(name = "quota_grant")]
+    async fn quota_grant(
+        &self,
+        team: Team,
+        question: QuotaQuestion,
+    ) -> RpcResult<Option<QuotaGrant>>;
+
     /// Returns the registrations of the upstreams that may get requests.
     #[method(name = "registrations")]
     async fn registrations(&self) -> RpcResult<Vec<Registration>>;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -55,7 +55,7 @@
 
 /// The silence after which a status is dropped. Longer than usage takes to be reported, so that the
 /// counts of a dead daemon are not lost.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
+pub const FORGET_AFTER: Duration = Duration::from_secs(30);
 
 /// The maximum number of teams whose charges are kept per daemon, to bound memory. The largest
 /// known deployment has 16 teams.
@@ -470,13 +470,18 @@
     /// The daemons that may still be running, silent ones included. Of each instance only the
     /// newest incarnation counts; leaving daemons don't.
     pub fn possibly_running(&self, now: MonotonicInstant) -> impl Iterator<Item = &KnownDaemon> {
+        self.not_forgotten(now).filter(move |daemon| now.since(daemon.at) <= DEAD_AFTER)
+    }
+
+    /// The same, including those that have been silent for so long that they are probably dead.
+    pub fn not_forgotten(&self, now: MonotonicInstant) -> impl Iterator<Item = &KnownDaemon> {
         let mut newest: BTreeMap<&Instance, MonotonicInstant> = BTreeMap::new();
         for daemon in self.known.values() {
             let at = newest.entry(&daemon.identity.instance).or_insert(daemon.at);
             *at = daemon.at.max(*at);
         }
         self.known.values().filter(move |daemon| {
-            now.since(daemon.at) <= DEAD_AFTER
+            now.since(daemon.at) < FORGET_AFTER
                 && daemon.status.phase != Phase::Leaving
                 && newest.get(&daemon.identity.instance).is_none_or(|at| *at <= daemon.at)
         })
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -39,7 +39,7 @@
 impl<P: UpstreamProtocol, K: Clock> Relay<P, K> {
     /// Checks a request against one configuration and charges the quota of its team. One that was
     /// handed over has been charged.
-    pub(crate) fn admit(
+    pub(crate) async fn admit(
         &self,
         inbound: &Inbound,
         config: Arc<ActiveConfig>,
@@ -66,16 +66,15 @@
         }
         let service = choose_service(&route, inbound);
         request_log.service = service.to_string();
-        let now = self.0.clock.now();
         let cost = match spec.filter(|_| handoff.is_none()) {
-            Some(spec) => self.0.usage.admit(now, spec, inbound.tokens),
+            Some(spec) => self.0.usage.admit(&self.0.clock, spec, inbound.tokens).await,
             None => Ok(0.0),
         };
         let cost =
             cost.map_err(|wait| Refusal::OverQuota { retry_after: wait.max(RETRY_AFTER_MIN) })?;
         if handoff.is_none() {
             let prompt = inbound.tokens.map_or(0, |(prompt, _)| prompt);
-            self.0.usage.on_request(now, &service, prompt);
+            self.0.usage.on_request(self.0.clock.now(), &service, prompt);
         }
         let timeout = inbound.timeout.unwrap_or(route.timeout).min(route.timeout);
         let has_engine =
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -276,7 +276,7 @@
         // Read after the body: a slow upload must not be admitted under a configuration that has
         // been replaced meanwhile.
         let config = self.0.config.borrow().clone();
-        let mut admitted = self.admit(inbound, config, handoff, request_log)?;
+        let mut admitted = self.admit(inbound, config, handoff, request_log).await?;
         let work_keys = buffered.work_keys(&admitted.service, admitted.team.as_ref());
         admitted.work_keys = work_keys.into();
         let known = handoff.map(|handoff| &handoff.versions).filter(|known| !known.is_any());
@@ -294,7 +294,7 @@
         if !past.may_have_run
             && let (Err(_), Some(team)) = (&result, &admitted.team)
         {
-            self.0.usage.refund(team, admitted.cost);
+            self.0.usage.refund(self.0.clock.now(), team, admitted.cost);
         }
         match result? {
             ForwardResult::Complete(response) => Ok(ServeResult::Complete(response)),
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -4,15 +4,16 @@
 use crate::config::{ActiveConfig, TeamSpec};
 use spindle_policy::cluster_clock::ClusterClock;
 use spindle_policy::shared_limits::{
-    DaemonVisibility, QuotaTolerance, RetryBudgetShare, RetryBudgetSpec, SharedQuota,
-    SharedQuotaDecision,
+    DaemonVisibility, KEEPERS, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaTolerance,
+    RetryBudgetShare, RetryBudgetSpec, SharedQuota, SharedQuotaDecision,
 };
 use spindle_policy::usage_windows::UsageWindows;
-use spindle_policy::versioned_map::VersionedMap;
-use spindle_types::{Incarnation, MonotonicInstant, Service, Team, UtcInstant};
+use spindle_types::{Clock, MonotonicInstant, Service, Team, UtcInstant};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
 
 /// Limits on retries and quota overuse, and the length of a usage window. The users set them.
 #[derive(Clone, Copy, Debug)]
@@ -25,11 +26,24 @@
     pub window: Duration,
 }
 
+/// A question to a daemon that keeps the quota of a team.
+#[derive(Debug)]
+pub struct QuotaCall {
+    /// Address of the daemon.
+    pub keeper: SocketAddr,
+    /// Team whose quota it keeps.
+    pub team: Team,
+    /// What it is asked for.
+    pub question: QuotaQuestion,
+    /// Takes the answer; dropped if there is none.
+    pub answer: oneshot::Sender<QuotaGrant>,
+}
+
 #[derive(Debug)]
 struct State {
     /// Number of daemons from which this one hears, and of those that may be running.
     visibility: DaemonVisibility,
-    quotas: HashMap<Team, SharedQuota>,
+    quotas: HashMap<Team, TeamQuota>,
     retries: HashMap<Service, RetryBudgetShare>,
     /// Prompt tokens received since the start.
     prompt_tokens: BTreeMap<Service, u64>,
@@ -40,17 +54,30 @@
     cluster_clock: ClusterClock,
 }
 
+/// The quota of a team and the daemons that keep it.
+#[derive(Debug)]
+struct TeamQuota {
+    quota: SharedQuota<SocketAddr>,
+    keepers: QuotaKeepers<SocketAddr>,
+}
+
 /// Quotas, retry budgets and usage counts of one daemon. Clones share all state.
 #[derive(Clone, Debug)]
 pub struct UsageTracker {
     rules: UsageRules,
+    calls: mpsc::Sender<QuotaCall>,
     state: Arc<Mutex<State>>,
 }
 
 impl UsageTracker {
     /// Creates a tracker without any usage. `cluster_clock` starts from this daemon's own clock and
-    /// is corrected by [`UsageTracker::on_clocks`] once other daemons are heard.
-    pub fn new(rules: UsageRules, cluster_clock: ClusterClock) -> Self {
+    /// is corrected by [`UsageTracker::on_clocks`] once other daemons are heard. `calls` takes the
+    /// questions to the daemons that keep quotas.
+    pub fn new(
+        rules: UsageRules,
+        cluster_clock: ClusterClock,
+        calls: mpsc::Sender<QuotaCall>,
+    ) -> Self {
         let state = State {
             visibility: DaemonVisibility { visible: 1, known: 1 },
             quotas: HashMap::new(),
@@ -60,7 +87,7 @@
             windows: UsageWindows::default(),
             cluster_clock,
         };
-        Self { rules, state: Arc::new(Mutex::new(state)) }
+        Self { rules, calls, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Applies the quotas of a configuration. Teams that keep a quota keep what they have used of
@@ -72,11 +99,12 @@
         state.quotas.retain(|team, _| specs.iter().any(|spec| spec.team == *team));
         for spec in specs {
             match (spec.quota, state.quotas.get_mut(&spec.team)) {
-                (Some(quota), Some(known)) => known.set_spec(quota),
+                (Some(quota), Some(known)) => known.quota.set_spec(quota),
                 (None, _) => drop(state.quotas.remove(&spec.team)),
                 (Some(quota), None) => {
                     let quota = SharedQuota::new(now, quota, tolerance);
-                    state.quotas.insert(spec.team.clone(), quota);
+                    let keepers = QuotaKeepers::alone(1.0);
+                    state.quotas.insert(spec.team.clone(), TeamQuota { quota, keepers });
                 }
             }
         }
@@ -88,54 +116,111 @@
         self.state().visibility = visibility;
     }
 
-    /// Records the totals that another daemon has charged to each team since it started, `age` ago.
-    pub fn on_peer_charges(
+    /// Sets which daemons keep the quota of each team.
+    pub fn on_keepers(
         &self,
-        other: Incarnation,
-        charged: &VersionedMap<Team, f64>,
-        age: Duration,
+        now: MonotonicInstant,
+        keepers: impl Fn(&Team) -> QuotaKeepers<SocketAddr>,
     ) {
-        let mut state = self.state();
-        for (team, total) in charged.iter() {
-            if let Some(quota) = state.quotas.get_mut(team) {
-                quota.on_peer_usage(other, *total, age);
-            }
+        for (team, known) in &mut self.state().quotas {
+            known.keepers = keepers(team);
+            known.quota.set_part(now, known.keepers.part);
         }
     }
 
-    /// Charges a request to the quota of its team and returns its cost in units of the quota.
-    /// `tokens` are the number of prompt tokens and the maximum number of tokens to generate. The
-    /// error is the time after which the quota allows the request.
-    pub fn admit(
+    /// Answers another daemon out of the part of a quota that this one keeps.
+    pub fn grant(
         &self,
         now: MonotonicInstant,
+        team: &Team,
+        question: QuotaQuestion,
+    ) -> Option<QuotaGrant> {
+        let mut state = self.state();
+        let TeamQuota { quota, keepers } = state.quotas.get_mut(team)?;
+        Some(quota.grant(now, question, keepers.part))
+    }
+
+    /// Charges a request to the quota of its team and returns its cost in units of the quota. Asks the
+    /// daemons that keep the quota if this one has not been granted enough. `tokens` are the number of
+    /// prompt tokens and the maximum number of tokens to generate.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the quota may allow the request.
+    pub async fn admit(
+        &self,
+        clock: &impl Clock,
         spec: &TeamSpec,
         tokens: Option<(u32, u32)>,
     ) -> Result<f64, Duration> {
-        let Some(quota) = spec.quota else {
+        if spec.quota.is_none() {
             return Ok(0.0);
-        };
+        }
         let cost = match tokens {
             _ if !spec.counts_tokens => 1.0,
             Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
             None => spec.default_tokens,
         };
-        let mut state = self.state();
-        let (visibility, tolerance) = (state.visibility, self.rules.tolerance);
-        let known = state.quotas.entry(spec.team.clone());
-        match known
-            .or_insert_with(|| SharedQuota::new(now, quota, tolerance))
-            .admit(now, cost, visibility)
-        {
+        let mut asked = None;
+        for _ in 0..=KEEPERS {
+            match self.decide(clock.now(), spec, cost, asked.take()) {
+                SharedQuotaDecision::Admitted => return Ok(cost),
+                SharedQuotaDecision::RetryAfter(after) => return Err(after),
+                SharedQuotaDecision::Ask(keeper, question) => {
+                    let grant = self.ask(keeper, &spec.team, question).await;
+                    asked = Some((keeper, question, grant));
+                }
+            }
+        }
+        match self.decide(clock.now(), spec, cost, asked) {
             SharedQuotaDecision::Admitted => Ok(cost),
             SharedQuotaDecision::RetryAfter(after) => Err(after),
+            SharedQuotaDecision::Ask(..) => Err(Duration::ZERO),
         }
     }
 
+    /// Decides on a request, with the answer of the keeper that was asked last.
+    fn decide(
+        &self,
+        now: MonotonicInstant,
+        spec: &TeamSpec,
+        cost: f64,
+        asked: Option<(SocketAddr, QuotaQuestion, Option<QuotaGrant>)>,
+    ) -> SharedQuotaDecision<SocketAddr> {
+        let mut state = self.state();
+        let daemons = state.visibility.known;
+        let Some(TeamQuota { quota, keepers }) = state.quotas.get_mut(&spec.team) else {
+            // A newer configuration than that of the request has no such team, or no quota for it.
+            return SharedQuotaDecision::Admitted;
+        };
+        match asked {
+            None => quota.admit(now, cost, keepers, daemons),
+            Some(asked) => quota.on_grant(now, cost, asked, keepers, daemons),
+        }
+    }
+
+    async fn ask(
+        &self,
+        keeper: SocketAddr,
+        team: &Team,
+        question: QuotaQuestion,
+    ) -> Option<QuotaGrant> {
+        let (answer, answered) = oneshot::channel();
+        let call = QuotaCall { keeper, team: team.clone(), question, answer };
+        let grant = match self.calls.send(call).await {
+            Ok(()) => answered.await.ok(),
+            Err(_) => None,
+        };
+        if grant.is_none() {
+            log::info!("event=quota_keeper_silent team={team} keeper={keeper}");
+        }
+        grant
+    }
+
     /// Gives back the cost of a request that was charged but not executed.
-    pub fn refund(&self, team: &Team, cost: f64) {
-        if let Some(quota) = self.state().quotas.get_mut(team) {
-            quota.refund(cost);
+    pub fn refund(&self, now: MonotonicInstant, team: &Team, cost: f64) {
+        if let Some(known) = self.state().quotas.get_mut(team) {
+            known.quota.refund(now, cost);
         }
     }
 
@@ -200,7 +285,7 @@
     /// Totals that this daemon has charged to each team since it started, in units of the quota.
     pub fn own_charges(&self) -> BTreeMap<Team, f64> {
         let state = self.state();
-        state.quotas.iter().map(|(team, quota)| (team.clone(), quota.own_usage())).collect()
+        state.quotas.iter().map(|(team, known)| (team.clone(), known.quota.own_usage())).collect()
     }
 
     /// Prompt tokens received for each service since the daemon started.
@@ -208,11 +293,6 @@
         self.state().prompt_tokens.clone()
     }
 
-    /// Forgets the charges of other daemons for which `keep` returns `false`.
-    pub fn retain_daemons(&self, keep: impl Fn(Incarnation) -> bool) {
-        self.state().quotas.values_mut().for_each(|quota| quota.retain(&keep));
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         // A poisoned lock is still consistent: no code that holds it panics in the middle of a
         // change.
--- a/src/node.rs
+++ b/src/node.rs
@@ -50,7 +50,7 @@
 use spindle_relay::relay::RelayParts;
 use spindle_relay::response_body::BodyMemory;
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
-use spindle_relay::usage::UsageRules;
+use spindle_relay::usage::{QuotaCall, UsageRules};
 use spindle_relay::{
     ActiveConfig, Balancer, ConfigVersions, Limits, Relay, UsageTracker, caller_server,
 };
@@ -99,6 +99,9 @@
 /// their response. The rest is left for sending it.
 const GIVE_UP_FRACTION: f64 = 0.9;
 
+/// Questions to the daemons that keep quotas that may wait to be sent.
+const QUOTA_CALLS_MAX: usize = 256;
+
 /// Fraction of the shutdown grace period after which the process exits even if requests are still
 /// in flight.
 const SHUTDOWN_END_FRACTION: f64 = 0.95;
@@ -156,7 +159,8 @@
     };
     let (keeper, questions) = StreamKeeper::new();
     let crashes = CrashKeeper::new(settings.instance.clone());
-    let keepers = (keeper.clone(), crashes.clone());
+    let (calls, quota_calls) = mpsc::channel(QUOTA_CALLS_MAX);
+    let keepers = (keeper.clone(), crashes.clone(), calls);
     let components = build_components(&settings, incarnation, &shutdown, keepers);
     let peer_server = bind_server(settings.peer_address, None).await;
     let peer_server =
@@ -173,11 +177,7 @@
     start_discovery(&settings, discovery, &shutdown).await?;
     start_metrics(&settings, &shutdown).await;
     let caller_task = start_callers(&settings, &components, &shutdown).await?;
-    tokio::spawn(components.follower.clone().run());
-    start_config_exchange(&components);
-    tokio::spawn(components.registrations.clone().run());
-    tokio::spawn(components.statuses.clone().discover_peers());
-    tokio::spawn(components.statuses.clone().run());
+    start_exchanges(&components, quota_calls);
     tokio::spawn(contact_test::run(components.balancer.clone(), components.clock));
     start_stream_versions(&settings, &components, keeper, questions);
     let (statuses, store) = (components.statuses.clone(), components.store.clone());
@@ -202,13 +202,13 @@
     settings: &NodeSettings,
     incarnation: Incarnation,
     shutdown: &Shutdown,
-    (keeper, crashes): (StreamKeeper, CrashKeeper),
+    (keeper, crashes, calls): (StreamKeeper, CrashKeeper, mpsc::Sender<QuotaCall>),
 ) -> Components {
     let clock = BootClock;
     let store = PlatformStore::new(settings.store_address);
     let balancer = build_balancer(settings);
     let cluster_clock = ClusterClock::new(clock.now(), clock.utc());
-    let usage = UsageTracker::new(usage_rules(settings), cluster_clock);
+    let usage = UsageTracker::new(usage_rules(settings), cluster_clock, calls);
     let (config_sender, config) = watch::channel(Arc::new(ActiveConfig::default()));
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
@@ -283,6 +283,16 @@
     balancer
 }
 
+/// Starts to follow the store and to exchange with the other daemons what all have to know.
+fn start_exchanges(components: &Components, quota_calls: mpsc::Receiver<QuotaCall>) {
+    tokio::spawn(components.follower.clone().run());
+    start_config_exchange(components);
+    tokio::spawn(components.statuses.clone().call_quota_keepers(quota_calls));
+    tokio::spawn(components.registrations.clone().run());
+    tokio::spawn(components.statuses.clone().discover_peers());
+    tokio::spawn(components.statuses.clone().run());
+}
+
 fn start_config_exchange(components: &Components) {
     let (follower, statuses) = (components.follower.clone(), components.statuses.clone());
     let exchange = ConfigExchange::new(follower, components.clock, statuses, rand::random());
--- a/src/node/config_exchange/tests.rs
+++ b/src/node/config_exchange/tests.rs
@@ -241,6 +241,7 @@
     UsageTracker::new(
         UsageRules { retries, tolerance, window: second },
         ClusterClock::new(MonotonicInstant::default(), UtcInstant(0)),
+        tokio::sync::mpsc::channel(1).0,
     )
 }
 
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -29,6 +29,7 @@
             window: Duration::from_secs(5),
         },
         ClusterClock::new(MonotonicInstant::default(), UtcInstant(0)),
+        tokio::sync::mpsc::channel(1).0,
     );
     let (sender, config) = watch::channel(Arc::new(ActiveConfig::default()));
     let senders = (sender, watch::Sender::new(Limits::default()));
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
 mod config_peers;
+mod quota_keepers;
 mod suitable;
 mod versions;
 
@@ -348,6 +349,7 @@
         );
         let known = 1 + count(state.presence.possibly_running(now));
         parts.usage.on_daemon_counts(DaemonVisibility { visible, known: known.max(visible) });
+        self.update_quota_keepers(now, state);
         let before = parts.daemon_count.swap(visible, Ordering::Relaxed);
         if before != visible {
             log::info!("event=daemons_changed heard={visible} before={before} known={known}");
@@ -387,7 +389,6 @@
                 min_age.map(|age| age.as_millis()),
             );
         }
-        parts.usage.retain_daemons(|other| state.presence.knows(other));
     }
 
     /// Starts the exchanges of a round, spread over it: what one peer has answered needn't be
@@ -492,8 +493,6 @@
             for (upstream, report) in limit_reports {
                 self.parts.balancer.on_limit_report(now, &upstream, report);
             }
-            let age = status.age();
-            self.parts.usage.on_peer_charges(status.incarnation, &status.charged, age);
         }
     }
 
--- /dev/null
+++ b/src/node/status_exchange/quota_keepers.rs
@@ -0,0 +1,94 @@
+//! Which daemons keep the quotas of the teams, and the calls to them.
+
+use super::PeerStatuses;
+use spindle_daemon::StatusExchangeClient;
+use spindle_policy::presence::{FORGET_AFTER, KnownDaemon, Phase};
+use spindle_policy::shared_limits::{DaemonVisibility, QuotaGrant, QuotaKeepers, QuotaQuestion};
+use spindle_relay::usage::QuotaCall;
+use spindle_types::{MonotonicInstant, Team};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// How long a daemon is awaited that keeps a quota. Several round trips between data centres.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How long a daemon has to run until all others know it, unless all have started lately.
+const NEWCOMER_TIME: Duration = Duration::from_secs(3);
+
+impl PeerStatuses {
+    /// Answers another daemon that asks for units of a quota.
+    pub(in crate::node) fn grant_quota(
+        &self,
+        now: MonotonicInstant,
+        team: &Team,
+        question: QuotaQuestion,
+    ) -> Option<QuotaGrant> {
+        self.parts.usage.grant(now, team, question)
+    }
+
+    /// Makes the calls of the relay to the daemons that keep quotas, until the process exits.
+    pub async fn call_quota_keepers(self, mut calls: mpsc::Receiver<QuotaCall>) {
+        while let Some(call) = calls.recv().await {
+            tokio::spawn(self.clone().call_quota_keeper(call));
+        }
+    }
+
+    async fn call_quota_keeper(self, call: QuotaCall) {
+        let QuotaCall { keeper, team, question, answer } = call;
+        let granted = async { self.connection(keeper)?.quota_grant(team, question).await };
+        match tokio::time::timeout(GRANT_TIMEOUT, granted).await {
+            // The request may have ended meanwhile.
+            Ok(Ok(Some(grant))) => drop(answer.send(grant)),
+            Ok(Ok(None)) => log::debug!("event=quota_call_failed keeper={keeper} cause=no_quota"),
+            Ok(Err(error)) => {
+                log::debug!("event=quota_call_failed keeper={keeper} error={error:?}");
+            }
+            Err(_) => log::debug!("event=quota_call_failed keeper={keeper} cause=timeout"),
+        }
+    }
+
+    /// Selects the daemons that keep each quota, among those that all others know.
+    pub(super) fn update_quota_keepers(&self, now: MonotonicInstant, state: &super::State) {
+        let uptime = |daemon: &KnownDaemon| {
+            Duration::from_millis(daemon.status.uptime) + now.since(daemon.at)
+        };
+        let own = &self.parts.settings.instance;
+        let own_uptime = now.since(state.started_at);
+        let live: Vec<(&KnownDaemon, Duration)> = state
+            .presence
+            .live(now)
+            .filter(|daemon| {
+                daemon.status.phase != Phase::Leaving && daemon.identity.instance != *own
+            })
+            .map(|daemon| (daemon, uptime(daemon)))
+            .collect();
+        let oldest = live.iter().map(|(_, uptime)| *uptime).max().unwrap_or_default();
+        let oldest = oldest.max(own_uptime);
+        let is_known =
+            |uptime: Duration| uptime >= NEWCOMER_TIME || oldest - uptime < NEWCOMER_TIME;
+        let keeps = is_known(own_uptime) && !self.parts.draining.started();
+        let mut known: BTreeSet<SocketAddr> = state
+            .presence
+            .not_forgotten(now)
+            .filter(|daemon| daemon.identity.instance != *own)
+            .map(|daemon| daemon.identity.peer)
+            .collect();
+        // Until all have had time to be heard, those that the store lists may be running too.
+        if own_uptime < FORGET_AFTER {
+            known.extend(&state.stored_peers);
+        }
+        known.remove(&self.parts.settings.peer_address);
+        let visibility = DaemonVisibility {
+            visible: 1 + super::count(live.iter()),
+            known: 1 + super::count(known.iter()),
+        };
+        self.parts.usage.on_keepers(now, |team| {
+            let others = live.iter().filter(|(_, uptime)| is_known(*uptime));
+            let others =
+                others.map(|(daemon, _)| (&daemon.identity.instance, daemon.identity.peer));
+            QuotaKeepers::select(team, keeps.then_some(own), others, visibility)
+        });
+    }
+}
--- a/src/node/status_service.rs
+++ b/src/node/status_service.rs
@@ -8,6 +8,7 @@
 };
 use spindle_policy::crash_ledger::CrashNews;
 use spindle_policy::presence::Message;
+use spindle_policy::shared_limits::{QuotaGrant, QuotaQuestion};
 use spindle_policy::stream_versions::{
     StreamAnswer, StreamQuestion, StreamRecords, VersionHistory,
 };
@@ -15,7 +16,7 @@
 use spindle_relay::Balancer;
 use spindle_relay::crash_keeper::CrashKeeper;
 use spindle_relay::stream_keeper::StreamKeeper;
-use spindle_types::Clock;
+use spindle_types::{Clock, Team};
 
 /// Answers the calls of other daemons.
 #[derive(Debug)]
@@ -61,6 +62,14 @@
         Ok(())
     }
 
+    async fn quota_grant(
+        &self,
+        team: Team,
+        question: QuotaQuestion,
+    ) -> RpcResult<Option<QuotaGrant>> {
+        Ok(self.statuses.grant_quota(BootClock.now(), &team, question))
+    }
+
     async fn registrations(&self) -> RpcResult<Vec<Registration>> {
         Ok(self.balancer.usable_registrations(BootClock.now()))
     }
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -112,7 +112,9 @@
         let config = ActiveConfig::new(1, Limits::default(), services, routes, Vec::new());
         let (config_sender, config) = watch::channel(Arc::new(config));
         let (limits_sender, limits) = watch::channel(Limits::default());
-        let usage = UsageTracker::new(usage_rules(), ClusterClock::new(clock.now(), clock.utc()));
+        let cluster_clock = ClusterClock::new(clock.now(), clock.utc());
+        let calls = tokio::sync::mpsc::channel(1).0;
+        let usage = UsageTracker::new(usage_rules(), cluster_clock, calls);
         let versions = ConfigVersions::new(CONFIG_PATIENCE);
         versions.on_in_force(clock.now(), 1, "test");
         let stop = DrainTrigger::new();
