--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -10,12 +10,55 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TooLarge;
 
+/// Checks that the ids of the events of one stream increase, and that none is left out where another
+/// upstream takes over.
+///
+/// Ids that aren't numbers have no known order; of these only an immediate repeat is noticed.
+#[derive(Debug, Default)]
+struct EventOrder {
+    last: Option<String>,
+    /// The difference of consecutive ids, while it has always been the same.
+    step: Option<u64>,
+    has_varied: bool,
+    /// Whether the next event is the first one of another upstream.
+    is_taken_over: bool,
+}
+
+impl EventOrder {
+    /// Whether an event with this id may come next. Records it if so.
+    fn accept(&mut self, id: &str) -> bool {
+        let is_taken_over = std::mem::take(&mut self.is_taken_over);
+        if let Some(last) = &self.last {
+            match (last.parse::<u64>(), id.parse::<u64>()) {
+                (Ok(last), Ok(next)) => {
+                    let Some(step) = next.checked_sub(last).filter(|step| *step > 0) else {
+                        return false;
+                    };
+                    let is_gap = self.step.is_some_and(|known| step > known) && !self.has_varied;
+                    if is_taken_over && is_gap {
+                        return false;
+                    }
+                    self.has_varied |= self.step.is_some_and(|known| step != known);
+                    self.step = Some(step);
+                }
+                _ if last == id => return false,
+                _ => {}
+            }
+        }
+        self.last = Some(id.to_owned());
+        true
+    }
+}
+
 /// Splitter for the events of one stream, which may come from several upstreams in turn.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     /// Data after the last event boundary.
     partial: BytesMut,
     scanner: Scanner,
+    order: EventOrder,
+    /// Whether an event was out of order. It and what follows are not returned.
+    is_disordered: bool,
     last_id: Option<String>,
     count: u64,
     delivered: u64,
@@ -54,6 +97,19 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter for a stream that goes on after the event with an id, if there is one.
+    pub fn after(last_id: Option<&str>) -> Self {
+        let last = last_id.map(str::to_owned);
+        let order = EventOrder { last, ..EventOrder::default() };
+        Self { order, ..Self::default() }
+    }
+
+    /// Whether the id of an event was not above the one before, or an event was left out where
+    /// another upstream has taken over. The data returned ends before it.
+    pub const fn is_disordered(&self) -> bool {
+        self.is_disordered
+    }
+
     /// Adds data and returns the complete events up to its last event boundary; empty if there is
     /// no boundary.
     ///
@@ -110,6 +166,8 @@
         self.partial.clear();
         self.idle_bytes = 0;
         self.scanner = Scanner::default();
+        self.is_disordered = false;
+        self.order.is_taken_over = true;
     }
 
     /// Takes the data after the last event, when a stream ends properly.
@@ -123,6 +181,9 @@
     fn scan(&mut self, data: &[u8], from: usize) -> usize {
         let mut end = 0;
         for (at, byte) in data.iter().enumerate().skip(from) {
+            if self.is_disordered {
+                break;
+            }
             let after_cr = std::mem::take(&mut self.scanner.after_cr);
             match byte {
                 b'\n' if after_cr => self.end_line(data, (at - 1, at + 1), LineEnd::CrLf, &mut end),
@@ -163,8 +224,12 @@
             self.scanner.event.add(line);
             return;
         }
-        *end = next;
         let event = std::mem::take(&mut self.scanner.event);
+        if event.id.as_deref().is_some_and(|id| !self.order.accept(id)) {
+            self.is_disordered = true;
+            return;
+        }
+        *end = next;
         if event.has_data || event.id.is_some() {
             self.delivered += 1;
             self.idle_bytes = data.len() - next;
--- a/crates/relay/src/response_end.rs
+++ b/crates/relay/src/response_end.rs
@@ -41,6 +41,10 @@
     MidEvent,
     /// Its connection ended before the first event.
     NoEvent,
+    /// It goes on with a stream that broke off, and ended without any further event.
+    Unconfirmed,
+    /// The ids of its events don't increase, or one is left out.
+    Disordered,
     /// The transfer broke off, or its framing is invalid.
     Broken,
     /// It holds an event that exceeds the size limit.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,7 +1,9 @@
 //! Forwarding of the events of a streamed response, which may come from several upstreams in turn.
 //!
 //! Complete events are forwarded as they arrive. A resumable stream that breaks off or falls silent
-//! is resumed at another upstream after its last complete event. A stream that can't be completed
+//! is resumed at another upstream after its last complete event. Events whose ids don't increase are
+//! not forwarded. A resumed stream that ends without a further event counts as complete only if a
+//! second upstream says the same. A stream that can't be completed
 //! is cut off without a proper end, so that the caller does not take it for complete. The end of
 //! the connection completes a stream only between two events.
 
@@ -17,7 +19,8 @@
 use crate::response_end::{Framing, ResponseEnd};
 use crate::upstream_response::{ResponseSource, UpstreamResponse};
 use bytes::Bytes;
-use http::Response;
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use spindle_http::{Body, BodySender, ReceiverGone};
 use spindle_policy::stream_versions::PermittedVersions;
@@ -39,6 +42,13 @@
 /// prompt again.
 const EVENT_SILENCE_MIN: Duration = Duration::from_millis(1_600);
 
+/// Content type of streams of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Number of upstreams that have to end a resumed stream without a further event until it counts as
+/// complete.
+const EMPTY_ENDS_MIN: u32 = 2;
+
 /// Starts a task that forwards a stream to the caller, and returns the response with its head.
 pub(crate) fn start<P: UpstreamProtocol, K: Clock>(
     relay: Relay<P, K>,
@@ -51,6 +61,7 @@
     let (sender, body) = Body::channel(EVENT_BUFFER_CHUNKS);
     let head = response_head(upstream_response.head.clone());
     request_log.outcome = Outcome::BrokenOff;
+    let last_event_id = buffered.inbound.last_event_id.clone();
     let forwarder = StreamForwarder {
         relay,
         request_log,
@@ -58,7 +69,10 @@
         buffered,
         past,
         sender,
-        splitter: EventSplitter::default(),
+        splitter: EventSplitter::after(last_event_id.as_deref()),
+        is_resumed: last_event_id.is_some(),
+        empty_ends: 0,
+        content_type: upstream_response.head.headers.get(CONTENT_TYPE).cloned(),
         detail: String::new(),
         progress_at: MonotonicInstant::default(),
         progress_bytes: 0,
@@ -76,6 +90,12 @@
     past: AttemptHistory,
     sender: BodySender,
     splitter: EventSplitter,
+    /// Whether the current upstream goes on with a stream that another one began.
+    is_resumed: bool,
+    /// Number of upstreams that ended the resumed stream without a further event.
+    empty_ends: u32,
+    /// Content type of the first upstream's response.
+    content_type: Option<HeaderValue>,
     /// Why the response of an upstream is not complete, for the log.
     detail: String,
     /// When the upstream last delivered an event, or was sent the request.
@@ -106,6 +126,20 @@
                     self.request_log.cause = "time_passed".to_owned();
                     return;
                 }
+                ResponseEnd::Unconfirmed => {
+                    upstream_response.source.on_result(now, UpstreamResult::Answered);
+                    self.request_log.cause = "end_unconfirmed".to_owned();
+                    if !self.relay.may_retry(&self.admitted, &self.past) {
+                        return;
+                    }
+                }
+                ResponseEnd::Disordered => {
+                    upstream_response.source.on_result(now, UpstreamResult::Failed);
+                    self.request_log.cause = "upstream_out_of_order".to_owned();
+                    if !self.may_resume() {
+                        return;
+                    }
+                }
                 ResponseEnd::MidEvent
                 | ResponseEnd::NoEvent
                 | ResponseEnd::Broken
@@ -119,9 +153,7 @@
                         let (admitted, buffered) = (&self.admitted, &self.buffered);
                         self.relay.on_lost_beginning(assignment, admitted, buffered).await;
                     }
-                    if !self.admitted.route.repeat.allows_retry()
-                        || !self.relay.may_retry(&self.admitted, &self.past)
-                    {
+                    if !self.may_resume() {
                         return;
                     }
                 }
@@ -137,6 +169,11 @@
         }
     }
 
+    fn may_resume(&self) -> bool {
+        self.admitted.route.repeat.allows_retry()
+            && self.relay.may_retry(&self.admitted, &self.past)
+    }
+
     /// Forwards the events of one upstream until they stop.
     async fn forward_events(&mut self, upstream_response: &mut UpstreamResponse) -> ResponseEnd {
         let mut last_data_at = self.relay.0.clock.now();
@@ -190,6 +227,10 @@
                 Ok(duration) => waiting_since = waiting_since + duration,
                 Err(end) => return end,
             }
+            if self.splitter.is_disordered() {
+                self.detail = format!("after={:?}", self.splitter.last_id());
+                return ResponseEnd::Disordered;
+            }
             // Comments and parts of events are no progress.
             if self.splitter.delivered() > delivered {
                 self.on_progress(delivered, upstream_response);
@@ -242,6 +283,12 @@
         if framing == Framing::Close && self.splitter.delivered() == 0 {
             return ResponseEnd::NoEvent;
         }
+        if self.is_resumed && self.splitter.delivered() == self.delivered_before {
+            self.empty_ends += 1;
+            if self.empty_ends < EMPTY_ENDS_MIN && self.admitted.route.repeat.allows_retry() {
+                return ResponseEnd::Unconfirmed;
+            }
+        }
         ResponseEnd::Complete
     }
 
@@ -290,10 +337,38 @@
         }
     }
 
-    /// Resumes the stream at another upstream. Returns `None` if there is none or it does not
-    /// resume the stream.
+    /// Resumes the stream at another upstream. Returns `None` if there is none that does.
     async fn resume(&mut self) -> Option<UpstreamResponse> {
         self.splitter.drop_partial();
+        self.is_resumed |= self.splitter.delivered() > 0;
+        loop {
+            let upstream_response = self.send_again().await?;
+            let status = upstream_response.head.status;
+            if status == StatusCode::OK && self.is_same_content(&upstream_response) {
+                return Some(upstream_response);
+            }
+            self.request_log.cause = format!("resume_status_{}", status.as_u16());
+            let now = self.relay.0.clock.now();
+            upstream_response.source.on_result(now, UpstreamResult::Failed);
+            if !self.may_resume() {
+                return None;
+            }
+        }
+    }
+
+    /// Whether a response may go on with the stream by its content type and encoding.
+    fn is_same_content(&self, upstream_response: &UpstreamResponse) -> bool {
+        let headers = &upstream_response.head.headers;
+        let content_type = headers.get(CONTENT_TYPE);
+        let is_events = content_type.is_none_or(|content_type| {
+            content_type.as_bytes().starts_with(EVENT_STREAM.as_bytes())
+                || self.content_type.as_ref() == Some(content_type)
+        });
+        is_events && !headers.contains_key(CONTENT_ENCODING)
+    }
+
+    /// Sends the request again, to go on after the last complete event.
+    async fn send_again(&mut self) -> Option<UpstreamResponse> {
         let last_event_id = self.splitter.last_id().map(str::to_owned);
         log::info!(
             "event=stream_resumed id={} upstream={} version={} cause={} after={last_event_id:?}",
@@ -314,23 +389,10 @@
                 return None;
             }
         };
-        match result {
-            Ok(upstream_response) if upstream_response.head.status.is_success() => {
-                Some(upstream_response)
-            }
-            Ok(upstream_response) => {
-                self.request_log.cause =
-                    format!("resume_status_{}", upstream_response.head.status.as_u16());
-                upstream_response
-                    .source
-                    .on_result(self.relay.0.clock.now(), UpstreamResult::Failed);
-                None
-            }
-            Err(refusal) => {
-                self.request_log.cause = format!("resume_{refusal}");
-                None
-            }
+        if let Err(refusal) = &result {
+            self.request_log.cause = format!("resume_{refusal}");
         }
+        result.ok()
     }
 
     async fn finish(mut self, upstream_response: UpstreamResponse, now: MonotonicInstant) {
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -58,7 +58,7 @@
         timeout: Duration::from_secs(4),
         target_latency: Duration::from_millis(300),
         target_event_interval: Some(Duration::from_millis(300)),
-        attempts_max: 2,
+        attempts_max: 3,
         priority: 0,
         public: true,
     }
--- a/tests/response_ends/main.rs
+++ b/tests/response_ends/main.rs
@@ -131,13 +131,22 @@
         Script { head: head("1.1", ""), body: rest.into_bytes(), ending: Ending::Fin }
     })
     .await;
-    let front = Front::start(&upstream, 2).await;
+    let front = Front::start(&upstream, 3).await;
     let received = front.ask("1.1", RepeatPolicy::Resumable, "r-1").await;
     let cut = case.framing == Framing::Close && case.is_complete_stream();
     let expected = if cut { case.content()[..case.sent].to_owned() } else { case.content() };
     let expected = Received { status: 200, body: expected.into_bytes(), complete: true };
     assert_eq!(received, expected, "{case:?}");
-    let sends = if case.is_complete_stream() { 1 } else { 2 };
+    // That no event is left is asked once more: one answer without events may be a faulty one.
+    let content = case.content();
+    let passed = String::from_utf8_lossy(&case.encoded()[..case.sent]).into_owned();
+    let last = case.parts.last().unwrap();
+    let has_all = content.ends_with(last) && passed.contains(last);
+    let sends = match (case.is_complete_stream(), has_all) {
+        (true, _) => 1,
+        (false, false) => 2,
+        (false, true) => 3,
+    };
     assert_eq!(upstream.requests().len(), sends, "{case:?}");
 }
 
@@ -232,6 +241,93 @@
     assert_eq!(last_event_id.as_deref(), Some("1"));
 }
 
+/// A response to a request that goes on with a stream, after its head line.
+fn answer(status: &str, framing: &str, body: &str) -> Script {
+    let head = head("1.1", framing).replace("200 OK", status);
+    Script { head, body: body.as_bytes().to_vec(), ending: Ending::Fin }
+}
+
+/// Lets an upstream break off a stream after its first event; `second` answers the next request, and a
+/// sound upstream those after it. Returns what the caller receives and the number of requests.
+async fn resumed_after(first: &'static str, second: Script) -> (Received, usize) {
+    let upstream = RawUpstream::start(move |earlier, request| {
+        let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
+        match earlier {
+            0 => Script {
+                head: head("1.1", "transfer-encoding: chunked\r\n"),
+                body: chunk(first).into_bytes(),
+                ending: Ending::Rst,
+            },
+            1 => second.clone(),
+            _ => {
+                let after = request.last_event_id.as_ref().map_or(0, |id| id.parse().unwrap());
+                let rest = STREAMS[0][after..].concat();
+                answer("200 OK", &format!("content-length: {}\r\n", rest.len()), &rest)
+            }
+        }
+    })
+    .await;
+    let front = Front::start(&upstream, 3).await;
+    let received = front.ask("1.1", RepeatPolicy::Resumable, "r-1").await;
+    (received, upstream.requests().len())
+}
+
+fn whole() -> Received {
+    Received { status: 200, body: STREAMS[0].concat().into_bytes(), complete: true }
+}
+
+/// The next upstream ignored `Last-Event-Id`, and callers got events twice.
+#[tokio::test]
+async fn a_resumed_stream_that_begins_again_never_repeats_an_event() {
+    let begins_again = STREAMS[0].concat();
+    let length = format!("content-length: {}\r\n", begins_again.len());
+    for framing in [length.as_str(), ""] {
+        let second = answer("200 OK", framing, &begins_again);
+        assert_eq!(resumed_after(STREAMS[0][0], second).await, (whole(), 3), "{framing}");
+    }
+}
+
+/// The next upstream left an event out, and callers got a stream with a piece missing.
+#[tokio::test]
+async fn a_resumed_stream_that_leaves_an_event_out_is_not_passed_on() {
+    let first = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\n";
+    let second = answer("200 OK", "", "id: 4\ndata: d\n\n");
+    assert_eq!(resumed_after(first, second).await, (whole(), 3));
+}
+
+/// The next upstream answered without any event, and the stream ended as if it were complete.
+#[tokio::test]
+async fn a_resumed_stream_that_gets_no_event_never_looks_complete() {
+    for second in [
+        answer("200 OK", "content-length: 0\r\n", ""),
+        answer("200 OK", "transfer-encoding: chunked\r\n", "0\r\n\r\n"),
+        answer("200 OK", "", ""),
+        answer("204 No Content", "", ""),
+        answer("206 Partial Content", "content-length: 0\r\n", ""),
+        answer("200 OK", "content-type: text/plain\r\ncontent-length: 4\r\n", "done"),
+        answer("200 OK", "content-encoding: gzip\r\ncontent-length: 4\r\n", "done"),
+    ] {
+        let result = resumed_after(STREAMS[0][0], second.clone()).await;
+        assert_eq!(result, (whole(), 3), "{second:?}");
+    }
+}
+
+/// The next upstream answered with an error. Neither its text nor its head may reach the stream, and the
+/// stream must not look complete unless another upstream goes on with it.
+#[tokio::test]
+async fn a_resumed_stream_never_holds_the_error_of_the_next_upstream() {
+    for status in ["400 Bad Request", "404 Not Found", "500 Error", "502 Bad", "503 Busy", "304 No"]
+    {
+        for framing in ["content-length: 5\r\n", ""] {
+            let second = answer(status, framing, "error");
+            let (received, _) = resumed_after(STREAMS[0][0], second).await;
+            let text = String::from_utf8(received.body.clone()).unwrap();
+            assert!(STREAMS[0].concat().starts_with(&text), "{status} {text}");
+            assert!(!received.complete || received == whole(), "{status} {received:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn an_earlier_refusal_without_an_id_is_none_of_a_later_request() {
     let refusal =
