--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod daemon;
 mod endless;
+mod late_requests;
 mod limits;
 mod many_daemons;
 mod notices;
--- a/tests/response_ends/main.rs
+++ b/tests/response_ends/main.rs
@@ -87,6 +87,9 @@
     }
 }
 
+/// Number of cut heads that are tried at the same time.
+const CUTS_AT_ONCE: usize = 32;
+
 fn head(version: &str, framing: &str) -> String {
     format!(
         "HTTP/{version} 200 OK\r\nx-request-id: {{id}}\r\nx-response-signature: s\r\n{framing}\r\n"
@@ -241,6 +244,48 @@
     assert_eq!(last_event_id.as_deref(), Some("1"));
 }
 
+/// An upstream stopped in the middle of the head of its response and closed, and callers got a 200 with
+/// an empty or short body, framed as whole.
+#[tokio::test]
+async fn a_response_whose_head_ends_at_any_byte_is_never_passed_on_as_a_success() {
+    let plain = head("1.1", "content-length: 0\r\n");
+    let heads = [
+        plain.clone(),
+        head("1.1", "transfer-encoding: chunked\r\n"),
+        head("1.1", ""),
+        format!("HTTP/1.1 103 Early Hints\r\nlink: <x>\r\n\r\n{plain}"),
+        plain.replace("x-response", "x-folded: a\r\n b\r\nx-response"),
+        plain.replace("\r\n", "\n"),
+    ];
+    for head in heads {
+        for ending in [Ending::Fin, Ending::Rst] {
+            for repeat in [RepeatPolicy::Safe, RepeatPolicy::Once, RepeatPolicy::Resumable] {
+                check_cut_heads(&head, &ending, repeat).await;
+            }
+        }
+    }
+}
+
+/// Asks for responses with each length of a cut head, a few at a time.
+async fn check_cut_heads(head: &str, ending: &Ending, repeat: RepeatPolicy) {
+    for cut in (0..head.len()).step_by(CUTS_AT_ONCE) {
+        let cuts = cut..head.len().min(cut + CUTS_AT_ONCE);
+        let checks = cuts.map(|cut| {
+            let (head, ending) = (head[..cut].to_owned(), ending.clone());
+            async move {
+                let script = Script { head, body: Vec::new(), ending };
+                let sent = script.clone();
+                let upstream = RawUpstream::start(move |_, _| script.clone()).await;
+                let front = Front::start(&upstream, 3).await;
+                let received = front.ask("1.1", repeat, "r-1").await;
+                assert!(received.status >= 500, "{repeat} {sent:?} {received:?}");
+                assert!(!upstream.requests().is_empty(), "{repeat} {sent:?}");
+            }
+        });
+        futures_util::future::join_all(checks).await;
+    }
+}
+
 /// A response to a request that goes on with a stream, after its head line.
 fn answer(status: &str, framing: &str, body: &str) -> Script {
     let head = head("1.1", framing).replace("200 OK", status);
