fix(relay): a stream without length whose upstream was killed between two events doesn't end as complete (ORDER)

Cause: when a process is killed with nothing unread, its kernel closes the connections in order. Between two events that was taken for the end of a stream that has neither length nor chunks.

Change: such a stream counts as complete only if its upstream still accepts a connection; else it has broken off and goes on at another upstream, or is cut off. The test connection is the one that tells crashes from lost connections, moved to `connection`. It costs a connection for each stream of that framing.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -19,6 +19,10 @@
 /// connection; data centres of a region are a few milliseconds apart.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest time that a test connection to an upstream is awaited. A few round
+/// trips between data centres.
+const LISTENING_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// When the peer of a connection counts as dead.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PeerTimeouts {
@@ -81,6 +85,14 @@
     Lost(hyper::Error),
 }
 
+/// Whether nothing listens at an address. One that doesn't answer may be cut off.
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
+    match tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// A connection. Dropping it closes it at once.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/relay/src/crash_keeper.rs
+++ b/crates/relay/src/crash_keeper.rs
@@ -4,6 +4,7 @@
 use crate::admission::AdmittedRequest;
 use crate::assignment::Assignment;
 use crate::balancer::Balancer;
+use crate::connection::is_refused;
 use crate::contact_test;
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
@@ -18,17 +19,11 @@
 use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey};
 use spindle_types::{Clock, Instance, MonotonicInstant};
 use std::collections::BTreeSet;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Longest time that a request which may be sent again waits for the test connection. A few round
-/// trips between data centres.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// When to test again whether a process that has closed a connection is ending.
 const RECHECK_DELAYS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(150)];
 
@@ -322,11 +317,3 @@
         self.0.crashes.on_lost(&self.0.clock, id, assignment, &admitted.work_keys).await;
     }
 }
-
-/// Whether nothing listens at an address. One that doesn't answer may be cut off.
-async fn is_refused(address: SocketAddr) -> bool {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -5,11 +5,12 @@
 //! not forwarded. A resumed stream that ends without a further event counts as complete only if a
 //! second upstream says the same. A stream that can't be completed
 //! is cut off without a proper end, so that the caller does not take it for complete. The end of
-//! the connection completes a stream only between two events.
+//! the connection completes a stream only between two events, and only if the upstream still listens.
 
 use crate::admission::AdmittedRequest;
 use crate::assignment::UpstreamResult;
 use crate::attempt::{Attempt, first_event_silence};
+use crate::connection::is_refused;
 use crate::events::EventSplitter;
 use crate::metrics::METRICS;
 use crate::protocol::UpstreamProtocol;
@@ -206,7 +207,7 @@
             };
             let data = match frame {
                 Err(_) => continue,
-                Ok(None) => return self.end_of_body(upstream_response.framing),
+                Ok(None) => return self.end_of_response(upstream_response).await,
                 Ok(Some(Err(error))) => {
                     self.detail = error.to_string();
                     return ResponseEnd::Broken;
@@ -274,6 +275,22 @@
         self.splitter.delivered() - self.delivered_before < EVENTS_BEGUN
     }
 
+    /// How a response ended whose body is complete as far as its framing tells. The connections of a
+    /// process that was killed are closed in order too, so the end of the connection completes a
+    /// stream only if its upstream still listens.
+    async fn end_of_response(&mut self, upstream_response: &UpstreamResponse) -> ResponseEnd {
+        let end = self.end_of_body(upstream_response.framing);
+        if upstream_response.framing != Framing::Close || end != ResponseEnd::Complete {
+            return end;
+        }
+        let Some(assignment) = upstream_response.source.assignment() else { return end };
+        if !is_refused(assignment.address).await {
+            return end;
+        }
+        self.detail = "upstream_gone".to_owned();
+        ResponseEnd::Broken
+    }
+
     /// How a response ended whose body is complete as far as its framing tells.
     fn end_of_body(&mut self, framing: Framing) -> ResponseEnd {
         if self.splitter.is_partial() {
