fix(relay): an event that a caller names means nothing to a stream that can't be resumed (ORDER)

Follow-up of: with Last-Event-Id on a route that isn't resumable, the events up to it would have been taken for repeats and the stream broken off. Not seen anywhere; found by reading the diff. The tests cover that, and the splitter of a stream that goes on after an event, in pieces of each length.

--- a/crates/relay/src/events/tests.rs
+++ b/crates/relay/src/events/tests.rs
@@ -90,3 +90,29 @@
     }
     assert_eq!(splitter.delivered(), 30);
 }
+
+/// A stream that a caller takes up began again at its first event.
+#[test]
+fn a_stream_that_goes_on_after_an_event_returns_none_up_to_it() {
+    let event = |id: u64| format!("id: {id}\ndata: x\n\n");
+    let stream = Bytes::from([event(3), event(4), event(1), event(5)].concat());
+    for length in 1..stream.len() {
+        let mut splitter = EventSplitter::after(Some("2"));
+        let mut returned = Vec::new();
+        for part in stream.chunks(length) {
+            if !splitter.is_disordered() {
+                returned.extend_from_slice(&splitter.push(Bytes::copy_from_slice(part)).unwrap());
+            }
+        }
+        assert!(splitter.is_disordered(), "{length}");
+        assert_eq!(returned, [event(3), event(4)].concat().as_bytes(), "{length}");
+        assert_eq!(splitter.last_id(), Some("4"), "{length}");
+        splitter.drop_partial();
+        let rest = Bytes::from(event(5));
+        assert_eq!(splitter.push(rest.clone()).unwrap(), rest, "{length}");
+        assert!(!splitter.is_disordered(), "{length}");
+    }
+    let mut splitter = EventSplitter::after(Some("2"));
+    assert!(splitter.push(Bytes::from(event(2))).unwrap().is_empty());
+    assert!(splitter.is_disordered());
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -62,7 +62,9 @@
     let (sender, body) = Body::channel(EVENT_BUFFER_CHUNKS);
     let head = response_head(upstream_response.head.clone());
     request_log.outcome = Outcome::BrokenOff;
-    let last_event_id = buffered.inbound.last_event_id.clone();
+    // Only resumable streams go on after an event; others begin again.
+    let last_event_id =
+        buffered.inbound.last_event_id.clone().filter(|_| admitted.route.repeat.allows_retry());
     let forwarder = StreamForwarder {
         relay,
         request_log,
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -158,18 +158,24 @@
 
     /// Sends a request and reads what arrives until the connection ends.
     pub(crate) async fn ask(&self, version: &str, repeat: RepeatPolicy, id: &str) -> Received {
-        self.ask_at(version, &format!("/{repeat}/x"), id).await
+        self.ask_at((version, ""), &format!("/{repeat}/x"), id).await
+    }
+
+    /// Sends a request that names the last event that the caller has.
+    pub(crate) async fn ask_after(&self, event: u64, repeat: RepeatPolicy, id: &str) -> Received {
+        let header = format!("last-event-id: {event}\r\n");
+        self.ask_at(("1.1", &header), &format!("/{repeat}/x"), id).await
     }
 
     /// The status of the response to a request for a path.
     pub(crate) async fn status_of(&self, path: &str) -> u16 {
-        self.ask_at("1.1", path, "status").await.status
+        self.ask_at(("1.1", ""), path, "status").await.status
     }
 
-    async fn ask_at(&self, version: &str, path: &str, id: &str) -> Received {
+    async fn ask_at(&self, (version, header): (&str, &str), path: &str, id: &str) -> Received {
         let mut stream = TcpStream::connect(self.caller).await.unwrap();
         let request = format!(
-            "POST {path} HTTP/{version}\r\nhost: h.example\r\nx-request-id: {id}\r\n\
+            "POST {path} HTTP/{version}\r\nhost: h.example\r\nx-request-id: {id}\r\n{header}\
              x-deadline-remaining-ms: 4000\r\nconnection: close\r\ncontent-length: 1\r\n\r\nq"
         );
         stream.write_all(request.as_bytes()).await.unwrap();
--- a/tests/response_ends/main.rs
+++ b/tests/response_ends/main.rs
@@ -332,6 +332,15 @@
     }
 }
 
+/// Where streams can't be resumed, the event that a caller names has no meaning.
+#[tokio::test]
+async fn a_stream_that_cannot_be_resumed_begins_whatever_event_its_caller_names() {
+    let whole_stream = STREAMS[0].concat();
+    let upstream = RawUpstream::start(move |_, _| answer("200 OK", "", &whole_stream)).await;
+    let front = Front::start(&upstream, 3).await;
+    assert_eq!(front.ask_after(2, RepeatPolicy::StreamOnce, "r-1").await, whole());
+}
+
 /// The next upstream left an event out, and callers got a stream with a piece missing.
 #[tokio::test]
 async fn a_resumed_stream_that_leaves_an_event_out_is_not_passed_on() {
