--- a/crates/policy/src/shared_limits.rs
+++ b/crates/policy/src/shared_limits.rs
@@ -257,7 +257,7 @@
     created: MonotonicInstant,
     /// What this daemon keeps; `None` if it has never been a keeper.
     kept: Option<Bucket>,
-    /// The part that it keeps, and since when it has kept any.
+    /// The part of the quota that it keeps.
     part: f64,
     /// Its even share of what is not kept.
     local: Bucket,
