fix(policy): both sides of a long cut don't spend the whole even share of a quota (QUOTA)

Cause: the even share was divided among the daemons heard within 8 s (as for retry budgets), the keepers' parts among those of the last 30 s. The simulation used one count for both and so hid it.

Change: QuotaKeepers carries the number of daemons, so that product and simulation can't differ. Regression test: daemons_that_are_cut_off_for_24_s_stay_within_the_quota_together (1 to 400 daemons).

--- a/crates/policy/src/shared_limits.rs
+++ b/crates/policy/src/shared_limits.rs
@@ -129,6 +129,8 @@
     pub others: Vec<A>,
     /// The part of the quota that this daemon keeps; 0 if it is no keeper.
     pub part: f64,
+    /// The number of daemons that may be running, which divide what is not kept.
+    pub daemons: u32,
 }
 
 impl<A> QuotaKeepers<A> {
@@ -152,12 +154,14 @@
         Self {
             others: ranked.into_iter().filter_map(|(_, address)| address).collect(),
             part: if is_keeper { visibility.fraction() / count } else { 0.0 },
+            daemons: visibility.known,
         }
     }
 
-    /// A daemon that keeps a part of a quota without any other.
-    pub const fn alone(part: f64) -> Self {
-        Self { others: Vec::new(), part }
+    /// A daemon that hears no other.
+    pub fn alone(visibility: DaemonVisibility) -> Self {
+        let (part, daemons) = (visibility.fraction(), visibility.known);
+        Self { others: Vec::new(), part, daemons }
     }
 }
 
@@ -310,17 +314,15 @@
         self.refill(now, part);
     }
 
-    /// Admits and charges a request of `cost` units if it fits. `daemons` is the number of daemons
-    /// that may be running.
+    /// Admits and charges a request of `cost` units if it fits.
     pub fn admit(
         &mut self,
         now: MonotonicInstant,
         cost: f64,
         keepers: &QuotaKeepers<A>,
-        daemons: u32,
     ) -> SharedQuotaDecision<A> {
         self.demand.add(now, cost);
-        self.decide(now, cost, keepers, daemons)
+        self.decide(now, cost, keepers)
     }
 
     /// Applies the answer of a keeper, `None` if there was none, and decides again.
@@ -330,7 +332,6 @@
         cost: f64,
         (keeper, question, grant): (A, QuotaQuestion, Option<QuotaGrant>),
         keepers: &QuotaKeepers<A>,
-        daemons: u32,
     ) -> SharedQuotaDecision<A> {
         match grant {
             Some(grant) if grant.units >= question.needed => {
@@ -350,7 +351,7 @@
                 self.resting.insert(keeper, (until, failures.saturating_add(1)));
             }
         }
-        self.decide(now, cost, keepers, daemons)
+        self.decide(now, cost, keepers)
     }
 
     /// Answers another daemon out of the part that this one keeps.
@@ -396,7 +397,6 @@
         now: MonotonicInstant,
         cost: f64,
         keepers: &QuotaKeepers<A>,
-        daemons: u32,
     ) -> SharedQuotaDecision<A> {
         self.expire(now);
         if self.held.units >= cost {
@@ -404,7 +404,7 @@
             self.own_usage += cost;
             return SharedQuotaDecision::Admitted;
         }
-        if self.take_local(now, cost, daemons) {
+        if self.take_local(now, cost, keepers.daemons) {
             return SharedQuotaDecision::Admitted;
         }
         let mut wait = RETRY_AFTER_MAX;
--- a/crates/policy/src/shared_limits/tests.rs
+++ b/crates/policy/src/shared_limits/tests.rs
@@ -225,3 +225,18 @@
         assert!(most <= ALLOWANCE, "{daemons} daemons: {most}");
     }
 }
+
+/// The even share was divided among the daemons heard within 8 s, so both sides of a longer cut spent it
+/// whole.
+#[test]
+fn daemons_that_are_cut_off_for_24_s_stay_within_the_quota_together() {
+    for daemons in [1, 2, 8, 58, 195, 400] {
+        for share in [40, 128, 200] {
+            let kind = simulation::FaultKind::Cut;
+            let cut = simulation::Fault { at: 4_000, length: 24_000, share, kind };
+            let schedule = simulation::Schedule::new(daemons, 7.0, vec![cut]);
+            let most = most_in_window(&schedule.play());
+            assert!(most <= ALLOWANCE, "{daemons} daemons, share {share}: {most}");
+        }
+    }
+}
--- a/crates/policy/src/shared_limits/tests/simulation.rs
+++ b/crates/policy/src/shared_limits/tests/simulation.rs
@@ -28,8 +28,6 @@
     side: usize,
     /// When each other daemon was heard last, and for how long it had been running.
     heard: Vec<Option<(u64, u64)>>,
-    /// The daemons that may be running.
-    known: u32,
 }
 
 /// Daemons and what they have admitted.
@@ -50,13 +48,12 @@
     fn with_news(count: usize, news_max: u64, seed: u64, now: MonotonicInstant) -> Self {
         let daemons = (0..count).map(|index| Daemon {
             quota: SharedQuota::new(now, SPEC, TOLERANCE),
-            keepers: QuotaKeepers::alone(1.0),
+            keepers: QuotaKeepers::alone(DaemonVisibility { visible: 1, known: 1 }),
             instance: Instance::try_from(format!("d-{index}").as_str()).unwrap(),
             started: millis(now),
             is_running: true,
             side: 0,
             heard: vec![None; count],
-            known: 1,
         });
         let random = ChaCha8Rng::seed_from_u64(seed);
         let mut fleet = Self { daemons: daemons.collect(), news_max, random, before: 0.0 };
@@ -111,14 +108,13 @@
         let daemon = &mut self.daemons[own];
         daemon.quota.set_part(at(now), keepers.part);
         daemon.keepers = keepers;
-        daemon.known = visibility.known;
     }
 
     /// Decides on a request at a daemon and returns whether it was admitted.
     pub(super) fn admit(&mut self, now: MonotonicInstant, daemon: usize, cost: f64) -> bool {
         let mut decision = {
-            let Daemon { quota, keepers, known, .. } = &mut self.daemons[daemon];
-            quota.admit(now, cost, keepers, *known)
+            let Daemon { quota, keepers, .. } = &mut self.daemons[daemon];
+            quota.admit(now, cost, keepers)
         };
         loop {
             match decision {
@@ -127,8 +123,8 @@
                 SharedQuotaDecision::Ask(keeper, question) => {
                     let grant = self.call(now, (daemon, keeper), question);
                     let asked = (keeper, question, grant);
-                    let Daemon { quota, keepers, known, .. } = &mut self.daemons[daemon];
-                    decision = quota.on_grant(now, cost, asked, keepers, *known);
+                    let Daemon { quota, keepers, .. } = &mut self.daemons[daemon];
+                    decision = quota.on_grant(now, cost, asked, keepers);
                 }
             }
         }
@@ -166,8 +162,8 @@
     pub(super) fn isolate(&mut self, daemon: usize) {
         self.daemons[daemon].side = daemon + 1;
         let count = self.daemons.len() as u32;
-        let fraction = DaemonVisibility { visible: 1, known: count }.fraction();
-        self.daemons[daemon].keepers = QuotaKeepers::alone(fraction);
+        let visibility = DaemonVisibility { visible: 1, known: count };
+        self.daemons[daemon].keepers = QuotaKeepers::alone(visibility);
     }
 
     /// Replaces a daemon by one that has just started, which the others hear at once.
@@ -323,7 +319,7 @@
             news_max: self.news_max,
             seed: self.seed,
         };
-        load.play_with(24_000, &self.faults)
+        load.play_with(32_000, &self.faults)
     }
 }
 
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -103,7 +103,7 @@
                 (None, _) => drop(state.quotas.remove(&spec.team)),
                 (Some(quota), None) => {
                     let quota = SharedQuota::new(now, quota, tolerance);
-                    let keepers = QuotaKeepers::alone(1.0);
+                    let keepers = QuotaKeepers::alone(DaemonVisibility { visible: 1, known: 1 });
                     state.quotas.insert(spec.team.clone(), TeamQuota { quota, keepers });
                 }
             }
@@ -188,14 +188,13 @@
         asked: Option<(SocketAddr, QuotaQuestion, Option<QuotaGrant>)>,
     ) -> SharedQuotaDecision<SocketAddr> {
         let mut state = self.state();
-        let daemons = state.visibility.known;
         let Some(TeamQuota { quota, keepers }) = state.quotas.get_mut(&spec.team) else {
             // A newer configuration than that of the request has no such team, or no quota for it.
             return SharedQuotaDecision::Admitted;
         };
         match asked {
-            None => quota.admit(now, cost, keepers, daemons),
-            Some(asked) => quota.on_grant(now, cost, asked, keepers, daemons),
+            None => quota.admit(now, cost, keepers),
+            Some(asked) => quota.on_grant(now, cost, asked, keepers),
         }
     }
 
