--- a/crates/policy/src/shared_limits/tests.rs
+++ b/crates/policy/src/shared_limits/tests.rs
@@ -10,19 +10,31 @@
 const TOLERANCE: QuotaTolerance =
     QuotaTolerance { overage: 0.1, slack: 82.0, window: Duration::from_secs(8) };
 
+/// Interval at which the daemons hear of each other, in milliseconds.
+const VIEW_INTERVAL: u64 = 200;
+
 fn at(millis: u64) -> MonotonicInstant {
     MonotonicInstant::from_millis(millis)
 }
 
 /// The units that all daemons admit together until `millis`. The offered load in units per second
-/// is spread evenly over the daemons. At `restart` all daemons restart and lose their state.
-fn admitted_until(daemons: usize, offered: f64, (millis, restart): (u64, Option<u64>)) -> f64 {
-    let mut fleet = Fleet::new(daemons, at(0));
+/// is spread evenly over the daemons, which hear of each other up to `delay` milliseconds late. At
+/// `restart` all daemons restart and lose their state.
+fn admitted_until(
+    daemons: usize,
+    offered: f64,
+    delay: u64,
+    (millis, restart): (u64, Option<u64>),
+) -> f64 {
+    let mut fleet = Fleet::with_news(daemons, delay, 1, at(0));
     let step = 10;
     for now in (0..millis).step_by(10) {
         if restart == Some(now) {
             fleet.restart_all(at(now));
         }
+        if now.is_multiple_of(VIEW_INTERVAL) {
+            fleet.update_views(now);
+        }
         let cost = offered * f64::from(step) / 1_000.0 / daemons as f64;
         for daemon in 0..daemons {
             fleet.admit(at(now), daemon, cost);
@@ -31,8 +43,8 @@
     fleet.admitted()
 }
 
-fn admitted(daemons: usize, offered: f64, seconds: u64) -> f64 {
-    admitted_until(daemons, offered, (seconds * 1_000, None))
+fn admitted(daemons: usize, offered: f64, delay: u64, seconds: u64) -> f64 {
+    admitted_until(daemons, offered, delay, (seconds * 1_000, None))
 }
 
 /// The most that may be admitted in 8 s: the refill plus the burst, 10% more, and the slack.
@@ -43,21 +55,21 @@
 #[test]
 fn a_restart_of_all_daemons_does_not_give_the_burst_once_more() {
     for restart in (1_000..7_500).step_by(500) {
-        let total = admitted_until(8, 700.0, (8_000, Some(restart)));
+        let total = admitted_until(8, 700.0, 250, (8_000, Some(restart)));
         assert!(total <= ALLOWANCE, "restart after {restart} ms: {total}");
     }
 }
 
 #[test]
 fn a_team_far_over_its_quota_is_held_to_it_by_all_daemons_together() {
-    let total = admitted(6, 700.0, 8);
+    let total = admitted(6, 700.0, 250, 8);
     assert!(total <= ALLOWANCE, "{total}");
     assert!(total >= 800.0, "{total}");
 }
 
 #[test]
 fn a_team_within_its_quota_is_never_refused() {
-    let until = |seconds| admitted(6, 95.0, seconds);
+    let until = |seconds| admitted(6, 95.0, 250, seconds);
     // In the first second after a common start, the quota may already have been spent before.
     assert!(until(1) >= 10.0, "{}", until(1));
     let later = until(8) - until(1);
@@ -142,7 +154,7 @@
 /// charged by peers are over a second old, and each daemon kept admitting requests meanwhile.
 #[test]
 fn a_team_far_over_its_quota_is_held_to_it_by_many_daemons_whose_news_are_late() {
-    let total = admitted(58, 700.0, 8);
+    let total = admitted(58, 700.0, 1_600, 8);
     assert!(total <= ALLOWANCE, "{total}");
     assert!(total >= 800.0, "{total}");
 }
--- a/crates/policy/src/shared_limits/tests/simulation.rs
+++ b/crates/policy/src/shared_limits/tests/simulation.rs
@@ -45,7 +45,8 @@
         Self::with_news(count, 0, 0, now)
     }
 
-    fn with_news(count: usize, news_max: u64, seed: u64, now: MonotonicInstant) -> Self {
+    /// The same, with news that are late and calls of which one in a hundred fails.
+    pub(super) fn with_news(count: usize, news_max: u64, seed: u64, now: MonotonicInstant) -> Self {
         let daemons = (0..count).map(|index| Daemon {
             quota: SharedQuota::new(now, SPEC, TOLERANCE),
             keepers: QuotaKeepers::alone(DaemonVisibility { visible: 1, known: 1 }),
