fix(policy): all engines found at the start are kept until the load is known

Cause: until the load had been known for 8 s, 0.7 of the engines found at the start counted as needed. They were removed before the first request, and new ones take as long to start as the load takes to be measured. Change: all engines found are needed until then.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -31,11 +31,6 @@
 /// The fraction of the needed engines that are on-demand instances.
 const ON_DEMAND_SHARE: f64 = 0.25;
 
-/// The fraction of the engines found at the start that is kept until the load is known. A new
-/// engine takes as long to start as the load takes to be measured, so too few engines at the start
-/// would affect the first ten seconds.
-const START_SHARE: f64 = 0.7;
-
 /// The delay after a refusal before the same kind of instance is ordered in the data centre again.
 const REFUSAL_DELAY: Duration = Duration::from_secs(3);
 
@@ -204,15 +199,16 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
-    /// at least `START_SHARE` of the most engines found so far is needed.
+    /// The number of engines that the load needs, including those that only make up for limits. Until
+    /// the rate has been known for `PEAK_MEMORY`, all engines found so far are needed: a new engine
+    /// takes as long to start as the load takes to be measured, and a queue that has built up by then
+    /// outlasts both, since callers repeat what is late.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
-        let start = share_of(self.found, START_SHARE);
         let need =
             self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
         let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
-        need.max(if early { start } else { 1 }).max(1)
+        need.max(if early { self.found } else { 1 }).max(1)
     }
 
     /// Orders that are due, given the instances that exist now.
