--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -289,22 +289,7 @@
         }
         let missing = need.saturating_sub(self.expected_instances(now, stock, &wanted));
         let missing = missing.min(need.saturating_sub(on_demand));
-        // Instances that are refused take up no room within the limit of a data centre.
-        let mut asked = BTreeMap::new();
-        for (centre, counts) in &mut wanted {
-            if self.refused_within(now, &(centre.clone(), true), REFUSAL_MEMORY) {
-                let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
-                asked.insert(centre.clone(), counts.reclaimable);
-                counts.reclaimable = counts.reclaimable.min(present);
-            }
-        }
         add_on_demand(&mut wanted, &cheapest, missing, spec.max);
-        // They are asked for again as far as that leaves room.
-        for (centre, asked) in asked {
-            if let Some(counts) = wanted.get_mut(&centre) {
-                counts.reclaimable = asked.min(spec.max - counts.on_demand);
-            }
-        }
         wanted
     }
 
