--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod reconcile;
 pub mod replica;
 pub mod retry;
+pub mod rollout;
 pub mod roster;
 pub mod routing;
 pub mod service_time;
--- /dev/null
+++ b/crates/policy/src/rollout/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of rollouts.
