feat(node): rollouts are wired through store, statuses and relay

First version: the leader's task lists the orders, stores steps by compare-and-set and tells them; daemons follow them, choose upstreams of new work by them and count responses.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod replica;
 pub mod retry;
 pub mod rollout;
+pub mod rollout_status;
 pub mod roster;
 pub mod routing;
 pub mod service_time;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -6,6 +6,7 @@
 //! that talk to a few neighbours only; here every status changes with each heartbeat.
 
 use crate::rate_share::Position;
+use crate::rollout_status::{BeatClock, RolloutStatus};
 use crate::upstream_limit::{LimitReport, RequestRate};
 use crate::upstream_registry::UpstreamId;
 use crate::usage_windows::{RequestCounts, WINDOWS_KEPT};
@@ -155,6 +156,9 @@
     /// Services of which it reaches no upstream.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub lost: BTreeSet<Service>,
+    /// What it tells of rollouts.
+    #[serde(default, skip_serializing_if = "RolloutStatus::is_empty")]
+    pub rollouts: RolloutStatus,
 }
 
 impl Status {
@@ -177,6 +181,7 @@
             leaving: VersionedMap::default(),
             limits: VersionedMap::default(),
             lost: BTreeSet::new(),
+            rollouts: RolloutStatus::default(),
         }
     }
 
@@ -193,6 +198,7 @@
             windows: self.windows.changed_since(beat),
             leaving: self.leaving.changed_since(beat),
             limits: self.limits.changed_since(beat),
+            rollouts: self.rollouts.changed_since(beat),
             running: self.running.clone(),
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
@@ -207,12 +213,14 @@
         self.windows.merge(&newer.windows, WINDOWS_KEPT);
         self.leaving.merge(&newer.leaving, LEAVING_MAX);
         self.limits.merge(&newer.limits, LIMITS_MAX);
+        self.rollouts.merge(&newer.rollouts);
         *self = Self {
             identity: self.identity.take(),
             charged: std::mem::take(&mut self.charged),
             windows: std::mem::take(&mut self.windows),
             leaving: std::mem::take(&mut self.leaving),
             limits: std::mem::take(&mut self.limits),
+            rollouts: std::mem::take(&mut self.rollouts),
             running: newer.running.clone(),
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
@@ -256,6 +264,15 @@
     pub identity: DaemonIdentity,
     /// When the daemon was last heard from, directly or through others.
     pub at: MonotonicInstant,
+    /// Tells when its heartbeats were made.
+    beats: BeatClock,
+}
+
+impl KnownDaemon {
+    /// When its latest status was made, by this daemon's clock, as far as that can be told.
+    pub fn made_at(&self) -> MonotonicInstant {
+        self.beats.made_at(self.status.age()).min(self.at)
+    }
 }
 
 /// All daemons known to this one, except itself.
@@ -300,9 +317,11 @@
                 }
                 known.status.update(status);
                 known.at = at;
+                known.beats.on_beat(at, status.age());
             } else {
                 let Some(identity) = status.identity.clone() else { continue };
-                let daemon = KnownDaemon { status: status.clone(), identity, at };
+                let beats = BeatClock::new(at, status.age());
+                let daemon = KnownDaemon { status: status.clone(), identity, at, beats };
                 self.known.insert(status.incarnation, daemon);
             }
             updated.push(status.incarnation);
@@ -451,6 +470,11 @@
         targets
     }
 
+    /// A known daemon, live or not.
+    pub fn get(&self, daemon: Incarnation) -> Option<&KnownDaemon> {
+        self.known.get(&daemon)
+    }
+
     /// All known daemons, including dead ones until they are forgotten.
     pub fn iter(&self) -> impl Iterator<Item = &KnownDaemon> {
         self.known.values()
--- a/crates/policy/src/versioned_map.rs
+++ b/crates/policy/src/versioned_map.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Removes the entries whose keys `keeps` rejects.
+    pub fn retain(&mut self, keeps: impl Fn(&K) -> bool) {
+        self.0.retain(|key, _| keeps(key));
+    }
+
     /// Iterates over keys and values, in key order.
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.0.iter().map(|(key, (_, value))| (key, value))
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -6,6 +6,7 @@
 use crate::relay::{RETRY_AFTER_MIN, Relay, backoff};
 use crate::request::{Inbound, Refusal};
 use crate::request_log::RequestLog;
+use crate::rollout_watch::draw_of;
 use crate::stream_origin::choose_service;
 use spindle_policy::crash_ledger::WorkKey;
 use spindle_types::{Clock, MonotonicInstant, Service, Team};
@@ -30,6 +31,8 @@
     pub(crate) deadline: MonotonicInstant,
     /// What the request holds that may crash an upstream.
     pub(crate) work_keys: Arc<[WorkKey]>,
+    /// Draw in 0..1 that decides on the part of the request in the trial of a rollout.
+    pub(crate) draw: f64,
     /// Whether another daemon has handed it over, which has charged it.
     pub(crate) is_handed_over: bool,
     /// Whether the start of its response has been counted as usage.
@@ -85,6 +88,7 @@
             engine_priority: has_engine.then_some(priority.min(ENGINE_PRIORITY_MAX)),
             deadline: inbound.received_at + timeout,
             work_keys: Arc::default(),
+            draw: draw_of(&inbound.id),
             is_handed_over: handoff.is_some(),
             is_counted: handoff.is_some_and(|handoff| handoff.is_counted),
             config,
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -4,6 +4,7 @@
 use crate::limits::LimitUse;
 use crate::metrics::METRICS;
 use crate::protocol::{NamedLimit, ReportedLoad};
+use crate::rollout_watch::Observation;
 use crate::tracked_upstream::SendPermission;
 use opentelemetry::KeyValue;
 use spindle_policy::breaker::{BreakerTransition, FailureKind};
@@ -41,6 +42,10 @@
     pub(crate) counted: bool,
     /// Whether the request has been sent, at least in part.
     pub(crate) sent: bool,
+    /// Whether the estimated time depends on a prompt.
+    pub(crate) has_prompt: bool,
+    /// What is observed for a rollout; none in deployments without rollouts.
+    pub(crate) observation: Option<Observation>,
 }
 
 /// Outcome of an attempt, as far as it concerns the circuit breaker of the upstream.
@@ -106,6 +111,14 @@
         self.sent = sent;
     }
 
+    /// Records that sending begins.
+    pub(crate) fn on_sent(&mut self, now: MonotonicInstant) {
+        self.set_sent(true);
+        if let Some(observation) = &mut self.observation {
+            observation.on_sent(now);
+        }
+    }
+
     /// The limit of the upstream, for the logs.
     pub(crate) fn limit_use(&self, now: MonotonicInstant) -> Option<LimitUse> {
         self.balancer.state().limits.in_use(now, self.key)
@@ -145,6 +158,11 @@
     pub fn on_first_byte(&mut self, now: MonotonicInstant) {
         let queued_ms = std::mem::take(&mut self.queued_ms);
         let expected_ms = std::mem::take(&mut self.expected_ms);
+        if let Some(observation) = &mut self.observation {
+            let estimated_ms = (expected_ms - FIXED_LATENCY_MS).max(0.0);
+            let expected = Duration::from_secs_f64(estimated_ms / 1e3);
+            observation.on_first_byte(now, self.has_prompt.then_some(expected));
+        }
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
@@ -157,6 +175,13 @@
         }
     }
 
+    /// Records that the deadline has passed without a response.
+    pub(crate) fn on_overdue(&mut self, now: MonotonicInstant) {
+        if let Some(observation) = &mut self.observation {
+            observation.on_overdue(now);
+        }
+    }
+
     /// The balancer that made the assignment.
     pub(crate) const fn balancer(&self) -> &Balancer {
         &self.balancer
@@ -175,6 +200,9 @@
 
     /// Records how the attempt ended, which may open or close the circuit breaker of the upstream.
     pub fn on_result(&self, now: MonotonicInstant, result: UpstreamResult) {
+        if let Some(observation) = &self.observation {
+            observation.on_result(result);
+        }
         if result == UpstreamResult::Unreachable {
             return self.balancer.on_connection_failed(now, self.assigned_at, self.key);
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -170,6 +170,7 @@
                         );
                         assignment.on_result(self.0.clock.now(), UpstreamResult::Failed);
                     }
+                    assignment.on_overdue(self.0.clock.now());
                     return AttemptOutcome::TimedOut;
                 }
             }
@@ -209,7 +210,7 @@
         // Recorded before sending: if this future is dropped, it is unknown how much was sent.
         past.reached += 1;
         past.counted += 1;
-        assignment.set_sent(true);
+        assignment.on_sent(now);
         let ran_before = past.may_have_run;
         past.may_have_run = true;
         let result = {
@@ -300,7 +301,8 @@
     ) -> bool {
         let now = self.0.clock.now();
         let has_other = || {
-            self.0.balancer.has_untried(now, &admitted.service, past.restrictions())
+            let eligible = self.eligible(now, admitted, past);
+            self.0.balancer.has_untried(now, &admitted.service, past.restrictions(&eligible))
                 || self.may_hand_over(admitted, past, Refusal::Lost)
         };
         admitted.route.repeat.allows_retry() && has_other() && self.may_retry(admitted, past)
--- a/crates/relay/src/backends.rs
+++ b/crates/relay/src/backends.rs
@@ -4,10 +4,12 @@
 use crate::config::ActiveConfig;
 use bytes::Bytes;
 use spindle_policy::crash_ledger::CrashNews;
+use spindle_policy::rollout::{RolloutOrder, RolloutStep};
 use spindle_policy::stream_versions::StreamRecords;
 use spindle_policy::upstream_registry::Registration;
 use spindle_policy::usage_windows::RequestCounts;
 use spindle_types::{DataCentre, Fencing, Instance, Service, SoftwareVersion};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +36,8 @@
     Usage,
     /// Versions that streams were sent to.
     Streams,
+    /// Steps of rollouts, stored by the leader before any daemon follows them.
+    Rollouts,
 }
 
 /// A decoded record of a feed.
@@ -117,6 +121,18 @@
     Form(String),
 }
 
+/// The operators' orders of rollouts, as listed in one call.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OrderList {
+    /// The newest order of each service, as far as it can be decoded.
+    pub orders: Vec<RolloutOrder>,
+    /// Names of the services whose newest order can't be decoded, each with the reason. It changes
+    /// nothing: the order before it stays in force.
+    pub unreadable: BTreeMap<String, String>,
+    /// The era of the store, which rises with each restore from an older copy; none if unknown.
+    pub era: Option<u64>,
+}
+
 /// Services, and the versions of their upstreams' software.
 pub type StoredVersions = Vec<(Service, Option<SoftwareVersion>)>;
 
@@ -193,6 +209,16 @@
     fn stored_streams(&self)
     -> impl Future<Output = Result<Vec<StreamRecords>, StoreError>> + Send;
 
+    /// Lists the newest order of a rollout of each service. Withdrawn orders are left out.
+    fn rollout_orders(&self) -> impl Future<Output = Result<OrderList, StoreError>> + Send;
+
+    /// Writes to the store, for the operators, how far the rollout of a service is. Returns the era
+    /// of the store.
+    fn publish_rollout(
+        &self,
+        step: &RolloutStep,
+    ) -> impl Future<Output = Result<Option<u64>, StoreError>> + Send;
+
     /// Decodes a configuration document that another daemon has read from the store.
     ///
     /// # Errors
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -4,21 +4,23 @@
 use crate::backends::StoredVersions;
 use crate::limits::UpstreamLimits;
 use crate::pool::{ConnectionPool, Endpoint};
+use crate::rollout_watch::{Eligible, RolloutWatch};
 use crate::tracked_upstream::TrackedUpstream;
 use slotmap::SecondaryMap;
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
+use spindle_policy::rollout::trial_upstreams;
 use spindle_policy::stream_versions::{
     KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
 };
 use spindle_policy::upstream_contact::ServiceContact;
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
-    Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
+    RegisteredUpstream, Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -41,6 +43,8 @@
     state: Arc<Mutex<State>>,
     pool: ConnectionPool,
     own_data_centre: DataCentre,
+    /// Learns which versions there are.
+    rollouts: RolloutWatch,
 }
 
 /// Upstreams that were recently found to be shutting down or gone.
@@ -60,12 +64,20 @@
     pub tried: &'a [UpstreamKey],
     /// Versions of the software that may serve the attempt.
     pub versions: &'a PermittedVersions,
+    /// Upstreams that may get new work while versions change.
+    pub eligible: &'a Eligible,
 }
 
 impl Balancer {
     /// Creates a balancer without upstreams for a daemon in the given data centre.
     pub fn new(own_data_centre: DataCentre, pool: ConnectionPool) -> Self {
-        Self { state: Arc::default(), pool, own_data_centre }
+        Self { state: Arc::default(), pool, own_data_centre, rollouts: RolloutWatch::default() }
+    }
+
+    /// The same balancer, which tells `rollouts` of the versions of the upstreams.
+    #[must_use]
+    pub fn with_rollouts(self, rollouts: RolloutWatch) -> Self {
+        Self { rollouts, ..self }
     }
 
     /// Connection pool of the upstreams.
@@ -82,20 +94,20 @@
         source: &'static str,
     ) {
         let change = self.state().registry.on_registration(now, registration);
-        self.log_change(change, source);
+        self.log_change(now, change, source);
     }
 
     /// Handles the removal of an instance's registration.
     pub fn on_removal(&self, now: MonotonicInstant, instance: &Instance, source: &'static str) {
         let change = self.state().registry.on_removal(now, instance);
-        self.log_change(change, source);
+        self.log_change(now, change, source);
     }
 
     /// Handles a complete list of the registered instances: upstreams missing from it are treated
     /// as removed.
     pub fn on_full_list(&self, now: MonotonicInstant, present: &[Instance]) {
         let changes = self.state().registry.on_complete_list(now, present);
-        changes.into_iter().for_each(|change| self.log_change(change, "list"));
+        changes.into_iter().for_each(|change| self.log_change(now, change, "list"));
     }
 
     /// Records that the whole system starts for the first time, so that no upstream can have served
@@ -170,7 +182,7 @@
         source: &'static str,
     ) {
         let change = self.state().registry.on_leaving(now, upstream_id);
-        self.log_change(change, source);
+        self.log_change(now, change, source);
     }
 
     /// Records that the store could not be read. Registrations that lapse around an outage stay in
@@ -253,6 +265,8 @@
             expected_ms,
             counted,
             sent: false,
+            has_prompt: prompt.is_some(),
+            observation: None,
         })
     }
 
@@ -359,13 +373,22 @@
         usable.map(|(_, listed)| listed.registration.clone()).collect()
     }
 
-    /// Number of instances of a service in each data centre, without those that are shutting down.
-    pub fn instance_counts(&self, service: &Service) -> BTreeMap<DataCentre, InstanceCounts> {
+    /// Number of instances of a service in each data centre whose version `is_counted`, without those
+    /// that are shutting down.
+    pub fn instance_counts(
+        &self,
+        service: &Service,
+        is_counted: impl Fn(Option<&SoftwareVersion>) -> bool,
+    ) -> BTreeMap<DataCentre, InstanceCounts> {
         let state = self.state();
         let mut instance_counts: BTreeMap<DataCentre, InstanceCounts> = BTreeMap::new();
         for (_, listed) in state.registry.iter() {
             let registration = &listed.registration;
-            if registration.service != *service || listed.state == UpstreamState::Leaving {
+            let is_leaving = listed.state == UpstreamState::Leaving;
+            if registration.service != *service
+                || is_leaving
+                || !is_counted(registration.version.as_ref())
+            {
                 continue;
             }
             let found = instance_counts.entry(registration.data_centre.clone()).or_default();
@@ -378,7 +401,7 @@
         instance_counts
     }
 
-    fn log_change(&self, change: UpstreamChange, source: &'static str) {
+    fn log_change(&self, now: MonotonicInstant, change: UpstreamChange, source: &'static str) {
         let (key, event) = match change {
             UpstreamChange::None => return,
             UpstreamChange::Added(key) => (key, "upstream_added"),
@@ -389,6 +412,7 @@
         let mut state = self.state();
         let State { registry, upstreams, contacts, .. } = &mut *state;
         let Some(listed) = registry.get(key) else { return };
+        let changed = listed.registration.service.clone();
         let Registration { id, service, address, data_centre, version, reclaimable, .. } =
             &listed.registration;
         let version = version.as_ref().map_or("-", SoftwareVersion::as_str);
@@ -411,6 +435,39 @@
             UpstreamChange::Left(_) => self.pool.close(Endpoint::Upstream(key)),
             _ => {}
         }
+        drop(state);
+        self.tell_versions(now, &changed);
+    }
+
+    /// Tells of the versions of the upstreams of all services. To be called several times a second,
+    /// as registrations may lapse or change without further notice.
+    pub fn tell_all_versions(&self, now: MonotonicInstant) {
+        if !self.rollouts.is_enabled() {
+            return;
+        }
+        let services: BTreeSet<Service> = {
+            let state = self.state();
+            state.registry.iter().map(|(_, listed)| listed.registration.service.clone()).collect()
+        };
+        services.iter().for_each(|service| self.tell_versions(now, service));
+    }
+
+    fn tell_versions(&self, now: MonotonicInstant, service: &Service) {
+        if !self.rollouts.is_enabled() {
+            return;
+        }
+        let versions: Vec<_> = {
+            let state = self.state();
+            let usable = state.registry.iter().filter(|(_, listed)| {
+                listed.registration.service == *service && listed.usable(now)
+            });
+            let version = |listed: &RegisteredUpstream| {
+                let Registration { version, id, .. } = &listed.registration;
+                (version.clone(), id.started_at_ms)
+            };
+            usable.map(|(_, listed)| version(listed)).collect()
+        };
+        self.rollouts.on_upstreams(now, service, &versions);
     }
 
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
@@ -428,12 +485,22 @@
         own_data_centre: &DataCentre,
         (prefix_id, restrictions): (Option<u64>, Restrictions<'_>),
     ) -> Vec<Candidate> {
+        let Restrictions { tried, versions, eligible } = restrictions;
         let usable = self.registry.iter().filter(|(_, listed)| {
             let Registration { service: found, version, .. } = &listed.registration;
             found == service
                 && listed.usable(now)
-                && restrictions.versions.permits(version.as_ref())
+                && versions.permits(version.as_ref())
+                && eligible.versions.permits(version.as_ref())
         });
+        let mut usable: Vec<_> = usable.collect();
+        if let Some(step) = &eligible.trial {
+            let instances = usable.iter().map(|(_, listed)| &listed.registration.id.instance);
+            let chosen: BTreeSet<Instance> =
+                trial_upstreams(step, instances).into_iter().cloned().collect();
+            usable.retain(|(_, listed)| chosen.contains(&listed.registration.id.instance));
+        }
+        let usable = usable.into_iter();
         let candidates = usable.filter_map(|(key, listed)| {
             let upstream = self.upstreams.get(key)?;
             Some(Candidate {
@@ -451,7 +518,7 @@
                     None => self.limits.state(now, key),
                 },
                 is_local: listed.registration.data_centre == *own_data_centre,
-                tried: restrictions.tried.contains(&key),
+                tried: tried.contains(&key),
             })
         });
         candidates.collect()
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -82,6 +82,9 @@
     pub reserved: u32,
     /// Whether the start of its response has been counted as usage.
     pub is_counted: bool,
+    /// Whether it has been sent to the target of a rollout's trial, and goes on at the old version.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub left_trial: bool,
 }
 
 /// How a helper ended a request.
@@ -348,6 +351,7 @@
             attempts: past.counted,
             reserved: past.reserved_for_entry(attempt.admitted.route.attempts_max),
             is_counted,
+            left_trial: past.left_trial,
         };
         let mut request = Request::new(Full::new(buffered.body.clone()));
         *request.method_mut() = inbound.method.clone();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -40,6 +40,12 @@
     pub contact_losses: Counter<u64>,
     /// Number of requests handed over to another daemon, by how each ended (`ended`).
     pub handoffs: Counter<u64>,
+    /// Number of requests sent to a service while a rollout runs, by service and `side`: `old` or
+    /// `target`.
+    pub rollout_requests: Counter<u64>,
+    /// The stage of the newest rollout known, by service: 1 trial, 2 switch, 3 completed, 4 rolled
+    /// back.
+    pub rollout_stage: Gauge<u64>,
     /// Number of requests accepted from other daemons.
     pub accepted_handoffs: Counter<u64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
@@ -76,6 +82,8 @@
         crash_convicted: meter.u64_gauge("relay_crash_convicted").build(),
         contact_losses: meter.u64_counter("relay_contact_losses").build(),
         handoffs: meter.u64_counter("relay_handoffs").build(),
+        rollout_requests: meter.u64_counter("relay_rollout_requests").build(),
+        rollout_stage: meter.u64_gauge("rollout_stage").build(),
         accepted_handoffs: meter.u64_counter("relay_accepted_handoffs").build(),
         first_byte_seconds: meter.f64_histogram("relay_first_byte_seconds").build(),
         total_seconds: meter.f64_histogram("relay_whole_seconds").build(),
--- a/crates/relay/src/next_attempt.rs
+++ b/crates/relay/src/next_attempt.rs
@@ -10,10 +10,11 @@
 use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN, backoff, refuse};
 use crate::request::{BufferedRequest, Refusal};
 use crate::request_log::RequestLog;
+use crate::rollout_watch::Eligible;
 use crate::upstream_response::UpstreamResponse;
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_selection::Choice;
-use spindle_types::Clock;
+use spindle_types::{Clock, MonotonicInstant};
 use std::time::Duration;
 
 /// A request is refused if its response is expected to begin later than this multiple of the
@@ -84,6 +85,30 @@
         }
     }
 
+    /// The upstreams that may get a request as new work. A stream that has begun goes on at its
+    /// version, whatever a rollout says.
+    pub(crate) fn eligible(
+        &self,
+        now: MonotonicInstant,
+        admitted: &AdmittedRequest,
+        past: &AttemptHistory,
+    ) -> Eligible {
+        if !past.versions.is_any() {
+            return Eligible::default();
+        }
+        let draw = (admitted.draw, past.left_trial);
+        self.0.rollouts.eligible(now, &admitted.service, &admitted.route, draw)
+    }
+
+    fn eligible_outside_trial(
+        &self,
+        now: MonotonicInstant,
+        admitted: &AdmittedRequest,
+    ) -> Eligible {
+        let draw = (admitted.draw, true);
+        self.0.rollouts.eligible(now, &admitted.service, &admitted.route, draw)
+    }
+
     fn assign(
         &self,
         admitted: &AdmittedRequest,
@@ -109,16 +134,24 @@
         let max_wait =
             (admitted.route.target_latency * LATENESS_FACTOR_MAX).min(admitted.deadline.since(now));
         let balancer = &self.0.balancer;
-        let assign = |versions| {
-            let restrictions = Restrictions { tried: &past.tried, versions };
+        let assign = |versions: &PermittedVersions, eligible: &Eligible| {
+            let restrictions = Restrictions { tried: &past.tried, versions, eligible };
             balancer.assign(now, &admitted.service, prompt.as_ref(), max_wait, restrictions)
         };
+        let eligible = self.eligible(now, admitted, past);
         // Others may have been told of the version that the stream was sent to first.
         let recorded = past.recorded_version.clone().filter(|_| past.versions.is_any());
         let assignment = match recorded.map(|version| PermittedVersions::Only(Some(version))) {
-            Some(recorded) => assign(&recorded).or_else(|_| assign(&past.versions)),
-            None => assign(&past.versions),
+            Some(recorded) => {
+                assign(&recorded, &eligible).or_else(|_| assign(&past.versions, &eligible))
+            }
+            None => assign(&past.versions, &eligible),
         };
+        // The old version serves what the upstreams of a trial can't.
+        let assignment = assignment.or_else(|choice| match eligible.trial {
+            Some(_) => assign(&past.versions, &self.eligible_outside_trial(now, admitted)),
+            None => Err(choice),
+        });
         assignment.map_err(|choice| {
             let refusal = match choice {
                 Choice::Overloaded(after) => Refusal::Overloaded { retry_after: after + backoff() },
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::request_log::{Outcome, RequestLog};
 use crate::response_body::{BodyMemory, PartialBody};
 use crate::response_end::ResponseEnd;
+use crate::rollout_watch::{Eligible, RolloutWatch};
 use crate::stream;
 use crate::stream_keeper::StreamKeeper;
 use crate::upstream_response::{ResponseSource, UpstreamResponse};
@@ -87,6 +88,8 @@
     pub crashes: CrashKeeper,
     /// Daemons through which requests can be sent that have no way to the upstreams from here.
     pub helpers: Helpers,
+    /// Rollouts as this daemon follows them.
+    pub rollouts: RolloutWatch,
     /// Instance that the daemon runs on.
     pub instance: Instance,
 }
@@ -128,6 +131,8 @@
     pub(crate) prefers_helper: bool,
     /// Whether no other daemon is left that may serve the request.
     pub(crate) helpers_exhausted: bool,
+    /// Whether it has been sent to the target of a rollout's trial.
+    pub(crate) left_trial: bool,
 }
 
 impl AttemptHistory {
@@ -154,8 +159,8 @@
     }
 
     /// Which upstreams the next attempt may use.
-    pub(crate) fn restrictions(&self) -> Restrictions<'_> {
-        Restrictions { tried: &self.tried, versions: &self.versions }
+    pub(crate) fn restrictions<'a>(&'a self, eligible: &'a Eligible) -> Restrictions<'a> {
+        Restrictions { tried: &self.tried, versions: &self.versions, eligible }
     }
 }
 
@@ -199,6 +204,7 @@
         let mut past = AttemptHistory {
             counted: handoff.attempts,
             reserved: handoff.reserved,
+            left_trial: handoff.left_trial,
             ..AttemptHistory::default()
         };
         let buffered = BufferedRequest { inbound, body };
@@ -359,13 +365,17 @@
     ) -> Result<UpstreamResponse, Refusal> {
         let Attempt { admitted, buffered, .. } = attempt;
         loop {
-            let assignment = match self.next_attempt(attempt, past, request_log).await? {
+            let mut assignment = match self.next_attempt(attempt, past, request_log).await? {
                 NextAttempt::Upstream(assignment) => *assignment,
                 NextAttempt::Helper(upstream_response) => return Ok(*upstream_response),
             };
+            let (now, work) = (self.0.clock.now(), (&admitted.service, &admitted.route));
+            let is_first = past.tried.is_empty();
+            assignment.observation = self.0.rollouts.begin(now, work, &assignment, is_first);
+            past.left_trial |= assignment.observation.as_ref().is_some_and(|seen| seen.is_trial);
             past.tried.push(assignment.key);
             self.record_version(admitted, &buffered.inbound, past, assignment.version.as_ref());
-            request_log.on_assigned(self.0.clock.now(), &assignment);
+            request_log.on_assigned(now, &assignment);
             let assigned_at = assignment.assigned_at;
             let sent = self.send_to(assignment, attempt, past).await;
             count_send(&request_log.service, &sent);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -80,6 +80,7 @@
         progress_at: MonotonicInstant::default(),
         progress_bytes: 0,
         delivered_before: 0,
+        held: Duration::ZERO,
     };
     tokio::spawn(forwarder.run(upstream_response));
     Response::from_parts(head, body)
@@ -107,6 +108,8 @@
     progress_bytes: usize,
     /// Number of events that had been delivered before the current upstream.
     delivered_before: u64,
+    /// How long the caller has delayed events.
+    held: Duration,
 }
 
 impl<P: UpstreamProtocol, K: Clock> StreamForwarder<P, K> {
@@ -253,6 +256,7 @@
         let sent = tokio::time::timeout(left, self.sender.send(events)).await;
         let duration = self.relay.0.clock.now().since(started);
         self.progress_at = self.progress_at + duration;
+        self.held += duration;
         match sent {
             Ok(Ok(())) => Ok(duration),
             Ok(Err(ReceiverGone)) => Err(ResponseEnd::CallerLeft),
@@ -261,8 +265,10 @@
     }
 
     /// Records that events have been passed on, after `delivered` before.
-    fn on_progress(&mut self, delivered: u64, upstream_response: &UpstreamResponse) {
+    fn on_progress(&mut self, delivered: u64, upstream_response: &mut UpstreamResponse) {
         self.progress_at = self.relay.0.clock.now();
+        let events = self.splitter.delivered() - self.delivered_before;
+        upstream_response.source.on_events(self.progress_at, events, self.held);
         self.progress_bytes = upstream_response.pooled.received_bytes();
         self.keep_version(upstream_response);
         let was_beginning = delivered - self.delivered_before < EVENTS_BEGUN;
--- a/crates/relay/src/upstream_response.rs
+++ b/crates/relay/src/upstream_response.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Records how many events have been passed on, and how long the caller has delayed them.
+    pub(crate) fn on_events(&mut self, now: MonotonicInstant, delivered: u64, held: Duration) {
+        if let Self::Upstream(assignment) = self
+            && let Some(observation) = &mut assignment.observation
+        {
+            observation.on_events(now, delivered, held);
+        }
+    }
+
     pub(crate) fn on_heard(&self, now: MonotonicInstant) {
         if let Self::Upstream(assignment) = self {
             assignment.on_heard(now);
--- a/src/node.rs
+++ b/src/node.rs
@@ -16,6 +16,8 @@
 pub mod feed_position;
 pub mod leader;
 pub mod registrations;
+pub mod rollouts;
+mod service_stock;
 pub mod status_exchange;
 pub mod status_service;
 pub mod stream_versions;
@@ -27,6 +29,7 @@
 use self::discovery::NodeDiscovery;
 use self::leader::Leader;
 use self::registrations::RegistrationFollower;
+use self::rollouts::RolloutLeader;
 use self::status_exchange::PeerStatuses;
 use self::status_service::StatusService;
 use self::stream_versions::StreamVersionExchange;
@@ -52,7 +55,8 @@
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
 use spindle_relay::usage::{QuotaCall, UsageRules};
 use spindle_relay::{
-    ActiveConfig, Balancer, ConfigVersions, Limits, Relay, UsageTracker, caller_server,
+    ActiveConfig, Balancer, ConfigVersions, Limits, Relay, RolloutWatch, UsageTracker,
+    caller_server,
 };
 use spindle_types::{Clock, Incarnation};
 use std::net::SocketAddr;
@@ -116,6 +120,7 @@
     follower: ConfigurationFollower<PlatformStore, BootClock>,
     registrations: RegistrationFollower<PlatformStore, BootClock>,
     statuses: PeerStatuses,
+    rollouts: RolloutWatch,
     relay: Relay<PlatformProtocol, BootClock>,
 }
 
@@ -206,7 +211,8 @@
 ) -> Components {
     let clock = BootClock;
     let store = PlatformStore::new(settings.store_address);
-    let balancer = build_balancer(settings);
+    let rollouts = build_rollouts(settings);
+    let balancer = build_balancer(settings).with_rollouts(rollouts.clone());
     let cluster_clock = ClusterClock::new(clock.now(), clock.utc());
     let usage = UsageTracker::new(usage_rules(settings), cluster_clock, calls);
     let (config_sender, config) = watch::channel(Arc::new(ActiveConfig::default()));
@@ -244,6 +250,7 @@
         config_is_current: Arc::clone(&config_is_current),
         draining: shutdown.draining.signal(),
         helpers: helpers.clone(),
+        rollouts: rollouts.clone(),
     });
     let relay = Relay::new(RelayParts {
         clock,
@@ -261,9 +268,28 @@
         keeper,
         crashes,
         helpers,
+        rollouts: rollouts.clone(),
         instance: settings.instance.clone(),
     });
-    Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
+    Components {
+        clock,
+        store,
+        balancer,
+        config,
+        limits,
+        follower,
+        registrations,
+        statuses,
+        rollouts,
+        relay,
+    }
+}
+
+fn build_rollouts(settings: &NodeSettings) -> RolloutWatch {
+    match settings.bounds.rollouts {
+        Some(_) => RolloutWatch::enabled(),
+        None => RolloutWatch::default(),
+    }
 }
 
 /// Memory that all request bodies may use together, in bytes.
@@ -412,6 +438,12 @@
     shutdown: &Shutdown,
 ) -> Option<JoinHandle<()>> {
     let cloud = PlatformCloud::new(settings.cloud_address?, settings.instance.clone());
+    let (permission, rollout_permission) = watch::channel(None);
+    if let Some(bounds) = settings.bounds.rollouts {
+        let fleet = (components.statuses.clone(), components.rollouts.clone());
+        let outside = (components.store.clone(), fleet, components.clock);
+        tokio::spawn(RolloutLeader::new(bounds, outside, rollout_permission).run());
+    }
     let parts = leader::Parts {
         incarnation,
         bounds: settings.bounds,
@@ -421,6 +453,8 @@
         balancer: components.balancer.clone(),
         config: components.config.clone(),
         statuses: components.statuses.clone(),
+        rollouts: components.rollouts.clone(),
+        permission,
     };
     Some(tokio::spawn(Leader::new(parts, shutdown.draining.signal()).run()))
 }
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -2,9 +2,11 @@
 
 use bytes::Bytes;
 use spindle_policy::crash_ledger::CrashNews;
+use spindle_policy::rollout::RolloutStep;
 use spindle_policy::stream_versions::StreamRecords;
 use spindle_relay::backends::{
-    Appended, Feed, FeedBatch, FeedRecord, Store, StoreError, StoredVersions, Topic, TopicRecords,
+    Appended, Feed, FeedBatch, FeedRecord, OrderList, Store, StoreError, StoredVersions, Topic,
+    TopicRecords,
 };
 use spindle_relay::{ActiveConfig, Limits};
 use spindle_types::{Instance, Service, SoftwareVersion};
@@ -208,6 +210,14 @@
         Err(StoreError::Refused("not supported by the fake store".to_owned()))
     }
 
+    async fn rollout_orders(&self) -> Result<OrderList, StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
+    async fn publish_rollout(&self, _step: &RolloutStep) -> Result<Option<u64>, StoreError> {
+        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    }
+
     fn decode_configuration(&self, document: &[u8]) -> Result<ActiveConfig, String> {
         let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
         let version = text.lines().next().unwrap_or_default().parse();
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -2,6 +2,7 @@
 //! instances.
 
 use super::boot_clock::BootClock;
+use super::service_stock::ServiceStock;
 use super::status_exchange::PeerStatuses;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use spindle_http::Drain;
@@ -14,7 +15,7 @@
 };
 use spindle_policy::store_era::EraChange;
 use spindle_policy::usage_windows::{due_windows, window_at};
-use spindle_relay::Balancer;
+use spindle_relay::{Balancer, RolloutWatch};
 use spindle_relay::backends::{
     AppendOutcome, Appended, Cloud, CloudError, ScaleOrder, Store, StoreError, Topic, TopicRecords,
 };
@@ -69,6 +70,10 @@
     pub config: watch::Receiver<Arc<ActiveConfig>>,
     /// Statuses of all daemons.
     pub statuses: PeerStatuses,
+    /// Rollouts as this daemon follows them.
+    pub rollouts: RolloutWatch,
+    /// Tells the task that runs the rollouts of the permission to act.
+    pub permission: watch::Sender<Option<Permission>>,
 }
 
 /// Usage reports as far as they have been read from the store, and those already sent.
@@ -146,6 +151,7 @@
             }
         }
         if self.permission.is_some() {
+            self.parts.permission.send_replace(None);
             self.append_lease_record(LeaseAction::Release).await;
             log::info!("event=lease_released");
         }
@@ -170,6 +176,7 @@
             log::warn!("event=lease_lost cause={cause}");
         }
         self.parts.statuses.set_fencing(None);
+        self.parts.permission.send_replace(None);
     }
 
     /// Takes or renews the lease if that is due. After the cloud has fenced this daemon off, it does
@@ -259,6 +266,7 @@
                 let term = self.parts.bounds.lease;
                 let taken = self.permission.is_none();
                 self.permission = Some(Permission::new(fencing, sent, term, sent));
+                self.parts.permission.send_replace(self.permission);
                 self.renewed_at = sent;
                 self.parts.statuses.set_fencing(Some(fencing));
                 if taken {
@@ -416,7 +424,8 @@
             let Some(scale) = &spec.scale else { continue };
             let now = self.parts.clock.now();
             let spec = fleet_spec(scale);
-            let instances = self.parts.balancer.instance_counts(service);
+            let stock = ServiceStock::new(&self.parts, now, service);
+            let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
             let limited_rates = self.parts.balancer.limited_rates(now, service);
@@ -433,28 +442,36 @@
             if now < self.cloud_retry_at || instances.is_empty() || !load_known {
                 continue;
             }
-            let orders = planner.orders(now, &spec, &instances);
+            let orders = planner.orders(now, &spec, instances);
             for order in orders {
-                self.send_order(service, order, rate).await;
+                if let Some(count) = stock.count_to_order(&order) {
+                    self.send_order(service, order, (count, rate)).await;
+                }
             }
         }
     }
 
-    async fn send_order(&mut self, service: &Service, order: CapacityOrder, rate: Option<f64>) {
+    /// Sends an order with the number `count`, which includes instances that the planner doesn't
+    /// count.
+    async fn send_order(
+        &mut self,
+        service: &Service,
+        order: CapacityOrder,
+        (count, rate): (u32, Option<f64>),
+    ) {
         let Some(fencing) = self.current_fencing() else { return };
         let call = ScaleOrder {
             service: service.clone(),
             data_centre: order.data_centre.clone(),
             reclaimable: order.reclaimable,
-            count: order.count,
+            count,
         };
         let result = self.parts.cloud.order_instances(fencing, &call).await;
         log::info!(
-            "event=scale service={service} data_centre={} reclaimable={} count={} \
+            "event=scale service={service} data_centre={} reclaimable={} count={count} \
              tokens_per_s={:.0} fencing={} result={result:?}",
             order.data_centre,
             order.reclaimable,
-            order.count,
             rate.unwrap_or_default(),
             fencing.0,
         );
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -2,12 +2,14 @@
 
 mod config_peers;
 mod quota_keepers;
+pub mod rollouts;
 mod suitable;
 mod versions;
 
 use super::boot_clock::BootClock;
 use super::configuration::ConfigurationFollower;
 use super::registrations::RegistrationFollower;
+use self::rollouts::RolloutState;
 use jsonrpsee::core::ClientError;
 use spindle_daemon::{ConfigNotice, Dialer, PeerConnection, StatusExchangeClient};
 use spindle_http::Drain;
@@ -25,7 +27,7 @@
 use spindle_relay::backends::Store;
 use spindle_relay::balancer::LeavingUpstreams;
 use spindle_relay::helpers::Helpers;
-use spindle_relay::{ActiveConfig, Balancer, UsageTracker};
+use spindle_relay::{ActiveConfig, Balancer, RolloutWatch, UsageTracker};
 use spindle_types::{
     Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
 };
@@ -97,6 +99,8 @@
     pub draining: Drain,
     /// Receives the daemons through which requests can be sent.
     pub helpers: Helpers,
+    /// Rollouts as this daemon follows them.
+    pub rollouts: RolloutWatch,
 }
 
 #[derive(Debug)]
@@ -119,6 +123,7 @@
     stored_peers: Option<Vec<SocketAddr>>,
     /// Versions that peers have told to have, before their statuses say so.
     notices: Vec<ConfigNotice>,
+    rollouts: RolloutState,
 }
 
 /// The statuses of all daemons, kept up to date by exchanging them with peers.
@@ -151,6 +156,7 @@
             connections: HashMap::new(),
             stored_peers: None,
             notices: Vec::new(),
+            rollouts: RolloutState::default(),
         };
         Self { parts: Arc::new(parts), state: Arc::new(Mutex::new(state)) }
     }
@@ -269,6 +275,7 @@
         state.round_at = now;
         self.update_own_status(now, &mut state);
         self.apply_statuses(now, &mut state);
+        self.follow_rollouts(now, &mut state);
         let state = &mut *state;
         self.set_limit_positions(now, state);
         state.presence.prune(now);
@@ -301,6 +308,7 @@
             || own.lost != lost
             || own.config != config_version
             || own.acting != state.fencing
+            || state.rollouts.has_news(now, &own.rollouts)
             || has_unlisted(own, &leaving)
             || limits.iter().any(|(upstream, limit)| {
                 own.limits.get(upstream).is_none_or(|known| known.rate != limit.rate)
@@ -325,6 +333,7 @@
         own.windows.set(beat, windows.counts().iter().map(|(key, counts)| (*key, counts.clone())));
         own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
         own.limits.set(beat, limits);
+        self.update_own_rollouts(now, beat, &state.rollouts, &mut own.rollouts);
     }
 
     /// Sets this daemon's place among the senders to each limited upstream. While the others may
@@ -498,6 +507,7 @@
             for (upstream, report) in limit_reports {
                 self.parts.balancer.on_limit_report(now, &upstream, report);
             }
+            self.apply_rollouts(now, status.incarnation);
         }
     }
 
--- /dev/null
+++ b/src/node/status_exchange/rollouts.rs
@@ -0,0 +1,185 @@
+//! What daemons tell each other of rollouts: the leader's steps, and what each daemon has observed.
+
+use super::{PeerStatuses, State};
+use spindle_policy::presence::{DEAD_AFTER, KnownDaemon, Presence};
+use spindle_policy::rollout::{ALL_ROUTES, EvidenceMap, FleetView, RolloutStep};
+use spindle_policy::rollout_status::{RolloutReport, RolloutStatus, RouteRates};
+use spindle_types::{Incarnation, Instance, MonotonicInstant, Service};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The interval at which a daemon judges what all daemons have observed: some heartbeats in a small
+/// deployment. Sums over hundreds of statuses take milliseconds.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// The steps that this daemon has stored as the holder of the lease, with the orders read.
+#[derive(Clone, Debug)]
+pub struct LedSteps {
+    /// The steps in force.
+    pub steps: Vec<RolloutStep>,
+    /// Until when this daemon holds the lease.
+    pub until: MonotonicInstant,
+}
+
+/// What [`PeerStatuses`] keeps for rollouts.
+#[derive(Debug, Default)]
+pub(super) struct RolloutState {
+    led: Option<LedSteps>,
+    judged_at: MonotonicInstant,
+    /// Request rates of the services with a rollout, kept while this daemon leads.
+    rates: BTreeMap<Service, RouteRates>,
+}
+
+impl RolloutState {
+    fn led(&self, now: MonotonicInstant) -> Option<&LedSteps> {
+        self.led.as_ref().filter(|led| now < led.until)
+    }
+
+    /// Whether the own status has to tell of other steps than it does.
+    pub(super) fn has_news(&self, now: MonotonicInstant, own: &RolloutStatus) -> bool {
+        let led = self.led(now);
+        let steps = led.map_or(&[][..], |led| &led.steps);
+        let is_told = |step: &RolloutStep| own.steps.get(&step.order.service) == Some(step);
+        own.leads != led.is_some() || !steps.iter().all(is_told)
+    }
+}
+
+impl PeerStatuses {
+    /// Sets the steps that this daemon has stored while it holds the lease. The others hear of them
+    /// with its next heartbeat, which a change causes at once.
+    pub(in crate::node) fn set_led_steps(&self, now: MonotonicInstant, led: Option<LedSteps>) {
+        let mut state = self.state();
+        if led.is_none() {
+            state.rollouts.rates.clear();
+        }
+        state.rollouts.led = led;
+        if let Some(led) = state.rollouts.led(now) {
+            self.parts.rollouts.on_holder(now, now, led.steps.iter());
+        }
+    }
+
+    /// Updates the part of the own status that concerns rollouts, for heartbeat `beat`.
+    pub(super) fn update_own_rollouts(
+        &self,
+        now: MonotonicInstant,
+        beat: u64,
+        rollouts: &RolloutState,
+        own: &mut RolloutStatus,
+    ) {
+        if !self.parts.rollouts.is_enabled() {
+            return;
+        }
+        let led = rollouts.led(now);
+        own.leads = led.is_some();
+        let steps = led.map_or(&[][..], |led| &led.steps);
+        own.steps.set(beat, steps.iter().map(|step| (step.order.service.clone(), step.clone())));
+        let (reports, evidence) = self.parts.rollouts.reports(now);
+        own.reports.set(beat, reports);
+        own.evidence.set(beat, evidence);
+    }
+
+    /// Applies the steps that the newest status of a daemon confirms, if that one leads.
+    pub(super) fn apply_rollouts(&self, now: MonotonicInstant, daemon: Incarnation) {
+        if !self.parts.rollouts.is_enabled() {
+            return;
+        }
+        let state = self.state();
+        let Some(known) = state.presence.get(daemon) else { return };
+        let rollouts = &known.status.rollouts;
+        if rollouts.leads {
+            let steps = rollouts.steps.iter().map(|(_, step)| step);
+            self.parts.rollouts.on_holder(now, known.made_at(), steps);
+        }
+    }
+
+    /// Keeps the versions of the upstreams up to date, and judges what all daemons have observed of
+    /// the services with a rollout.
+    pub(super) fn follow_rollouts(&self, now: MonotonicInstant, state: &mut State) {
+        if !self.parts.rollouts.is_enabled() {
+            return;
+        }
+        self.parts.balancer.tell_all_versions(now);
+        if now.since(state.rollouts.judged_at) < JUDGE_INTERVAL {
+            return;
+        }
+        state.rollouts.judged_at = now;
+        for (service, order) in self.parts.rollouts.counted(now) {
+            let evidence = self.sum_evidence(state, &service, order);
+            self.parts.rollouts.on_evidence(now, &service, &evidence);
+        }
+    }
+
+    /// What all daemons have observed since the order of first sequence `order`.
+    fn sum_evidence(&self, state: &State, service: &Service, order: u64) -> EvidenceMap {
+        let mut sum = self.parts.rollouts.evidence(service, order);
+        for daemon in state.presence.iter() {
+            daemon.status.rollouts.add_evidence(service, order, &mut sum);
+        }
+        sum
+    }
+
+    /// What all daemons tell of a service, for the decision on the step after `step`.
+    pub(in crate::node) fn fleet_view(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        step: Option<&RolloutStep>,
+    ) -> FleetView {
+        let versions = self.parts.rollouts.versions(service);
+        let Some(step) = step else { return FleetView { versions, ..FleetView::default() } };
+        let mut state = self.state();
+        let evidence = self.sum_evidence(&state, service, step.first_sequence);
+        let (own, _) = self.parts.rollouts.reports(now);
+        let own = own.into_iter().find(|(found, _)| found == service).map(|(_, report)| report);
+        let State { presence, rollouts, .. } = &mut *state;
+        let rates = rollouts.rates.entry(service.clone()).or_default();
+        let reports = presence.iter().filter_map(|daemon| {
+            Some((daemon.status.incarnation, daemon.status.rollouts.reports.get(service)?))
+        });
+        let own_sent = own.iter().map(|report| (self.parts.incarnation, report));
+        rates.on_sent(
+            now,
+            reports.chain(own_sent).map(|(daemon, report)| (daemon, &report.sent)),
+        );
+        let mut view = FleetView {
+            evidence,
+            route_rates: rates.rates(),
+            versions,
+            ..FleetView::default()
+        };
+        add_in_flight(&mut view, step, own.as_ref());
+        for daemon in with_requests(now, presence) {
+            add_in_flight(&mut view, step, daemon.status.rollouts.reports.get(service));
+        }
+        let ages = presence.live(now).map(|daemon| now.since(daemon.at));
+        view.news_age = ages.max().unwrap_or_default();
+        view
+    }
+}
+
+/// The daemons that may still have requests in flight: those that haven't been silent for long. Of
+/// each instance only the newest counts.
+fn with_requests(now: MonotonicInstant, presence: &Presence) -> impl Iterator<Item = &KnownDaemon> {
+    let mut newest: BTreeMap<&Instance, &KnownDaemon> = BTreeMap::new();
+    for daemon in presence.iter().filter(|daemon| now.since(daemon.at) <= DEAD_AFTER) {
+        let known = newest.entry(&daemon.identity.instance).or_insert(daemon);
+        if daemon.at > known.at {
+            *known = daemon;
+        }
+    }
+    newest.into_values()
+}
+
+/// Adds the requests in flight of one daemon. One that doesn't follow the stage of the step yet may
+/// send further requests to the old version, so it counts as having one there.
+fn add_in_flight(view: &mut FleetView, step: &RolloutStep, report: Option<&RolloutReport>) {
+    let report = report.filter(|report| report.order == step.first_sequence);
+    let Some(report) = report.filter(|report| report.stage >= step.stage) else {
+        *view.old_in_flight.entry(ALL_ROUTES.to_owned()).or_default() += 1;
+        return;
+    };
+    for (route, count) in &report.old_in_flight {
+        *view.old_in_flight.entry(route.clone()).or_default() += count;
+    }
+    view.target_in_flight += report.target_in_flight;
+}
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -15,8 +15,8 @@
 use spindle_relay::stream_keeper::StreamKeeper;
 use spindle_relay::usage::UsageRules;
 use spindle_relay::{
-    ActiveConfig, Balancer, ConfigVersions, Limits, Relay, RepeatPolicy, Route, ServiceSpec,
-    UsageTracker, caller_server,
+    ActiveConfig, Balancer, ConfigVersions, Limits, Relay, RepeatPolicy, RolloutWatch, Route,
+    ServiceSpec, UsageTracker, caller_server,
 };
 use spindle_types::{Clock, MonotonicInstant, SystemClock};
 use std::collections::HashMap;
@@ -80,7 +80,8 @@
     for name in 0..names {
         let registration = Registration {
             id: UpstreamId {
-                instance: format!("i-{name}").as_str().try_into().unwrap(),
+                rollouts: RolloutWatch::default(),
+            instance: format!("i-{name}").as_str().try_into().unwrap(),
                 started_at_ms: 1,
             },
             service: "model".try_into().unwrap(),
