--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -135,7 +135,7 @@
 pub enum StepReason {
     /// The operator has ordered the rollout.
     Ordered,
-    /// The order was recorded again after a restore of the store.
+    /// The order was recorded again, after a restore of the store or with another duration.
     Recorded,
     /// The target has registered, or the request rates have changed.
     Shares,
@@ -193,21 +193,25 @@
 
     /// Whether this step takes precedence over another of the same service: its order is later, or
     /// the order is the same and the stage is further, or both are the same and the sequence is
-    /// higher.
+    /// higher. The order goes first, since sequences can repeat after a restore of the store.
     pub fn supersedes(&self, other: &Self) -> bool {
         if !self.order.is_same(&other.order) {
             return self.order.revision > other.order.revision;
         }
-        (self.stage, self.sequence) > (other.stage, other.sequence)
+        let progress = |step: &Self| (step.stage, step.sequence);
+        if self.order.revision == other.order.revision {
+            return progress(self) > progress(other);
+        }
+        // After a restore, the same content can also be a new order: a later first step tells.
+        (self.first_sequence, progress(self)) > (other.first_sequence, progress(other))
     }
 }
 
-/// One version among the registered upstreams of a service. Upstreams that state no valid version
-/// aren't listed.
+/// One version among the registered upstreams of a service.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionSeen {
-    /// The version.
-    pub version: SoftwareVersion,
+    /// The version; none for upstreams that state no valid one.
+    pub version: Option<SoftwareVersion>,
     /// The number of its registered upstreams that aren't leaving.
     pub upstreams: u32,
     /// When the longest-running of them started.
@@ -223,15 +227,20 @@
 impl VersionsSeen {
     /// The number of registered upstreams of a version.
     pub fn upstreams(&self, version: &SoftwareVersion) -> u32 {
-        let of_version = self.0.iter().filter(|seen| seen.version == *version);
+        let of_version = self.0.iter().filter(|seen| seen.version.as_ref() == Some(version));
         of_version.map(|seen| seen.upstreams).sum()
     }
 
+    /// The number of registered upstreams of other versions.
+    pub fn others(&self, version: &SoftwareVersion) -> u32 {
+        let others = self.0.iter().filter(|seen| seen.version.as_ref() != Some(version));
+        others.map(|seen| seen.upstreams).sum()
+    }
+
     /// The version of the longest-running upstream among those that `is_permitted` accepts.
-    fn oldest(&self, is_permitted: impl Fn(&VersionSeen) -> bool) -> Option<&SoftwareVersion> {
+    fn oldest(&self, is_permitted: impl Fn(&VersionSeen) -> bool) -> Option<&VersionSeen> {
         let usable = self.0.iter().filter(|seen| seen.upstreams > 0 && is_permitted(seen));
-        let oldest = usable.min_by_key(|seen| (seen.started_at, seen.first_seen, &seen.version));
-        oldest.map(|seen| &seen.version)
+        usable.min_by_key(|seen| (seen.started_at, seen.first_seen, &seen.version))
     }
 }
 
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -1,7 +1,50 @@
 //! The lease holder's decisions on one rollout.
 
-use super::{FleetView, RolloutBounds, RolloutOrder, RolloutStep};
-use spindle_types::{MonotonicInstant, Service, UtcInstant};
+use super::share::{Budget, equal_shares, trial_size};
+use super::{
+    DECISION_LEAD, EvidenceHistory, FleetView, RESTORE_GRACE, RolloutBounds, RolloutOrder,
+    RolloutStep, STEP_VALIDITY, Stage, StepReason, Verdict,
+};
+use spindle_types::{MonotonicInstant, Service, SoftwareVersion, UtcInstant};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The age that an order is assumed to have if it is in a holder's first listing: the time until
+/// another daemon takes over from a holder that died, 3.5 s, and two listings.
+const ORDER_AGE_MAX: Duration = Duration::from_millis(4_500);
+
+/// Shortest time between two changes of the shares, so that steps don't fill the store.
+const SHARES_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Relative change of the number of trial requests per second from which the shares are changed.
+const SHARES_CHANGE: f64 = 0.25;
+
+/// Time for a switch to arrive at all daemons, and for their statuses to tell of it, beyond the age
+/// of the statuses.
+const SWITCH_SPREAD: Duration = Duration::from_millis(300);
+
+/// Half of the time between two calls of `next_step`, in seconds. A switch is made at the call
+/// that is nearest to its time.
+const HALF_TICK_S: f64 = 0.125;
+
+/// The newest listing of the orders.
+#[derive(Clone, Debug)]
+struct Listing {
+    at: MonotonicInstant,
+    era: u64,
+    /// When this holder first listed the orders in this era.
+    era_since: MonotonicInstant,
+    order: Option<RolloutOrder>,
+}
+
+/// What the listing says of the order that is carried out.
+enum Listed {
+    /// Nothing yet, or an outdated record.
+    Unknown,
+    Same(RolloutOrder),
+    Other(RolloutOrder),
+    Gone,
+}
 
 /// Runs at the lease holder: one for each service with an order or a stored step.
 ///
@@ -11,9 +54,20 @@
 pub struct RolloutController {
     service: Service,
     bounds: RolloutBounds,
-    /// When the orders were last listed.
+    /// When the orders were last listed without the newest order.
     listed_at: Option<MonotonicInstant>,
+    listing: Option<Listing>,
+    /// The newest order that was listed, and the deadline that follows from its first listing.
+    arrived: Option<(RolloutOrder, UtcInstant)>,
     current: Option<RolloutStep>,
+    /// When the step in force was stored, or read.
+    stored_at: MonotonicInstant,
+    /// The highest sequence of any step that is known.
+    sequence: u64,
+    history: EvidenceHistory,
+    /// The number of trial requests that the shares in force have sent by `planned_at`.
+    planned: f64,
+    planned_at: Option<MonotonicInstant>,
 }
 
 impl RolloutController {
@@ -25,11 +79,28 @@
         bounds: RolloutBounds,
         listed_at: Option<MonotonicInstant>,
     ) -> Self {
-        Self { service, bounds, listed_at, current: None }
+        Self {
+            service,
+            bounds,
+            listed_at,
+            listing: None,
+            arrived: None,
+            current: None,
+            stored_at: MonotonicInstant::default(),
+            sequence: 0,
+            history: EvidenceHistory::default(),
+            planned: 0.0,
+            planned_at: None,
+        }
+    }
+
+    /// The service.
+    pub const fn service(&self) -> &Service {
+        &self.service
     }
 
     /// The step in force.
-    pub fn current(&self) -> Option<&RolloutStep> {
+    pub const fn current(&self) -> Option<&RolloutStep> {
         self.current.as_ref()
     }
 
@@ -42,15 +113,47 @@
         era: u64,
         order: Option<RolloutOrder>,
     ) {
-        let _ = (utc, era, order, &self.service, &self.bounds);
-        self.listed_at = Some(now);
+        let before = self.listing.as_ref();
+        if before.is_some_and(|before| before.era > era) {
+            return;
+        }
+        let era_since = before.filter(|before| before.era == era).map_or(now, |b| b.era_since);
+        if let Some(order) = &order {
+            self.on_arrival(now, utc, order);
+        } else {
+            self.listed_at = Some(now);
+        }
+        self.listing = Some(Listing { at: now, era, era_since, order });
+    }
+
+    /// Derives the deadline of an order that wasn't listed before. It counts from the time at which
+    /// the order can have been acknowledged at the earliest.
+    fn on_arrival(&mut self, now: MonotonicInstant, utc: UtcInstant, order: &RolloutOrder) {
+        if let Some((known, _)) = self.arrived.as_mut().filter(|(known, _)| known.is_same(order)) {
+            *known = order.clone();
+            return;
+        }
+        let last = self.listing.as_ref().map(|listing| listing.at).max(self.listed_at);
+        let age = last.map_or(ORDER_AGE_MAX, |last| now.since(last).min(ORDER_AGE_MAX));
+        let deadline = utc.0.saturating_sub(millis(age)).saturating_add(millis(order.duration));
+        self.arrived = Some((order.clone(), UtcInstant(deadline)));
     }
 
     /// A step that was acknowledged by the store, read at take-over, or received from a peer: the
     /// most advanced step wins.
     pub fn on_stored(&mut self, now: MonotonicInstant, step: RolloutStep) {
-        let _ = now;
+        self.sequence = self.sequence.max(step.sequence);
+        if self.current.as_ref().is_some_and(|current| !step.supersedes(current)) {
+            return;
+        }
+        let first = self.current.as_ref().map(|current| current.first_sequence);
+        if first != Some(step.first_sequence) {
+            self.history = EvidenceHistory::default();
+            self.planned = 0.0;
+            self.planned_at = None;
+        }
         self.current = Some(step);
+        self.stored_at = now;
     }
 
     /// The next step, to be stored and then sent; none if the step in force remains.
@@ -60,7 +163,255 @@
         utc: UtcInstant,
         view: &FleetView,
     ) -> Option<RolloutStep> {
-        let _ = (now, utc, view);
-        None
+        let listed = self.listed(now);
+        let Some(current) = self.current.clone() else {
+            return match listed {
+                Listed::Other(order) => Some(self.begin(order, view)),
+                Listed::Unknown | Listed::Same(_) | Listed::Gone => None,
+            };
+        };
+        let is_running = !current.stage.is_final();
+        match listed {
+            Listed::Gone if is_running => {
+                Some(self.advance(&current, Stage::RolledBack, StepReason::Withdrawn))
+            }
+            Listed::Other(order) if is_running && order.target == current.order.target => {
+                // The same rollout with another duration: what was found so far stays valid.
+                Some(self.renew(&current, order))
+            }
+            Listed::Other(_) if is_running => {
+                Some(self.advance(&current, Stage::RolledBack, StepReason::Replaced))
+            }
+            Listed::Other(order) => Some(self.begin(order, view)),
+            Listed::Same(order) if order.revision > current.order.revision => {
+                let step = self.advance(&current, current.stage, StepReason::Recorded);
+                Some(RolloutStep { order, ..step })
+            }
+            _ if is_running => self.carry_on(now, utc, &current, view),
+            _ => None,
+        }
+    }
+
+    /// Compares the listing with the order that is carried out. After a restore of the store, an
+    /// order can be missing until the operator has written it again.
+    fn listed(&self, now: MonotonicInstant) -> Listed {
+        let Some(listing) = &self.listing else { return Listed::Unknown };
+        let current = self.current.as_ref().map(|current| &current.order);
+        let is_restored = current.is_some_and(|current| listing.era > current.revision.era);
+        let is_grace = is_restored && now.since(listing.era_since) < RESTORE_GRACE;
+        match (&listing.order, current) {
+            (Some(order), Some(current)) if order.is_same(current) => Listed::Same(order.clone()),
+            (_, Some(_)) if is_grace => Listed::Unknown,
+            (Some(order), Some(current)) if order.revision < current.revision => Listed::Unknown,
+            (Some(order), _) => Listed::Other(order.clone()),
+            (None, _) => Listed::Gone,
+        }
+    }
+
+    /// The first step of an order.
+    fn begin(&self, order: RolloutOrder, view: &FleetView) -> RolloutStep {
+        let deadline_utc_ms = self.deadline_utc_ms(&order);
+        let base = self.base(&order.target, view);
+        // An order back to the version that serves needs no trial.
+        let is_alone =
+            view.versions.upstreams(&order.target) > 0 && view.versions.others(&order.target) == 0;
+        let is_sole = is_alone || base.as_ref() == Some(&order.target);
+        RolloutStep {
+            order,
+            stage: if is_sole { Stage::Completed } else { Stage::Trial },
+            sequence: self.sequence + 1,
+            first_sequence: self.sequence + 1,
+            deadline_utc_ms,
+            shares: BTreeMap::new(),
+            default_share: 0.0,
+            upstreams: if is_sole { u32::MAX } else { 0 },
+            base,
+            reason: if is_sole { StepReason::Sole } else { StepReason::Ordered },
+        }
+    }
+
+    /// The deadline of an order that was listed.
+    fn deadline_utc_ms(&self, order: &RolloutOrder) -> u64 {
+        let arrived = self.arrived.as_ref().filter(|(known, _)| known.is_same(order));
+        arrived.map_or(0, |(_, deadline)| deadline.0)
+    }
+
+    /// The order of `current` was issued again.
+    fn renew(&self, current: &RolloutStep, order: RolloutOrder) -> RolloutStep {
+        let deadline_utc_ms = self.deadline_utc_ms(&order);
+        let step = self.advance(current, current.stage, StepReason::Recorded);
+        RolloutStep { order, deadline_utc_ms, ..step }
+    }
+
+    /// The version that serves: the one that the last rollout ended with, or the version of the
+    /// longest-running upstream.
+    fn base(&self, target: &SoftwareVersion, view: &FleetView) -> Option<SoftwareVersion> {
+        let last = self.current.as_ref();
+        let ended_with = last.and_then(|last| match last.stage {
+            Stage::Completed => Some(&last.order.target),
+            Stage::RolledBack | Stage::Trial | Stage::Switch => last.base.as_ref(),
+        });
+        if let Some(version) = ended_with.filter(|version| view.versions.upstreams(version) > 0) {
+            return Some(version.clone());
+        }
+        let rejected = last.filter(|last| last.stage == Stage::RolledBack);
+        let rejected = rejected.map(|last| &last.order.target);
+        let is_usable = |version: Option<&SoftwareVersion>| {
+            version != Some(target) && (rejected.is_none() || version != rejected)
+        };
+        let oldest = view.versions.oldest(|seen| is_usable(seen.version.as_ref()));
+        oldest.and_then(|seen| seen.version.clone())
+    }
+
+    /// A step that takes the order of `current` to a stage.
+    fn advance(&self, current: &RolloutStep, stage: Stage, reason: StepReason) -> RolloutStep {
+        let share = match stage {
+            Stage::Trial | Stage::Switch => current.default_share,
+            Stage::Completed => 1.0,
+            Stage::RolledBack => 0.0,
+        };
+        RolloutStep {
+            stage,
+            reason,
+            sequence: self.sequence + 1,
+            default_share: share,
+            shares: if stage.is_final() { BTreeMap::new() } else { current.shares.clone() },
+            upstreams: if stage == Stage::Trial { current.upstreams } else { u32::MAX },
+            ..current.clone()
+        }
+    }
+
+    fn carry_on(
+        &mut self,
+        now: MonotonicInstant,
+        utc: UtcInstant,
+        current: &RolloutStep,
+        view: &FleetView,
+    ) -> Option<RolloutStep> {
+        self.count_planned(now, current, view);
+        let verdict = self.history.judge(now, &view.evidence);
+        if matches!(verdict, Verdict::Bad { .. }) {
+            return Some(self.advance(current, Stage::RolledBack, StepReason::Bad));
+        }
+        let left = UtcInstant(current.deadline_utc_ms).since(utc);
+        let target = &current.order.target;
+        let is_last = left <= DECISION_LEAD;
+        match (view.versions.upstreams(target), view.versions.others(target)) {
+            // Without an old upstream, all daemons use the target whatever the stage.
+            (1.., 0) => {
+                return is_last.then(|| self.advance(current, Stage::Completed, StepReason::Sole));
+            }
+            (0, _) => {
+                let step = || self.advance(current, Stage::RolledBack, StepReason::Missing);
+                return is_last.then(step);
+            }
+            _ => {}
+        }
+        let budget = Budget::new(&self.bounds, current.order.duration, view);
+        let left_s = left.as_secs_f64();
+        let used = self.used(now, current, view);
+        let leads = budget.leads(used, &view.route_rates);
+        let is_due = |route: &String| leads.get(route).is_none_or(|l| *l + HALF_TICK_S >= left_s);
+        let due: Vec<&String> = view.route_rates.keys().filter(|route| is_due(route)).collect();
+        if current.stage == Stage::Switch {
+            let is_drained = self.is_drained(now, current, view);
+            if is_last || is_drained {
+                let reason = if is_last { StepReason::Deadline } else { StepReason::Drained };
+                return Some(self.advance(current, Stage::Completed, reason));
+            }
+            let is_all = due.len() == view.route_rates.len();
+            let is_new = due.iter().any(|route| current.share(route) < 1.0);
+            return (is_new || (is_all && current.default_share < 1.0))
+                .then(|| self.switch(current, &due, is_all));
+        }
+        let is_all = due.len() == view.route_rates.len();
+        match verdict {
+            Verdict::Sound if !due.is_empty() => Some(self.switch(current, &due, is_all)),
+            Verdict::Sound | Verdict::Undecided if is_last || (is_all && left_s < 1.0) => {
+                Some(self.advance(current, Stage::RolledBack, StepReason::Undecided))
+            }
+            _ => self.share(now, left_s, current, view, &budget),
+        }
+    }
+
+    /// Counts the trial requests that the shares in force have sent since the last call.
+    fn count_planned(&mut self, now: MonotonicInstant, current: &RolloutStep, view: &FleetView) {
+        let since = self.planned_at.replace(now).map_or(Duration::ZERO, |last| now.since(last));
+        self.planned += trial_rate(current, view) * since.as_secs_f64();
+    }
+
+    /// The number of requests that the target may have got by now: as planned or as told, and what
+    /// the statuses don't tell yet. A daemon whose status is older than a step is valid has stopped
+    /// sending.
+    fn used(&self, now: MonotonicInstant, current: &RolloutStep, view: &FleetView) -> f64 {
+        let told = f64::from(view.evidence.target_answers()) + f64::from(view.target_in_flight);
+        let age = view.news_age.min(STEP_VALIDITY).min(now.since(self.stored_at));
+        let untold = trial_rate(current, view) * age.as_secs_f64();
+        self.planned.max(told + untold)
+    }
+
+    /// Whether the requests that were in flight at the old version have ended, by statuses that
+    /// were sent after the switch.
+    fn is_drained(&self, now: MonotonicInstant, current: &RolloutStep, view: &FleetView) -> bool {
+        let is_switched = view.route_rates.keys().all(|route| current.share(route) >= 1.0);
+        let in_flight: u32 = view.old_in_flight.values().sum();
+        let is_told = now.since(self.stored_at) >= view.news_age + SWITCH_SPREAD;
+        is_switched && current.default_share >= 1.0 && in_flight == 0 && is_told
     }
+
+    /// A switch of the routes `due`, beside those that have switched already.
+    fn switch(&self, current: &RolloutStep, due: &[&String], is_all: bool) -> RolloutStep {
+        let mut step = self.advance(current, Stage::Switch, StepReason::Sound);
+        step.shares.extend(due.iter().map(|route| ((*route).clone(), 1.0)));
+        if is_all {
+            step.shares.clear();
+            step.default_share = 1.0;
+        }
+        step
+    }
+
+    /// New shares of the trial, if those in force differ much from what is left to spend.
+    fn share(
+        &self,
+        now: MonotonicInstant,
+        left_s: f64,
+        current: &RolloutStep,
+        view: &FleetView,
+        budget: &Budget,
+    ) -> Option<RolloutStep> {
+        let used = self.used(now, current, view);
+        let leads = budget.leads(budget.trial, &view.route_rates);
+        let longest = leads.values().copied().fold(DECISION_LEAD.as_secs_f64(), f64::max);
+        let time = (left_s - longest).max(1.0);
+        let wanted = ((budget.trial - used) / time).max(0.0);
+        let shares = equal_shares(wanted, &view.route_rates);
+        let sum = |shares: &BTreeMap<String, f64>| -> f64 {
+            shares.iter().map(|(route, share)| view.route_rates[route] * share).sum()
+        };
+        let (new, old) = (sum(&shares), trial_rate(current, view));
+        let is_first = current.shares.is_empty() && new > 0.0;
+        let is_changed = (new - old).abs() > SHARES_CHANGE * old;
+        let is_due = now.since(self.stored_at) >= SHARES_INTERVAL;
+        if !(is_first || is_changed && is_due) {
+            return None;
+        }
+        let smallest = shares.values().copied().reduce(f64::min).unwrap_or_default();
+        let old_upstreams = view.versions.others(&current.order.target);
+        let upstreams = trial_size(new, budget.rate, old_upstreams).max(current.upstreams);
+        let step = self.advance(current, Stage::Trial, StepReason::Shares);
+        let base = current.base.clone().or_else(|| self.base(&current.order.target, view));
+        Some(RolloutStep { shares, default_share: smallest, upstreams, base, ..step })
+    }
+}
+
+/// The number of requests per second that a step sends to the target.
+fn trial_rate(step: &RolloutStep, view: &FleetView) -> f64 {
+    if view.versions.upstreams(&step.order.target) == 0 {
+        return 0.0;
+    }
+    view.route_rates.iter().map(|(route, rate)| rate * step.share(route)).sum()
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -1,6 +1,7 @@
 //! Counts of responses, by route and upstream, that a daemon collects during a rollout.
 
-use super::{Verdict, judge};
+use super::Verdict;
+use super::verdict::assess;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use spindle_types::{Instance, MonotonicInstant};
@@ -11,6 +12,13 @@
 /// below 1 ms, and the last one everything from 16 s.
 pub const BUCKETS: usize = 16;
 
+/// Time between two snapshots of the evidence.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of snapshots that are kept. Six cover the time from the target's registration to the
+/// switch of the shortest rollouts, 12 s.
+const SNAPSHOTS_MAX: usize = 6;
+
 /// One response, as a daemon observed it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Response {
@@ -48,30 +56,92 @@
 impl EvidenceMap {
     /// Counts a response of a target upstream, or of the old version if there is none.
     pub fn record(&mut self, route: &str, upstream: Option<&Instance>, response: &Response) {
-        let _ = (route, upstream, response);
+        let key = (route.to_owned(), upstream.cloned());
+        let evidence = self.0.entry(key).or_default();
+        evidence.answers = evidence.answers.saturating_add(1);
+        evidence.failed = evidence.failed.saturating_add(response.is_failed.into());
+        let count = |buckets: &mut [u16; BUCKETS], time: Option<Duration>| {
+            if let Some(time) = time {
+                let bucket = &mut buckets[bucket(time)];
+                *bucket = bucket.saturating_add(1);
+            }
+        };
+        count(&mut evidence.first_byte, response.first_byte);
+        count(&mut evidence.pace, response.pace);
     }
 
     /// Adds the counts of another daemon.
     pub fn add(&mut self, other: &Self) {
-        let _ = other;
+        for (key, theirs) in &other.0 {
+            let own = self.0.entry(key.clone()).or_default();
+            own.answers = own.answers.saturating_add(theirs.answers);
+            own.failed = own.failed.saturating_add(theirs.failed);
+            combine(&mut own.first_byte, &theirs.first_byte, u16::saturating_add);
+            combine(&mut own.pace, &theirs.pace, u16::saturating_add);
+        }
+    }
+
+    /// What came in since an earlier state. Counts that fell, since a daemon ended, are zero.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut recent = self.clone();
+        for (key, own) in &mut recent.0 {
+            let Some(before) = earlier.0.get(key) else { continue };
+            own.answers = own.answers.saturating_sub(before.answers);
+            own.failed = own.failed.saturating_sub(before.failed);
+            combine(&mut own.first_byte, &before.first_byte, u16::saturating_sub);
+            combine(&mut own.pace, &before.pace, u16::saturating_sub);
+        }
+        recent
     }
 
     /// The number of responses of the target.
     pub fn target_answers(&self) -> u32 {
-        0
+        let of_target = self.0.iter().filter(|((_, upstream), _)| upstream.is_some());
+        of_target.fold(0, |sum, (_, evidence)| sum.saturating_add(evidence.answers))
+    }
+}
+
+/// The class of a time.
+fn bucket(time: Duration) -> usize {
+    let millis = time.as_millis().min(u128::from(u32::MAX));
+    let bits = u128::BITS - millis.leading_zeros();
+    usize::try_from(bits).map_or(BUCKETS - 1, |bits| bits.min(BUCKETS - 1))
+}
+
+fn combine(own: &mut [u16; BUCKETS], other: &[u16; BUCKETS], with: impl Fn(u16, u16) -> u16) {
+    for (own, other) in own.iter_mut().zip(other) {
+        *own = with(*own, *other);
     }
 }
 
 /// Summed evidence over time, which finds a version that turned bad after a good start.
+///
+/// All evidence and what came in since each of the last snapshots is judged, which is a cumulative
+/// sum test (CUSUM) in steps of a snapshot's interval: good responses from before the change don't
+/// outweigh the failures after it.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceHistory {
     snapshots: VecDeque<(MonotonicInstant, EvidenceMap)>,
 }
 
 impl EvidenceHistory {
-    /// Judges all evidence, and what came in since each of the last snapshots.
+    /// Judges all evidence, and what came in since each of the last snapshots. Bad if one of them
+    /// is, sound if all evidence is and none of the recent raises a suspicion.
     pub fn judge(&mut self, now: MonotonicInstant, evidence: &EvidenceMap) -> Verdict {
-        let _ = (now, &self.snapshots);
-        judge(evidence)
+        let whole = assess(evidence);
+        let recent = self.snapshots.iter().map(|(_, earlier)| assess(&evidence.since(earlier)));
+        let worst = recent.max_by(|a, b| a.score.total_cmp(&b.score));
+        let is_due = |(at, _): &(MonotonicInstant, _)| now.since(*at) >= SNAPSHOT_INTERVAL;
+        if self.snapshots.back().is_none_or(is_due) {
+            self.snapshots.push_back((now, evidence.clone()));
+            if self.snapshots.len() > SNAPSHOTS_MAX {
+                self.snapshots.pop_front();
+            }
+        }
+        match worst {
+            Some(worst) if worst.is_bad() && !whole.is_bad() => worst.verdict(),
+            Some(worst) if worst.is_suspect() && !whole.is_bad() => Verdict::Undecided,
+            _ => whole.verdict(),
+        }
     }
 }
--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -1,8 +1,10 @@
 //! Which requests and which upstreams take part in a trial.
 
-use super::{RolloutOrder, RolloutStep};
+use super::{DECISION_LEAD, FleetView, RolloutBounds, RolloutOrder, RolloutStep};
 use spindle_types::{Instance, RequestId};
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// The draw of a request in 0..1, which is the same at each daemon and attempt.
@@ -27,3 +29,104 @@
     ranked.truncate(usize::try_from(step.upstreams).unwrap_or(usize::MAX));
     ranked
 }
+
+/// The fraction of the allowed exposure that is used. The rest covers errors of the expected number
+/// of requests, which is measured before the deadline.
+const USABLE_SHARE: f64 = 0.92;
+
+/// Largest fraction of the allowed exposure that the trial uses.
+const TRIAL_SHARE_MAX: f64 = 0.5;
+
+/// Fraction of the allowed exposure that the trial uses at least, up to [`ROUTE_ANSWERS_AIM`].
+const TRIAL_SHARE_MIN: f64 = 0.3;
+
+/// Number of trial requests of a route beyond which more don't improve the verdict: twice the
+/// number for which the error rates are designed.
+const ROUTE_ANSWERS_AIM: f64 = 80.0;
+
+/// Largest fraction of a route's requests in a trial. Routes with few requests get no more.
+const ROUTE_SHARE_MAX: f64 = 0.5;
+
+/// Smallest number of target upstreams in a trial, where that many exist.
+const TRIAL_UPSTREAMS_MIN: u32 = 4;
+
+/// Part of a switch's lead for its propagation to all daemons.
+const SPREAD: f64 = 0.3;
+
+/// Multiple of a route's mean duration after which most of its requests have ended.
+const DURATION_FACTOR: f64 = 1.5;
+
+/// Longest time for which a route's old requests are waited for, in seconds.
+const NEED_MAX_S: f64 = 4.0;
+
+/// How a rollout spends the exposure that it is allowed. Rates are requests per second, times are
+/// seconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Budget {
+    /// Number of requests that the target may get before the deadline.
+    pub(super) usable: f64,
+    /// Number of them for the trial.
+    pub(super) trial: f64,
+    /// Requests per second to all versions.
+    pub(super) rate: f64,
+    /// Time from the completion for which each route's old requests last.
+    needs: BTreeMap<String, f64>,
+}
+
+impl Budget {
+    pub(super) fn new(bounds: &RolloutBounds, duration: Duration, view: &FleetView) -> Self {
+        let rate: f64 = view.route_rates.values().sum();
+        let allowed = bounds.share * rate * duration.as_secs_f64() + bounds.slack;
+        let usable = allowed * USABLE_SHARE;
+        let need = |(route, rate): (&String, &f64)| {
+            let in_flight = view.old_in_flight.get(route).copied().map_or(0.0, f64::from);
+            // The mean duration follows from Little's law.
+            let mean = if *rate > 0.0 { in_flight / rate } else { 0.0 };
+            (route.clone(), (mean * DURATION_FACTOR).min(NEED_MAX_S) + SPREAD)
+        };
+        let needs: BTreeMap<_, _> = view.route_rates.iter().map(need).collect();
+        let lead = DECISION_LEAD.as_secs_f64();
+        let cost = |(route, need): (&String, &f64)| view.route_rates[route] * (need + lead);
+        let switch: f64 = needs.iter().map(cost).sum();
+        let aim = ROUTE_ANSWERS_AIM * needs.len() as f64;
+        let least = (allowed * TRIAL_SHARE_MIN).min(aim);
+        let trial = (usable - switch).max(least).min(allowed * TRIAL_SHARE_MAX);
+        Self { usable, trial, rate, needs }
+    }
+
+    /// How long before the deadline each route switches, if `used` requests have been sent to the
+    /// target by then. All requests from the first switch to the deadline fit into the rest.
+    pub(super) fn leads(&self, used: f64, rates: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
+        let base = DECISION_LEAD.as_secs_f64();
+        let rest = (self.usable - used).max(0.0);
+        let wanted: f64 = self.needs.iter().map(|(route, need)| rates[route] * need).sum();
+        let spare = (rest - self.rate * base).max(0.0);
+        let part = if wanted > 0.0 { (spare / wanted).min(1.0) } else { 1.0 };
+        let lead = |(route, need): (&String, &f64)| (route.clone(), base + need * part);
+        self.needs.iter().map(lead).collect()
+    }
+}
+
+/// The shares that send `total` trial requests per second to the target, about equally many from
+/// each route.
+pub(super) fn equal_shares(total: f64, rates: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
+    let mut routes: Vec<_> = rates.iter().filter(|(_, rate)| **rate > 0.0).collect();
+    routes.sort_by(|a, b| a.1.total_cmp(b.1));
+    let mut rest = total.max(0.0);
+    let mut shares = BTreeMap::new();
+    // Routes with few requests come first; what they can't give is taken from the others.
+    for (index, (route, rate)) in routes.iter().enumerate() {
+        let part = rest / (routes.len() - index) as f64;
+        let share = (part / **rate).min(ROUTE_SHARE_MAX);
+        rest -= share * **rate;
+        shares.insert((*route).clone(), share);
+    }
+    shares
+}
+
+/// The number of target upstreams that `trial` requests per second would need at the load of the
+/// old ones.
+pub(super) fn trial_size(trial: f64, rate: f64, old: u32) -> u32 {
+    let size = if rate > 0.0 { (trial / rate * f64::from(old)).ceil() } else { 0.0 };
+    (size as u32).max(TRIAL_UPSTREAMS_MIN)
+}
