feat(policy): status exchange of rollouts

The holder's steps, each daemon's evidence and reports are an optional part of the status, sent by changes only. A heartbeat is placed in time by the least delay seen, so that a forwarded old status renews no step.

--- a/crates/policy/src/rollout_status.rs
+++ b/crates/policy/src/rollout_status.rs
@@ -48,10 +48,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct RolloutStatus {
-    /// Whether the daemon holds the lease, and has read the stored steps and the operators' orders.
-    /// Its heartbeat then confirms `steps`.
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
-    pub leads: bool,
+    /// Milliseconds, at the heartbeat, since the daemon last listed the operators' orders and stored
+    /// the steps that follow from them; none unless it holds the lease. The heartbeat then confirms
+    /// `steps`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listed: Option<u64>,
     /// The stored steps in force, by service.
     #[serde(skip_serializing_if = "VersionedMap::is_empty")]
     pub steps: VersionedMap<Service, RolloutStep>,
@@ -72,7 +73,7 @@
     /// What has changed after heartbeat `beat`.
     pub fn changed_since(&self, beat: u64) -> Self {
         Self {
-            leads: self.leads,
+            listed: self.listed,
             steps: self.steps.changed_since(beat),
             reports: self.reports.changed_since(beat),
             evidence: self.evidence.changed_since(beat),
@@ -81,7 +82,7 @@
 
     /// Applies the changes of a newer status. Evidence of earlier orders of a service is dropped.
     pub fn merge(&mut self, newer: &Self) {
-        self.leads = newer.leads;
+        self.listed = newer.listed;
         self.steps.merge(&newer.steps, SERVICES_MAX);
         self.reports.merge(&newer.reports, SERVICES_MAX);
         if newer.evidence.is_empty() {
@@ -100,9 +101,10 @@
 
     /// Adds to `sum` the evidence on an order of a service.
     pub fn add_evidence(&self, service: &Service, order: u64, sum: &mut EvidenceMap) {
-        let entries = self.evidence.iter().filter(|((found, of_order, ..), _)| {
-            found == service && *of_order == order
-        });
+        let entries = self
+            .evidence
+            .iter()
+            .filter(|((found, of_order, ..), _)| found == service && *of_order == order);
         let entries = entries.map(|((_, _, route, upstream), evidence)| {
             ((route.clone(), upstream.clone()), evidence.clone())
         });
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -16,7 +16,8 @@
 use spindle_policy::upstream_contact::ServiceContact;
 use spindle_policy::upstream_limit::LimitReport;
 use spindle_policy::upstream_registry::{
-    RegisteredUpstream, Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
+    RegisteredUpstream, Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry,
+    UpstreamState,
 };
 use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
--- a/crates/relay/src/rollout_watch.rs
+++ b/crates/relay/src/rollout_watch.rs
@@ -10,8 +10,8 @@
 use crate::metrics::METRICS;
 use opentelemetry::KeyValue;
 use spindle_policy::rollout::{
-    Evidence, EvidenceMap, NewWork, Response, RolloutStep, RolloutView, Stage, Verdict, VersionSeen,
-    VersionsSeen, request_draw,
+    Evidence, EvidenceMap, NewWork, Response, RolloutStep, RolloutView, Stage, Verdict,
+    VersionSeen, VersionsSeen, request_draw,
 };
 use spindle_policy::rollout_status::{EVIDENCE_MAX, EvidenceKey, RolloutReport, SERVICES_MAX};
 use spindle_types::{Instance, MonotonicInstant, RequestId, Service, SoftwareVersion, UtcInstant};
@@ -25,9 +25,6 @@
 /// How long responses are counted after the last step of a rollout.
 const COUNTED_AFTER_END: Duration = Duration::from_secs(10);
 
-/// The number of versions of a service that are remembered after their last upstream left.
-const VERSIONS_MAX: usize = 16;
-
 /// The number of events from which on a stream counts as answered, before it ends: long streams would
 /// otherwise tell of a slow version too late.
 const EVENTS_JUDGED: u64 = 24;
@@ -115,11 +112,13 @@
     ) -> Eligible {
         let Some(state) = self.state() else { return Eligible::default() };
         let Some(known) = state.services.get(service) else { return Eligible::default() };
-        let draw = if outside { DRAW_OUTSIDE } else { draw };
-        let versions = state.view.permits(now, service, &route.name, draw, &known.versions);
-        let step = state.view.step(service).filter(|step| {
-            step.stage == Stage::Trial && versions == NewWork::Only(step.order.target.clone())
-        });
+        let permits = |draw| state.view.permits(now, service, &route.name, draw, &known.versions);
+        let others = permits(DRAW_OUTSIDE);
+        if outside {
+            return Eligible { versions: others, trial: None };
+        }
+        let versions = permits(draw);
+        let step = state.view.step(service).filter(|_| versions != others);
         Eligible { trial: step.cloned().map(Arc::new), versions }
     }
 
@@ -137,13 +136,12 @@
             return;
         }
         let known = services.entry(service.clone()).or_default();
-        let is_target = |version: &SoftwareVersion| {
-            view.step(service).is_some_and(|step| step.order.target == *version)
+        let is_target = |version: &Option<SoftwareVersion>| {
+            view.step(service).is_some_and(|step| Some(&step.order.target) == version.as_ref())
         };
         let versions = &mut known.versions.0;
         versions.iter_mut().for_each(|seen| seen.upstreams = 0);
         for (version, started_at_ms) in upstreams {
-            let Some(version) = version else { continue };
             let started_at = UtcInstant(*started_at_ms);
             match versions.iter_mut().find(|seen| seen.version == *version) {
                 Some(seen) => {
@@ -154,15 +152,19 @@
                 None => {
                     let version = version.clone();
                     if !versions.is_empty() && !is_target(&version) {
+                        let version = version.as_ref().map_or("-", SoftwareVersion::as_str);
                         log::info!("event=version_held service={service} version={version}");
                     }
-                    versions.push(VersionSeen { version, upstreams: 1, started_at, first_seen: now });
+                    versions.push(VersionSeen {
+                        version,
+                        upstreams: 1,
+                        started_at,
+                        first_seen: now,
+                    });
                 }
             }
         }
-        if versions.len() > VERSIONS_MAX {
-            versions.retain(|seen| seen.upstreams > 0);
-        }
+        versions.retain(|seen| seen.upstreams > 0);
     }
 
     /// The versions of the upstreams of a service.
@@ -172,19 +174,19 @@
         known.map(|known| known.versions.clone()).unwrap_or_default()
     }
 
-    /// Records a heartbeat of a daemon that holds the lease and has read the orders, made at
-    /// `made_at`, with the steps that it confirms.
+    /// Records a heartbeat of a daemon that holds the lease, with the steps that it confirms. The
+    /// heartbeat was made at `made_at`, and the orders listed at `listed_at`.
     pub fn on_holder<'a>(
         &self,
         now: MonotonicInstant,
-        made_at: MonotonicInstant,
+        (made_at, listed_at): (MonotonicInstant, MonotonicInstant),
         steps: impl Iterator<Item = &'a RolloutStep>,
     ) {
         let Some(mut state) = self.state() else { return };
         for step in steps {
             state.on_step(now, step, made_at);
         }
-        state.view.on_holder(made_at);
+        state.view.on_holder(listed_at);
     }
 
     /// The newest steps that this daemon knows.
@@ -215,7 +217,8 @@
     pub fn evidence(&self, service: &Service, order: u64) -> EvidenceMap {
         let state = self.state();
         let known = state.as_ref().and_then(|state| state.services.get(service));
-        let evidence = known.map(|known| &known.evidence).filter(|(of_order, _)| *of_order == order);
+        let evidence =
+            known.map(|known| &known.evidence).filter(|(of_order, _)| *of_order == order);
         evidence.map(|(_, evidence)| evidence.clone()).unwrap_or_default()
     }
 
@@ -294,7 +297,7 @@
             service: service.clone(),
             route: Arc::clone(route),
             instance: assignment.upstream_id.instance.clone(),
-            is_trial: is_target && step.is_some_and(|step| step.stage == Stage::Trial),
+            is_trial: is_target && step.is_some_and(|step| step.share(&route.name) < 1.0),
             version,
             sent_at: now,
             first_byte: None,
@@ -359,9 +362,8 @@
     }
 
     fn report(&self, step: &RolloutStep) -> RolloutReport {
-        let is_target = |version: &Option<SoftwareVersion>| {
-            version.as_ref() == Some(&step.order.target)
-        };
+        let is_target =
+            |version: &Option<SoftwareVersion>| version.as_ref() == Some(&step.order.target);
         let in_flight = |counts: &RouteCounts, of_target: bool| -> u32 {
             let of_side =
                 counts.in_flight.iter().filter(|(version, _)| is_target(version) == of_target);
@@ -394,7 +396,7 @@
     route: Arc<Route>,
     version: Option<SoftwareVersion>,
     instance: Instance,
-    /// Whether the upstream is one of a trial's target.
+    /// Whether the upstream is one of the target, which gets only a share of the route's requests.
     pub(crate) is_trial: bool,
     sent_at: MonotonicInstant,
     first_byte: Option<Duration>,
@@ -425,7 +427,8 @@
     /// Records that `delivered` events of the response have been passed on, which the caller has
     /// delayed by `held`.
     pub(crate) fn on_events(&mut self, now: MonotonicInstant, delivered: u64, held: Duration) {
-        let (first_at, first, held_before) = *self.first_events.get_or_insert((now, delivered, held));
+        let (first_at, first, held_before) =
+            *self.first_events.get_or_insert((now, delivered, held));
         let Ok(pauses) = u32::try_from(delivered - first) else { return };
         if pauses > 0 {
             let span = now.since(first_at).saturating_sub(held.saturating_sub(held_before));
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -15,11 +15,11 @@
 };
 use spindle_policy::store_era::EraChange;
 use spindle_policy::usage_windows::{due_windows, window_at};
-use spindle_relay::{Balancer, RolloutWatch};
 use spindle_relay::backends::{
     AppendOutcome, Appended, Cloud, CloudError, ScaleOrder, Store, StoreError, Topic, TopicRecords,
 };
 use spindle_relay::config::{ActiveConfig, ScaleSpec};
+use spindle_relay::{Balancer, RolloutWatch};
 use spindle_types::config::FencingCheck;
 use spindle_types::{Clock, Fencing, Incarnation, MonotonicInstant, Offset, Service, Span, Team};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -33,6 +33,9 @@
 /// enough that another rollout isn't held up for long.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a listing is waited for before the next steps. One that takes longer is applied later.
+const LIST_WAIT: Duration = Duration::from_millis(100);
+
 /// The delay after which the state of a rollout that could not be written is written again.
 const STATE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -41,8 +44,12 @@
     /// The wall-clock time on which most daemons agree.
     fn utc(&self, now: MonotonicInstant) -> UtcInstant;
     /// What all daemons have observed of a service under a step.
-    fn view(&self, now: MonotonicInstant, service: &Service, step: Option<&RolloutStep>)
-    -> FleetView;
+    fn view(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        step: Option<&RolloutStep>,
+    ) -> FleetView;
     /// The newest steps that this daemon has heard of.
     fn known_steps(&self) -> Vec<RolloutStep>;
     /// Tells the other daemons of the steps in force, with the next heartbeats; at once if they are
@@ -104,8 +111,10 @@
     fencing: Fencing,
     stored: StoredSteps,
     controllers: BTreeMap<Service, RolloutController>,
-    /// When the orders were last listed.
+    /// When the last listing of the orders began that was applied.
     listed_at: Option<MonotonicInstant>,
+    /// When the listing began from which all steps that follow are stored.
+    stored_for: Option<MonotonicInstant>,
 }
 
 /// The states that were written for the operators.
@@ -126,6 +135,7 @@
     permission: watch::Receiver<Option<Permission>>,
     era: StoreEra,
     term: Option<Term>,
+    /// A listing of the orders that isn't applied yet.
     listing: Option<JoinHandle<Result<OrderList, StoreError>>>,
     /// When the last listing began.
     list_began: Option<MonotonicInstant>,
@@ -175,15 +185,14 @@
         }
         self.repeat_steps().await;
         self.list_orders().await;
-        self.take_steps().await;
-        self.tell(false);
+        let news = self.take_steps().await;
+        self.tell(news);
         self.write_states().await;
     }
 
     fn valid_permission(&self) -> Option<Permission> {
         let permission = (*self.permission.borrow())?;
-        let check =
-            permission.check(self.clock.now(), FencingCheck::Checked, Duration::ZERO);
+        let check = permission.check(self.clock.now(), FencingCheck::Checked, Duration::ZERO);
         matches!(check, PermissionCheck::Granted(_)).then_some(permission)
     }
 
@@ -197,13 +206,15 @@
     fn begin_term(&mut self, fencing: Fencing) {
         let stored = StoredSteps { is_repeat_due: true, ..StoredSteps::default() };
         let controllers = BTreeMap::new();
-        let mut term = Term { fencing, stored, controllers, listed_at: None };
+        let mut term = Term { fencing, stored, controllers, listed_at: None, stored_for: None };
         // The store may have been restored from a copy that lacks steps which daemons follow.
         let now = self.clock.now();
         for step in self.fleet.known_steps() {
             term.on_stored(now, self.bounds, step);
         }
         self.term = Some(term);
+        // A listing that began earlier may lack an order whose steps are already stored.
+        (self.listing, self.list_began) = (None, None);
         self.written.acknowledged.clear();
     }
 
@@ -253,9 +264,9 @@
                         let steps = record.steps.into_iter();
                         steps.for_each(|step| term.on_stored(now, self.bounds, step));
                     }
-                    Err(error) => log::warn!(
-                        "event=rollout_steps_unreadable offset={offset} error={error:?}"
-                    ),
+                    Err(error) => {
+                        log::warn!("event=rollout_steps_unreadable offset={offset} error={error:?}")
+                    }
                 }
             }
             term.stored.next = next;
@@ -325,31 +336,28 @@
             let store = self.store.clone();
             self.listing = Some(tokio::spawn(async move { store.rollout_orders().await }));
         }
-        // The first listing is waited for a moment, so that a new holder soon confirms its steps.
-        if !self.listing.as_ref().is_some_and(JoinHandle::is_finished) {
-            tokio::task::yield_now().await;
-        }
-        let Some(listing) = self.listing.take_if(|listing| listing.is_finished()) else { return };
-        let list = match listing.await {
-            Ok(Ok(list)) => list,
-            Ok(Err(error)) => return log::debug!("event=rollout_orders_unread error={error:?}"),
-            // The task panicked, which the runtime logs.
-            Err(_) => return,
-        };
-        if self.is_current(list.era) {
-            self.on_orders(list);
+        let Some(listing) = &mut self.listing else { return };
+        let Ok(listed) = tokio::time::timeout(LIST_WAIT, listing).await else { return };
+        self.listing = None;
+        match listed {
+            Ok(Ok(list)) if self.is_current(list.era) => {
+                self.on_orders(self.list_began.unwrap_or(now), list);
+            }
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::debug!("event=rollout_orders_unread error={error:?}"),
+            Err(error) => log::warn!("event=rollout_orders_unread error={error:?}"),
         }
     }
 
-    fn on_orders(&mut self, list: OrderList) {
+    /// Applies the orders that a listing which began at `began` has found.
+    fn on_orders(&mut self, began: MonotonicInstant, list: OrderList) {
         for (service, cause) in &list.unreadable {
             if self.unreadable.get(service) != Some(cause) {
                 log::warn!("event=rollout_order_unreadable service={service} error={cause:?}");
             }
         }
         let Some(term) = &mut self.term else { return };
-        let now = self.clock.now();
-        let (utc, era) = (self.fleet.utc(now), list.era.unwrap_or_default());
+        let (utc, era) = (self.fleet.utc(began), list.era.unwrap_or_default());
         let listed_at = term.listed_at;
         let mut orders: BTreeMap<Service, _> =
             list.orders.into_iter().map(|order| (order.service.clone(), order)).collect();
@@ -359,52 +367,63 @@
         }
         for (service, controller) in &mut term.controllers {
             if !list.unreadable.contains_key(service.as_str()) {
-                controller.on_order(now, utc, era, orders.remove(service));
+                controller.on_order(began, utc, era, orders.remove(service));
             }
         }
-        term.listed_at = Some(now);
+        term.listed_at = Some(began);
         self.unreadable = list.unreadable;
     }
 
-    /// Stores the next step of each service that has one, then tells it.
-    async fn take_steps(&mut self) {
-        let Some(term) = &self.term else { return };
+    /// Stores the next step of each service that has one, then tells it. Returns whether steps remain
+    /// to be told.
+    async fn take_steps(&mut self) -> bool {
+        let Some(term) = &self.term else { return false };
         if term.listed_at.is_none() {
-            return;
+            return false;
         }
+        // Daemons release versions that were registered before the listing and have no step, so
+        // the steps that follow from the first listing are told together.
+        let is_first = term.stored_for.is_none();
+        let mut untold = false;
         let services: Vec<Service> = term.controllers.keys().cloned().collect();
         for service in services {
             let now = self.clock.now();
             let utc = self.fleet.utc(now);
             let Some(term) = self.term.as_mut().filter(|term| term.stored.is_ready()) else {
-                return;
+                return false;
             };
             let Some(controller) = term.controllers.get_mut(&service) else { continue };
             let view = self.fleet.view(now, &service, controller.current());
             let Some(step) = controller.next_step(now, utc, &view) else { continue };
             if !self.append(vec![step.clone()]).await {
-                return;
+                return false;
             }
             log_step(&step, &view);
             let now = self.clock.now();
             if let Some(term) = &mut self.term {
                 term.on_stored(now, self.bounds, step);
             }
-            self.tell(true);
+            if is_first {
+                untold = true;
+            } else {
+                self.tell(true);
+            }
         }
+        if let Some(term) = &mut self.term {
+            term.stored_for = term.listed_at;
+        }
+        untold
     }
 
     /// Tells the other daemons of the steps in force, once all are stored and the orders known.
     fn tell(&self, news: bool) {
         let Some(term) = &self.term else { return };
         let Some(permission) = self.valid_permission() else { return };
-        if permission.fencing != term.fencing
-            || term.listed_at.is_none()
-            || !term.stored.is_ready()
-        {
+        let Some(listed_at) = term.stored_for else { return };
+        if permission.fencing != term.fencing || !term.stored.is_ready() {
             return;
         }
-        let led = LedSteps { steps: term.steps(), until: permission.until };
+        let led = LedSteps { steps: term.steps(), listed_at, until: permission.until };
         self.fleet.tell(self.clock.now(), Some(led), news);
     }
 
--- a/src/node/service_stock.rs
+++ b/src/node/service_stock.rs
@@ -4,7 +4,7 @@
 use super::leader::Parts;
 use spindle_policy::fleet::{CapacityOrder, InstanceCounts};
 use spindle_policy::rollout::{RolloutStep, Stage};
-use spindle_types::{DataCentre, MonotonicInstant, Service, SoftwareVersion};
+use spindle_types::{DataCentre, MonotonicInstant, Service};
 use std::collections::BTreeMap;
 
 /// The instances of a service by data centre.
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -6,10 +6,10 @@
 mod suitable;
 mod versions;
 
+use self::rollouts::RolloutState;
 use super::boot_clock::BootClock;
 use super::configuration::ConfigurationFollower;
 use super::registrations::RegistrationFollower;
-use self::rollouts::RolloutState;
 use jsonrpsee::core::ClientError;
 use spindle_daemon::{ConfigNotice, Dialer, PeerConnection, StatusExchangeClient};
 use spindle_http::Drain;
--- a/src/node/status_exchange/rollouts.rs
+++ b/src/node/status_exchange/rollouts.rs
@@ -1,6 +1,6 @@
 //! What daemons tell each other of rollouts: the leader's steps, and what each daemon has observed.
 
-use super::{PeerStatuses, State};
+use super::{PeerStatuses, State, millis};
 use spindle_policy::presence::{DEAD_AFTER, KnownDaemon, Presence};
 use spindle_policy::rollout::{ALL_ROUTES, EvidenceMap, FleetView, RolloutStep};
 use spindle_policy::rollout_status::{RolloutReport, RolloutStatus, RouteRates};
@@ -17,6 +17,8 @@
 pub struct LedSteps {
     /// The steps in force.
     pub steps: Vec<RolloutStep>,
+    /// When the orders were listed that they follow from.
+    pub listed_at: MonotonicInstant,
     /// Until when this daemon holds the lease.
     pub until: MonotonicInstant,
 }
@@ -40,7 +42,7 @@
         let led = self.led(now);
         let steps = led.map_or(&[][..], |led| &led.steps);
         let is_told = |step: &RolloutStep| own.steps.get(&step.order.service) == Some(step);
-        own.leads != led.is_some() || !steps.iter().all(is_told)
+        own.listed.is_some() != led.is_some() || !steps.iter().all(is_told)
     }
 }
 
@@ -54,7 +56,7 @@
         }
         state.rollouts.led = led;
         if let Some(led) = state.rollouts.led(now) {
-            self.parts.rollouts.on_holder(now, now, led.steps.iter());
+            self.parts.rollouts.on_holder(now, (now, led.listed_at), led.steps.iter());
         }
     }
 
@@ -70,7 +72,7 @@
             return;
         }
         let led = rollouts.led(now);
-        own.leads = led.is_some();
+        own.listed = led.map(|led| millis(now.since(led.listed_at)));
         let steps = led.map_or(&[][..], |led| &led.steps);
         own.steps.set(beat, steps.iter().map(|step| (step.order.service.clone(), step.clone())));
         let (reports, evidence) = self.parts.rollouts.reports(now);
@@ -86,9 +88,11 @@
         let state = self.state();
         let Some(known) = state.presence.get(daemon) else { return };
         let rollouts = &known.status.rollouts;
-        if rollouts.leads {
+        if let Some(listed) = rollouts.listed {
+            let made_at = known.made_at();
+            let listed_at = made_at - Duration::from_millis(listed);
             let steps = rollouts.steps.iter().map(|(_, step)| step);
-            self.parts.rollouts.on_holder(now, known.made_at(), steps);
+            self.parts.rollouts.on_holder(now, (made_at, listed_at), steps);
         }
     }
 
@@ -137,21 +141,14 @@
             Some((daemon.status.incarnation, daemon.status.rollouts.reports.get(service)?))
         });
         let own_sent = own.iter().map(|report| (self.parts.incarnation, report));
-        rates.on_sent(
-            now,
-            reports.chain(own_sent).map(|(daemon, report)| (daemon, &report.sent)),
-        );
-        let mut view = FleetView {
-            evidence,
-            route_rates: rates.rates(),
-            versions,
-            ..FleetView::default()
-        };
+        rates.on_sent(now, reports.chain(own_sent).map(|(daemon, report)| (daemon, &report.sent)));
+        let mut view =
+            FleetView { evidence, route_rates: rates.rates(), versions, ..FleetView::default() };
         add_in_flight(&mut view, step, own.as_ref());
         for daemon in with_requests(now, presence) {
             add_in_flight(&mut view, step, daemon.status.rollouts.reports.get(service));
         }
-        let ages = presence.live(now).map(|daemon| now.since(daemon.at));
+        let ages = presence.live(now).map(|daemon| now.since(daemon.made_at()));
         view.news_age = ages.max().unwrap_or_default();
         view
     }
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -81,7 +81,7 @@
         let registration = Registration {
             id: UpstreamId {
                 rollouts: RolloutWatch::default(),
-            instance: format!("i-{name}").as_str().try_into().unwrap(),
+                instance: format!("i-{name}").as_str().try_into().unwrap(),
                 started_at_ms: 1,
             },
             service: "model".try_into().unwrap(),
