--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -5,8 +5,8 @@
 use spindle_policy::rollout::RolloutStep;
 use spindle_policy::stream_versions::StreamRecords;
 use spindle_relay::backends::{
-    Appended, Feed, FeedBatch, FeedRecord, OrderList, Store, StoreError, StoredVersions, Topic,
-    TopicRecords,
+    AppendOutcome, Appended, Feed, FeedBatch, FeedRecord, OrderList, Store, StoreError,
+    StoredVersions, Topic, TopicRecords,
 };
 use spindle_relay::{ActiveConfig, Limits};
 use spindle_types::{Instance, Service, SoftwareVersion};
@@ -57,6 +57,45 @@
     document.into()
 }
 
+/// What the store holds of rollouts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FakeRollouts {
+    /// The records of the topic.
+    pub(super) records: Vec<Bytes>,
+    /// The operators' orders, and the services with an unreadable one.
+    pub(super) orders: OrderList,
+    /// The steps whose states were written for the operators.
+    pub(super) written: Vec<RolloutStep>,
+    /// How the next appends and writes fail, if they do.
+    pub(super) failure: Option<AppendFailure>,
+    /// The number of appends and writes that were tried.
+    pub(super) tried: usize,
+}
+
+/// How an append fails.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AppendFailure {
+    /// Nothing is appended.
+    Refused,
+    /// The record is appended, and the answer lost.
+    AnswerLost,
+}
+
+impl FakeRollouts {
+    /// Appends if nothing fails.
+    fn append(&mut self, append: impl FnOnce(&mut Self)) -> Result<(), StoreError> {
+        self.tried += 1;
+        if self.failure == Some(AppendFailure::Refused) {
+            return Err(StoreError::Refused("unavailable".to_owned()));
+        }
+        append(self);
+        match self.failure {
+            Some(_) => Err(StoreError::Lost("no answer in time".to_owned())),
+            None => Ok(()),
+        }
+    }
+}
+
 /// A store that holds one configuration version and a log of registrations. While it is
 /// unreachable, calls fail after their timeout, even if the store becomes reachable before that.
 #[derive(Clone, Debug, Default)]
@@ -71,6 +110,8 @@
     /// The link of the daemon that reads, if its rate is limited.
     link: Option<FakeLink>,
     upstreams: Arc<Mutex<Vec<FeedRecord>>>,
+    /// What it holds of rollouts.
+    pub(super) rollouts: Arc<Mutex<FakeRollouts>>,
 }
 
 fn config(version: u64) -> ActiveConfig {
@@ -154,17 +195,28 @@
         self.answer(feed, from, wait).await
     }
 
-    async fn read_topic(&self, _topic: Topic, _from: u64) -> Result<TopicRecords, StoreError> {
-        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    async fn read_topic(&self, topic: Topic, from: u64) -> Result<TopicRecords, StoreError> {
+        if topic != Topic::Rollouts {
+            return Err(StoreError::Refused("not supported by the fake store".to_owned()));
+        }
+        let rollouts = self.rollouts.lock().unwrap();
+        let records = (0..).zip(rollouts.records.iter().cloned()).skip(from as usize);
+        let (end, era) = (rollouts.records.len() as u64, rollouts.orders.era);
+        // A page holds one record.
+        Ok(TopicRecords { oldest: 0, end, records: records.take(1).collect(), era })
     }
 
-    async fn append(
-        &self,
-        _topic: Topic,
-        _at: u64,
-        _record: Bytes,
-    ) -> Result<Appended, StoreError> {
-        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    async fn append(&self, topic: Topic, at: u64, record: Bytes) -> Result<Appended, StoreError> {
+        if topic != Topic::Rollouts {
+            return Err(StoreError::Refused("not supported by the fake store".to_owned()));
+        }
+        let mut rollouts = self.rollouts.lock().unwrap();
+        let (end, era) = (rollouts.records.len() as u64, rollouts.orders.era);
+        if at != end {
+            return Ok(Appended { outcome: AppendOutcome::Conflict { end }, era });
+        }
+        rollouts.append(|rollouts| rollouts.records.push(record))?;
+        Ok(Appended { outcome: AppendOutcome::At(end), era })
     }
 
     async fn publish_peer_address(
@@ -211,11 +263,13 @@
     }
 
     async fn rollout_orders(&self) -> Result<OrderList, StoreError> {
-        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+        Ok(self.rollouts.lock().unwrap().orders.clone())
     }
 
-    async fn publish_rollout(&self, _step: &RolloutStep) -> Result<Option<u64>, StoreError> {
-        Err(StoreError::Refused("not supported by the fake store".to_owned()))
+    async fn publish_rollout(&self, step: &RolloutStep) -> Result<Option<u64>, StoreError> {
+        let mut rollouts = self.rollouts.lock().unwrap();
+        rollouts.append(|rollouts| rollouts.written.push(step.clone()))?;
+        Ok(rollouts.orders.era)
     }
 
     fn decode_configuration(&self, document: &[u8]) -> Result<ActiveConfig, String> {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -31,8 +31,9 @@
     "stopped",
 ];
 
-/// Events that change the number of upstreams of a service.
-const SCALING_EVENTS: [&str; 2] = ["scale", "lease_lost"];
+/// Events that change the number of upstreams of a service, or which of them get new requests.
+const SERVICE_EVENTS: [&str; 5] =
+    ["scale", "lease_lost", "rollout_heard", "rollout_convicted", "version_held"];
 
 /// The log of one daemon.
 #[derive(Clone, Debug)]
@@ -111,8 +112,8 @@
         };
         let upstream = event != "request" && has_one_of("upstream", &upstreams);
         let daemon = DAEMON_STATE_EVENTS.contains(&event) && daemons.contains(line.log);
-        let scaling = SCALING_EVENTS.contains(&event) && has_one_of("service", &services);
-        (from..=until).contains(&line.at) && (upstream || daemon || scaling)
+        let of_service = SERVICE_EVENTS.contains(&event) && has_one_of("service", &services);
+        (from..=until).contains(&line.at) && (upstream || daemon || of_service)
     };
     let mut lines: Vec<Line<'a>> =
         all.iter().filter(|line| line.names_request(id) || is_relevant(line)).cloned().collect();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,6 +16,7 @@
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
 mod raw;
+mod rollouts;
 mod slow_readers;
 #[path = "../../platform/standin/mod.rs"]
 #[allow(unreachable_pub)]
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const SECOND_VERSION: &str = "v1.1";
+pub(crate) const SECOND_VERSION: &str = "v1.1";
 
 /// Streams in each test.
 const STREAMS: usize = 12;
@@ -51,12 +51,12 @@
 }
 
 /// Returns the events of a stream after `after`, as one version writes them.
-fn events(version: &str, after: u64) -> String {
+pub(crate) fn events(version: &str, after: u64) -> String {
     (after + 1..=STREAM_EVENTS).map(|number| event(version, number)).collect()
 }
 
 /// The version that wrote the first event of a text.
-fn version_of(text: &str) -> &'static str {
+pub(crate) fn version_of(text: &str) -> &'static str {
     if text.contains(SECOND_VERSION) { SECOND_VERSION } else { FIRST_VERSION }
 }
 
