--- a/crates/policy/src/rollout/evidence.rs
+++ b/crates/policy/src/rollout/evidence.rs
@@ -1,7 +1,7 @@
 //! Counts of responses, by route and upstream, that a daemon collects during a rollout.
 
 use super::Verdict;
-use super::verdict::assess;
+use super::verdict::{Used, assess};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 use spindle_types::{Instance, MonotonicInstant};
@@ -81,8 +81,22 @@
         }
     }
 
-    /// What came in since an earlier state. Counts that fell, since a daemon ended, are zero.
-    pub fn since(&self, earlier: &Self) -> Self {
+    /// Whether all counts are at least those of an earlier state. They fall when a daemon ended or
+    /// isn't heard.
+    fn continues(&self, earlier: &Self) -> bool {
+        earlier.0.iter().all(|(key, before)| {
+            let covers = |own: &[u16], before: &[u16]| own.iter().zip(before).all(|(o, b)| o >= b);
+            self.0.get(key).is_some_and(|own| {
+                own.answers >= before.answers
+                    && own.failed >= before.failed
+                    && covers(&own.first_byte, &before.first_byte)
+                    && covers(&own.pace, &before.pace)
+            })
+        })
+    }
+
+    /// What came in since an earlier state, which this one continues.
+    fn since(&self, earlier: &Self) -> Self {
         let mut recent = self.clone();
         for (key, own) in &mut recent.0 {
             let Some(before) = earlier.0.get(key) else { continue };
@@ -128,8 +142,14 @@
     /// Judges all evidence, and what came in since each of the last snapshots. Bad if one of them
     /// is, sound if all evidence is and none of the recent raises a suspicion.
     pub fn judge(&mut self, now: MonotonicInstant, evidence: &EvidenceMap) -> Verdict {
-        let whole = assess(evidence);
-        let recent = self.snapshots.iter().map(|(_, earlier)| assess(&evidence.since(earlier)));
+        // A difference between the sums of different daemons says nothing.
+        if self.snapshots.back().is_some_and(|(_, last)| !evidence.continues(last)) {
+            self.snapshots.clear();
+        }
+        let used = Used::of(evidence);
+        let whole = assess(evidence, used);
+        let recent =
+            self.snapshots.iter().map(|(_, earlier)| assess(&evidence.since(earlier), used));
         let worst = recent.max_by(|a, b| a.score.total_cmp(&b.score));
         let is_due = |(at, _): &(MonotonicInstant, _)| now.since(*at) >= SNAPSHOT_INTERVAL;
         if self.snapshots.back().is_none_or(is_due) {
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -2,7 +2,7 @@
 
 use super::{BUCKETS, Evidence, EvidenceMap};
 use spindle_types::Instance;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use strum::{Display, IntoStaticStr};
 
 /// Stands for all routes together in [`Verdict::Bad`].
@@ -67,6 +67,10 @@
 /// Number of used target upstreams from which the worst is left out.
 const SPARED_FROM: usize = 3;
 
+/// Smallest number of responses from which a version with fewer used upstreams is judged. Requests
+/// spread evenly over four upstreams leave two unused with a probability of 6 in 2^24.
+const FEW_UPSTREAMS_ANSWERS_MIN: u32 = 24;
+
 /// Number of classes of log2 ms above the old median from which a time is slow.
 const SLOW_BUCKETS: usize = 2;
 
@@ -79,7 +83,33 @@
 /// half of one route's responses found sound with 40 trial responses of that route. The tests
 /// measure both; `docs/design/rollouts.md` has the table.
 pub fn judge(evidence: &EvidenceMap) -> Verdict {
-    assess(evidence).verdict()
+    assess(evidence, Used::of(evidence)).verdict()
+}
+
+/// How much of the target has been used.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Used {
+    upstreams: usize,
+    answers: u32,
+}
+
+impl Used {
+    pub(super) fn of(evidence: &EvidenceMap) -> Self {
+        let upstreams: BTreeSet<_> =
+            evidence.0.keys().filter_map(|(_, upstream)| upstream.as_ref()).collect();
+        Self { upstreams: upstreams.len(), answers: evidence.target_answers() }
+    }
+
+    /// Whether the worst upstream is left out.
+    const fn spares_worst(self) -> bool {
+        self.upstreams >= SPARED_FROM
+    }
+
+    /// Whether a bad upstream can be told from a bad version: either several were used, or there are
+    /// so many responses that no other will be.
+    const fn is_conclusive(self) -> bool {
+        self.spares_worst() || self.answers >= FEW_UPSTREAMS_ANSWERS_MIN
+    }
 }
 
 /// The result of all tests on one body of evidence.
@@ -113,21 +143,22 @@
     }
 }
 
-/// Makes all tests.
-pub(super) fn assess(evidence: &EvidenceMap) -> Assessment {
-    let mut result = Assessment { score: f64::NEG_INFINITY, worst: None, is_sound: true };
+/// Makes all tests on a part of the evidence. `used` is of all evidence.
+pub(super) fn assess(evidence: &EvidenceMap, used: Used) -> Assessment {
+    let is_sound = used.is_conclusive();
+    let mut result = Assessment { score: f64::NEG_INFINITY, worst: None, is_sound };
     let sides = by_route(evidence);
     for reason in [BadReason::Failures, BadReason::SlowStart, BadReason::SlowPace] {
         let mut total: Scores<'_> = BTreeMap::new();
         for (route, side) in &sides {
             let scores = side.scores(reason);
-            result.include(&scores, reason, route, ROUTE_ANSWERS_MIN);
+            result.include(&scores, reason, route, used);
             for (upstream, (answers, score)) in scores {
                 let sum = total.entry(upstream).or_default();
                 *sum = (sum.0 + answers, sum.1 + score);
             }
         }
-        let answers = result.include(&total, reason, ALL_ROUTES, ROUTE_ANSWERS_MIN);
+        let answers = result.include(&total, reason, ALL_ROUTES, used);
         if reason == BadReason::Failures && answers < ANSWERS_MIN {
             result.is_sound = false;
         }
@@ -137,26 +168,20 @@
 
 impl Assessment {
     /// Adds one test, and returns the number of responses that it is based on.
-    fn include(
-        &mut self,
-        scores: &Scores<'_>,
-        reason: BadReason,
-        route: &str,
-        answers_min: u32,
-    ) -> u32 {
+    fn include(&mut self, scores: &Scores<'_>, reason: BadReason, route: &str, used: Used) -> u32 {
         let worst = scores.values().max_by(|a, b| a.1.total_cmp(&b.1));
-        let spared = worst.filter(|_| scores.len() >= SPARED_FROM).copied().unwrap_or_default();
+        let spared = worst.filter(|_| used.spares_worst()).copied().unwrap_or_default();
         let sum = |sum: (u32, f64), one: &(u32, f64)| (sum.0 + one.0, sum.1 + one.1);
         let (answers, score) = scores.values().fold((0, 0.0), sum);
         let (answers, score) = (answers - spared.0, score - spared.1);
         if answers == 0 {
             return 0;
         }
-        if score > self.score {
+        if score > self.score && used.is_conclusive() {
             self.score = score;
             self.worst = Some((reason, route.to_owned()));
         }
-        if answers >= answers_min && score > SOUND_SCORE {
+        if answers >= ROUTE_ANSWERS_MIN && score > SOUND_SCORE {
             self.is_sound = false;
         }
         answers
@@ -194,7 +219,9 @@
         };
         let Some(median) = median else { return Scores::new() };
         let count = |evidence: &Evidence| match reason {
-            BadReason::Failures => Count { all: evidence.answers, bad: evidence.failed },
+            BadReason::Failures => {
+                Count { all: evidence.answers, bad: evidence.failed.min(evidence.answers) }
+            }
             BadReason::SlowStart => Count::slow(&evidence.first_byte, median + SLOW_BUCKETS),
             BadReason::SlowPace => Count::slow(&evidence.pace, median + SLOW_BUCKETS),
         };
