--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -126,6 +126,38 @@
     }
 }
 
+/// A part of a trial. Where the trial's requests are too few for the normal load of two upstreams,
+/// two short pulses bring one upstream each to that load, so that a version that is bad only under
+/// load is found.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Display,
+    EnumString,
+    Eq,
+    IntoStaticStr,
+    PartialEq,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum TrialPhase {
+    /// Requests spread over the trial's upstreams.
+    #[default]
+    Spread,
+    /// The normal load of the first upstream.
+    FirstPulse,
+    /// Spread again.
+    Pause,
+    /// The normal load of the second upstream.
+    SecondPulse,
+    /// Spread until the switch.
+    Rest,
+}
+
 /// Why a step was made. The names are written to logs.
 #[derive(
     Clone, Copy, Debug, Deserialize, Display, EnumString, Eq, IntoStaticStr, PartialEq, Serialize,
@@ -139,6 +171,8 @@
     Recorded,
     /// The target has registered, or the request rates have changed.
     Shares,
+    /// One upstream gets its normal load for a moment.
+    Pulse,
     /// The trial found the target sound.
     Sound,
     /// No request is left at the old version.
@@ -177,7 +211,9 @@
     pub shares: BTreeMap<String, f64>,
     /// The fraction for routes without an own one.
     pub default_share: f64,
-    /// The number of target upstreams that may be used, in the order of [`trial_rank`].
+    /// The part of the trial.
+    pub phase: TrialPhase,
+    /// The number of target upstreams that may be used; [`trial_upstreams`] chooses them.
     pub upstreams: u32,
     /// The version that serves the other requests; none if it isn't known yet.
     pub base: Option<SoftwareVersion>,
@@ -257,6 +293,9 @@
     pub old_in_flight: BTreeMap<String, u32>,
     /// Requests in flight at upstreams of the target.
     pub target_in_flight: u32,
+    /// Whether a daemon has found the target bad by itself ([`RolloutView::is_convicted`]). A holder
+    /// that has just taken over lacks the history by which others found it.
+    pub is_convicted: bool,
     /// The age of the oldest status of a living daemon that the sums contain.
     pub news_age: Duration,
 }
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -1,9 +1,9 @@
 //! The lease holder's decisions on one rollout.
 
-use super::share::{Budget, equal_shares, trial_size};
+use super::share::{Budget, PULSE, PULSE_PAUSE, equal_shares, trial_size};
 use super::{
     DECISION_LEAD, EvidenceHistory, FleetView, RESTORE_GRACE, RolloutBounds, RolloutOrder,
-    RolloutStep, STEP_VALIDITY, Stage, StepReason, Verdict,
+    RolloutStep, STEP_VALIDITY, Stage, StepReason, TrialPhase, Verdict,
 };
 use spindle_types::{MonotonicInstant, Service, SoftwareVersion, UtcInstant};
 use std::collections::BTreeMap;
@@ -19,6 +19,17 @@
 /// Relative change of the number of trial requests per second from which the shares are changed.
 const SHARES_CHANGE: f64 = 0.25;
 
+/// Part of the age of the statuses by which the trial ends before the switch. A version that turns
+/// bad in the rest of this time is seen less well, one that was bad before is seen better.
+const TOLD_PART: f64 = 0.5;
+
+/// Time before the last useful evidence at which the pulses begin, in seconds: two pulses, the
+/// pause between them, and the time in which steps arrive.
+const PULSES_S: f64 = 2.0;
+
+/// Part of the trial's requests after which its second half begins.
+const SECOND_HALF: f64 = 0.5;
+
 /// Time for a switch to arrive at all daemons, and for their statuses to tell of it, beyond the age
 /// of the statuses.
 const SWITCH_SPREAD: Duration = Duration::from_millis(300);
@@ -224,6 +235,7 @@
             deadline_utc_ms,
             shares: BTreeMap::new(),
             default_share: 0.0,
+            phase: TrialPhase::Spread,
             upstreams: if is_sole { u32::MAX } else { 0 },
             base,
             reason: if is_sole { StepReason::Sole } else { StepReason::Ordered },
@@ -290,7 +302,7 @@
     ) -> Option<RolloutStep> {
         self.count_planned(now, current, view);
         let verdict = self.history.judge(now, &view.evidence);
-        if matches!(verdict, Verdict::Bad { .. }) {
+        if view.is_convicted || matches!(verdict, Verdict::Bad { .. }) {
             return Some(self.advance(current, Stage::RolledBack, StepReason::Bad));
         }
         let left = UtcInstant(current.deadline_utc_ms).since(utc);
@@ -307,7 +319,7 @@
             }
             _ => {}
         }
-        let budget = Budget::new(&self.bounds, current.order.duration, view);
+        let budget = Budget::new(&self.bounds, &current.order, view);
         let left_s = left.as_secs_f64();
         let used = self.used(now, current, view);
         let leads = budget.leads(used, &view.route_rates);
@@ -370,6 +382,32 @@
         step
     }
 
+    /// The part of the trial that is due, `ahead_s` seconds before the last evidence is sent that
+    /// the decision on the switch can use.
+    fn phase(
+        &self,
+        now: MonotonicInstant,
+        ahead_s: f64,
+        current: &RolloutStep,
+        budget: &Budget,
+    ) -> TrialPhase {
+        let since = now.since(self.stored_at);
+        match current.phase {
+            TrialPhase::Spread
+                if budget.pulse_share.is_some()
+                    && !current.shares.is_empty()
+                    && since >= PULSE_PAUSE
+                    && ahead_s <= PULSES_S =>
+            {
+                TrialPhase::FirstPulse
+            }
+            TrialPhase::FirstPulse if since >= PULSE => TrialPhase::Pause,
+            TrialPhase::Pause if since >= PULSE_PAUSE => TrialPhase::SecondPulse,
+            TrialPhase::SecondPulse if since >= PULSE => TrialPhase::Rest,
+            phase => phase,
+        }
+    }
+
     /// New shares of the trial, if those in force differ much from what is left to spend.
     fn share(
         &self,
@@ -382,8 +420,21 @@
         let used = self.used(now, current, view);
         let leads = budget.leads(budget.trial, &view.route_rates);
         let longest = leads.values().copied().fold(DECISION_LEAD.as_secs_f64(), f64::max);
-        let time = (left_s - longest).max(1.0);
-        let wanted = ((budget.trial - used) / time).max(0.0);
+        let news_s = view.news_age.min(STEP_VALIDITY).as_secs_f64();
+        let phase = self.phase(now, left_s - longest - news_s, current, budget);
+        if matches!(phase, TrialPhase::FirstPulse | TrialPhase::SecondPulse) {
+            let step = || RolloutStep {
+                phase,
+                shares: BTreeMap::new(),
+                default_share: budget.pulse_share.unwrap_or_default(),
+                upstreams: 1,
+                ..self.advance(current, Stage::Trial, StepReason::Pulse)
+            };
+            return (phase != current.phase).then(step);
+        }
+        // The last requests must have been told when the switch is decided.
+        let time = (left_s - longest - news_s * TOLD_PART).max(1.0);
+        let wanted = ((budget.trial - used - budget.pulses_ahead(phase)) / time).max(0.0);
         let shares = equal_shares(wanted, &view.route_rates);
         let sum = |shares: &BTreeMap<String, f64>| -> f64 {
             shares.iter().map(|(route, share)| view.route_rates[route] * share).sum()
@@ -391,16 +442,19 @@
         let (new, old) = (sum(&shares), trial_rate(current, view));
         let is_first = current.shares.is_empty() && new > 0.0;
         let is_changed = (new - old).abs() > SHARES_CHANGE * old;
+        let old_upstreams = view.versions.others(&current.order.target);
+        let is_second_half = used >= budget.trial * SECOND_HALF;
+        let upstreams = trial_size(new.max(old), budget.rate, old_upstreams, is_second_half);
         let is_due = now.since(self.stored_at) >= SHARES_INTERVAL;
-        if !(is_first || is_changed && is_due) {
+        let is_concentrated = is_second_half && upstreams < current.upstreams;
+        let is_next = phase != current.phase;
+        if !(is_first || is_next || (is_changed || is_concentrated) && is_due) {
             return None;
         }
         let smallest = shares.values().copied().reduce(f64::min).unwrap_or_default();
-        let old_upstreams = view.versions.others(&current.order.target);
-        let upstreams = trial_size(new, budget.rate, old_upstreams).max(current.upstreams);
         let step = self.advance(current, Stage::Trial, StepReason::Shares);
         let base = current.base.clone().or_else(|| self.base(&current.order.target, view));
-        Some(RolloutStep { shares, default_share: smallest, upstreams, base, ..step })
+        Some(RolloutStep { phase, shares, default_share: smallest, upstreams, base, ..step })
     }
 }
 
--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -1,6 +1,6 @@
 //! Which requests and which upstreams take part in a trial.
 
-use super::{DECISION_LEAD, FleetView, RolloutBounds, RolloutOrder, RolloutStep};
+use super::{DECISION_LEAD, FleetView, RolloutBounds, RolloutOrder, RolloutStep, TrialPhase};
 use spindle_types::{Instance, RequestId};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -26,6 +26,9 @@
 ) -> Vec<&'a Instance> {
     let mut ranked: Vec<_> = instances.into_iter().collect();
     ranked.sort_by_key(|instance| Reverse((trial_rank(&step.order, instance), *instance)));
+    if step.phase == TrialPhase::SecondPulse && ranked.len() > 1 {
+        ranked.rotate_left(1);
+    }
     ranked.truncate(usize::try_from(step.upstreams).unwrap_or(usize::MAX));
     ranked
 }
@@ -38,7 +41,7 @@
 const TRIAL_SHARE_MAX: f64 = 0.5;
 
 /// Fraction of the allowed exposure that the trial uses at least, up to [`ROUTE_ANSWERS_AIM`].
-const TRIAL_SHARE_MIN: f64 = 0.3;
+const TRIAL_SHARE_MIN: f64 = 0.4;
 
 /// Number of trial requests of a route beyond which more don't improve the verdict: twice the
 /// number for which the error rates are designed.
@@ -47,9 +50,26 @@
 /// Largest fraction of a route's requests in a trial. Routes with few requests get no more.
 const ROUTE_SHARE_MAX: f64 = 0.5;
 
-/// Smallest number of target upstreams in a trial, where that many exist.
+/// Smallest number of target upstreams in the first half of a trial, where that many exist: one
+/// that fails by itself is told from a bad version.
 const TRIAL_UPSTREAMS_MIN: u32 = 4;
 
+/// Smallest number of target upstreams in the second half of a trial. Fewer upstreams have a load
+/// that is nearer to the old ones', which shows a version that is bad only under load.
+const LOADED_UPSTREAMS_MIN: u32 = 2;
+
+/// Number of upstreams whose normal load a trial must reach; otherwise it has pulses.
+const PULSE_UPSTREAMS: f64 = 2.0;
+
+/// Length of a pulse: one interval between two calls of `next_step`.
+pub(super) const PULSE: Duration = Duration::from_millis(250);
+
+/// Time between two pulses.
+pub(super) const PULSE_PAUSE: Duration = Duration::from_millis(750);
+
+/// Time by which daemons stop a pulse late, as budgeted.
+const PULSE_OVERRUN: Duration = Duration::from_millis(300);
+
 /// Part of a switch's lead for its propagation to all daemons.
 const SPREAD: f64 = 0.3;
 
@@ -69,12 +89,15 @@
     pub(super) trial: f64,
     /// Requests per second to all versions.
     pub(super) rate: f64,
+    /// The share of a pulse; none if the trial needs no pulses.
+    pub(super) pulse_share: Option<f64>,
     /// Time from the completion for which each route's old requests last.
     needs: BTreeMap<String, f64>,
 }
 
 impl Budget {
-    pub(super) fn new(bounds: &RolloutBounds, duration: Duration, view: &FleetView) -> Self {
+    pub(super) fn new(bounds: &RolloutBounds, order: &RolloutOrder, view: &FleetView) -> Self {
+        let (duration, old) = (order.duration, view.versions.others(&order.target));
         let rate: f64 = view.route_rates.values().sum();
         let allowed = bounds.share * rate * duration.as_secs_f64() + bounds.slack;
         let usable = allowed * USABLE_SHARE;
@@ -91,7 +114,19 @@
         let aim = ROUTE_ANSWERS_AIM * needs.len() as f64;
         let least = (allowed * TRIAL_SHARE_MIN).min(aim);
         let trial = (usable - switch).max(least).min(allowed * TRIAL_SHARE_MAX);
-        Self { usable, trial, rate, needs }
+        let pulse_share = pulse_share(trial, rate, duration, old);
+        Self { usable, trial, rate, needs, pulse_share }
+    }
+
+    /// Number of requests of the pulses that are to come.
+    pub(super) fn pulses_ahead(&self, phase: TrialPhase) -> f64 {
+        let count = match phase {
+            TrialPhase::Spread => 2.0,
+            TrialPhase::FirstPulse | TrialPhase::Pause => 1.0,
+            TrialPhase::SecondPulse | TrialPhase::Rest => 0.0,
+        };
+        let each = self.pulse_share.unwrap_or_default() * self.rate;
+        count * each * (PULSE + PULSE_OVERRUN).as_secs_f64()
     }
 
     /// How long before the deadline each route switches, if `used` requests have been sent to the
@@ -107,6 +142,14 @@
     }
 }
 
+/// The share that brings one upstream to the load of an old one, if the trial's requests, spread
+/// over the shortest time that a trial lasts, are too few for that.
+fn pulse_share(trial: f64, rate: f64, duration: Duration, old: u32) -> Option<f64> {
+    let old = f64::from(old.max(1));
+    let is_few = trial / (rate * duration.as_secs_f64() / 2.0) * old < PULSE_UPSTREAMS;
+    (rate > 0.0 && is_few).then(|| (1.0 / old).min(ROUTE_SHARE_MAX))
+}
+
 /// The shares that send `total` trial requests per second to the target, about equally many from
 /// each route.
 pub(super) fn equal_shares(total: f64, rates: &BTreeMap<String, f64>) -> BTreeMap<String, f64> {
@@ -125,8 +168,9 @@
 }
 
 /// The number of target upstreams that `trial` requests per second would need at the load of the
-/// old ones.
-pub(super) fn trial_size(trial: f64, rate: f64, old: u32) -> u32 {
+/// old ones, in the first or the second half of a trial.
+pub(super) fn trial_size(trial: f64, rate: f64, old: u32, is_second_half: bool) -> u32 {
     let size = if rate > 0.0 { (trial / rate * f64::from(old)).ceil() } else { 0.0 };
-    (size as u32).max(TRIAL_UPSTREAMS_MIN)
+    let least = if is_second_half { LOADED_UPSTREAMS_MIN } else { TRIAL_UPSTREAMS_MIN };
+    (size as u32).max(least)
 }
--- a/crates/policy/src/rollout/tests.rs
+++ b/crates/policy/src/rollout/tests.rs
@@ -52,6 +52,7 @@
         deadline_utc_ms: utc(12_000).0,
         shares: BTreeMap::from([(ROUTES[0].to_owned(), 0.25)]),
         default_share: 0.0,
+        phase: TrialPhase::Spread,
         upstreams: 4,
         base: Some(version("v1")),
         reason: StepReason::Shares,
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -58,8 +58,9 @@
 /// Score up to which a route is sound.
 const SOUND_SCORE: f64 = -0.5;
 
-/// Smallest number of the target's responses from which a route is judged on its own.
-const ROUTE_ANSWERS_MIN: u32 = 8;
+/// Number of the target's responses on a route below which a score under zero is sound: even
+/// without a failure, fewer don't reach [`SOUND_SCORE`] where the old version often fails.
+const ROUTE_ANSWERS_MIN: u32 = 4;
 
 /// Smallest number of the target's responses from which a version can be sound.
 const ANSWERS_MIN: u32 = 16;
@@ -181,7 +182,8 @@
             self.score = score;
             self.worst = Some((reason, route.to_owned()));
         }
-        if answers >= ROUTE_ANSWERS_MIN && score > SOUND_SCORE {
+        let sound_score = if answers < ROUTE_ANSWERS_MIN { 0.0 } else { SOUND_SCORE };
+        if score > sound_score {
             self.is_sound = false;
         }
         answers
--- a/crates/policy/src/rollout/view.rs
+++ b/crates/policy/src/rollout/view.rs
@@ -147,6 +147,11 @@
         self.services.get(service).map(|known| &known.step)
     }
 
+    /// Whether this daemon has found the target of the newest step bad.
+    pub fn is_convicted(&self, service: &Service) -> bool {
+        self.services.get(service).is_some_and(|known| known.is_convicted)
+    }
+
     /// The versions that may get a request. `draw` is in 0..1, from the request id. Allocates
     /// nothing.
     pub fn permits(
