--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod upstream_brittleness;
 pub mod upstream_contact;
 pub mod upstream_limit;
+pub mod upstream_pace;
 pub mod upstream_pause;
 pub mod upstream_registry;
 pub mod upstream_selection;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::protocol::{ForwardContext, ResponseClass, UpstreamProtocol};
 use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN};
 use crate::request::{BufferedRequest, Refusal};
+use crate::request_log::RequestLog;
 use crate::response_end::Framing;
 use crate::tracked_upstream::SendPermission;
 use crate::upstream_response::{ResponseSource, UpstreamResponse};
@@ -120,6 +121,7 @@
         mut assignment: Assignment,
         attempt: Attempt<'_>,
         past: &mut AttemptHistory,
+        request_log: &mut RequestLog<K>,
     ) -> AttemptOutcome {
         let admitted = attempt.admitted;
         for _ in 0..2 {
@@ -134,6 +136,7 @@
             };
             // Checked again, as the process may have been suspended since the upstream was chosen.
             let now = self.0.clock.now();
+            request_log.on_connected(now);
             match assignment.may_send(now) {
                 SendPermission::Granted if admitted.deadline.since(now) > TIME_LEFT_MIN => {}
                 SendPermission::Limited => {
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -242,11 +242,12 @@
             let selected = self.0.helpers.select(now, &admitted.service, config, &past.helpers);
             let Some(helper) = selected else { break };
             past.helpers.push(helper.address);
-            request_log.on_handed_over(&helper.instance);
+            request_log.on_handed_over(now, &helper.instance);
             let exchange = self.exchange_with(&helper, attempt, config, past, request_log).await;
             let ended: &'static str = (&exchange).into();
             METRICS.handoffs.add(1, &[KeyValue::new("ended", ended)]);
             if !matches!(exchange, HelperExchange::Head(_)) {
+                request_log.on_attempt_failed(self.0.clock.now());
                 log::info!(
                     "event=handoff_failed id={} helper={} cause={ended}",
                     attempt.buffered.inbound.id,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 pub mod request;
 mod request_log;
+mod request_phases;
 pub mod response_body;
 pub mod response_end;
 mod response_stream;
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -4,6 +4,7 @@
 use crate::request::Inbound;
 use http::{HeaderMap, response};
 use spindle_policy::upstream_limit::RequestRate;
+use spindle_policy::upstream_pace::UpstreamPace;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_types::Team;
 use std::time::Duration;
@@ -26,8 +27,21 @@
 /// Load that an upstream reports in a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReportedLoad {
+    /// Number of requests running there.
+    pub running: u32,
+    /// Number of requests waiting there.
+    pub waiting: u32,
+    /// Number of requests that it processes concurrently, if it says so.
+    pub slots: Option<u32>,
+    /// How long work takes there at this moment, if it says so.
+    pub pace: Option<UpstreamPace>,
+}
+
+impl ReportedLoad {
     /// Number of requests running or waiting there.
-    pub requests: u32,
+    pub const fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
 }
 
 /// What the head of the response to an executed request says.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -367,9 +367,12 @@
             self.record_version(admitted, &buffered.inbound, past, assignment.version.as_ref());
             request_log.on_assigned(self.0.clock.now(), &assignment);
             let assigned_at = assignment.assigned_at;
-            let sent = self.send_to(assignment, attempt, past).await;
+            let sent = self.send_to(assignment, attempt, past, request_log).await;
             count_send(&request_log.service, &sent);
             request_log.sends = past.reached;
+            if !matches!(sent, AttemptOutcome::Answer(_)) {
+                request_log.on_attempt_failed(self.0.clock.now());
+            }
             match sent {
                 AttemptOutcome::Answer(upstream_response) => {
                     past.may_have_run = true;
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -6,6 +6,7 @@
 use crate::limits::LimitUse;
 use crate::metrics::METRICS;
 use crate::request::Refusal;
+use crate::request_phases::{RequestPhase, RequestPhases};
 use crate::response_end::{Framing, ResponseEnd};
 use opentelemetry::KeyValue;
 use spindle_types::{Clock, Instance, MonotonicInstant, SoftwareVersion};
@@ -61,6 +62,7 @@
     accepted: Option<AcceptedHandoff>,
     received_at: MonotonicInstant,
     first_byte_at: Option<MonotonicInstant>,
+    phases: RequestPhases,
 }
 
 impl<K: Clock> RequestLog<K> {
@@ -91,6 +93,7 @@
             accepted: None,
             received_at,
             first_byte_at: None,
+            phases: RequestPhases::new(received_at),
         }
     }
 
@@ -100,6 +103,17 @@
         version.clone_into(&mut self.version);
         self.upstream = assignment.upstream_id.instance.to_string();
         self.limit = assignment.limit_use(now);
+        self.phases.enter(now, RequestPhase::Connect);
+    }
+
+    /// Records that a connection to the upstream is available.
+    pub(crate) fn on_connected(&mut self, now: MonotonicInstant) {
+        self.phases.enter(now, RequestPhase::Upstream);
+    }
+
+    /// Records that an attempt ended without the head of a response.
+    pub(crate) fn on_attempt_failed(&mut self, now: MonotonicInstant) {
+        self.phases.enter(now, RequestPhase::Admit);
     }
 
     /// Records that another daemon has handed the request over.
@@ -109,8 +123,9 @@
     }
 
     /// Records that the request is handed over to another daemon.
-    pub(crate) fn on_handed_over(&mut self, helper: &Instance) {
+    pub(crate) fn on_handed_over(&mut self, now: MonotonicInstant, helper: &Instance) {
         self.helper = Some(helper.clone());
+        self.phases.enter(now, RequestPhase::Upstream);
     }
 
     /// Records what that daemon tells of the upstream, after `sends` attempts reached one.
@@ -128,10 +143,11 @@
     }
 
     /// Records the time of the first byte of the response. Returns whether this was the first call.
-    pub(crate) const fn on_first_byte(&mut self, now: MonotonicInstant) -> bool {
+    pub(crate) fn on_first_byte(&mut self, now: MonotonicInstant) -> bool {
         let first = self.first_byte_at.is_none();
         if first {
             self.first_byte_at = Some(now);
+            self.phases.finish(now);
         }
         first
     }
@@ -168,6 +184,8 @@
 impl<K: Clock> fmt::Display for RequestLog<K> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let millis = |span: Duration| span.as_millis();
+        let now = self.clock.now();
+        let phases = self.phases.times(now);
         let outcome = match self.outcome {
             Outcome::Refused(refusal) => <&'static str>::from(refusal),
             other => <&'static str>::from(other),
@@ -175,7 +193,8 @@
         write!(
             f,
             "event=request id={} outcome={outcome} status={} route={} kind={} team={} service={} \
-             upstream={} version={} sends={} events={} config={} first_ms={} whole_ms={} cause={}",
+             upstream={} version={} sends={} events={} config={} first_ms={} admit_ms={} \
+             connect_ms={} upstream_ms={} whole_ms={} cause={}",
             self.id,
             self.status,
             self.route,
@@ -188,7 +207,10 @@
             self.events,
             self.config_version,
             self.first_byte_at.map_or(-1, |at| millis(at.since(self.received_at)) as i64),
-            millis(self.clock.now().since(self.received_at)),
+            millis(phases.admit),
+            millis(phases.connect),
+            millis(phases.upstream),
+            millis(now.since(self.received_at)),
             self.cause,
         )?;
         if let Some((framing, end)) = self.response_end {
