--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -2,6 +2,7 @@
 
 use crate::assignment::Assignment;
 use crate::backends::StoredVersions;
+use crate::candidates::{PeerNews, RequestMix};
 use crate::limits::UpstreamLimits;
 use crate::pool::{ConnectionPool, Endpoint};
 use crate::tracked_upstream::TrackedUpstream;
@@ -16,7 +17,7 @@
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
-use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
+use spindle_policy::upstream_selection::{Candidate, Choice, Prompt, Spread, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +34,10 @@
     pub(crate) upstreams: SecondaryMap<UpstreamKey, TrackedUpstream>,
     pub(crate) limits: UpstreamLimits,
     pub(crate) contacts: HashMap<Service, ServiceContact>,
+    /// What is known of the other daemons' requests.
+    pub(crate) peer_news: PeerNews,
+    /// This daemon's requests for each service that have prompts.
+    pub(crate) mix: HashMap<Service, RequestMix>,
 }
 
 /// Load balancer over all known upstreams. Clones share all state.
@@ -180,9 +185,15 @@
     }
 
     /// Sets the load that the other daemons put on each instance: number of requests, and queued
-    /// prompt processing in milliseconds.
-    pub fn on_peer_load(&self, peer_load: &BTreeMap<&Instance, (u32, u32)>) {
+    /// prompt processing in milliseconds. `age` is the mean age of these figures.
+    pub fn on_peer_load(
+        &self,
+        now: MonotonicInstant,
+        peer_load: &BTreeMap<&Instance, (u32, u32)>,
+        age: Duration,
+    ) {
         let mut state = self.state();
+        state.peer_news = PeerNews { sent_at: now - age };
         let State { registry, upstreams, .. } = &mut *state;
         for (key, listed) in registry.iter() {
             if let Some(upstream) = upstreams.get_mut(key) {
@@ -195,7 +206,7 @@
     /// Forgets upstreams that have been gone for long and have no request left.
     pub fn prune(&self, now: MonotonicInstant) {
         let mut state = self.state();
-        let State { registry, upstreams, limits, contacts } = &mut *state;
+        let State { registry, upstreams, limits, contacts, mix, .. } = &mut *state;
         registry.prune(now, |key| upstreams.get(key).is_some_and(|upstream| upstream.running > 0));
         upstreams.retain(|key, _| registry.get(key).is_some());
         limits.retain(|key| registry.get(key).is_some());
@@ -203,6 +214,7 @@
             registry.iter().any(|(_, listed)| listed.registration.service == *service)
         };
         contacts.retain(|service, _| is_listed(service));
+        mix.retain(|service, _| is_listed(service));
     }
 
     /// Assigns a request to an upstream of a service. `max_wait` is the longest acceptable time
@@ -221,12 +233,16 @@
     ) -> Result<Assignment, Choice> {
         let mut state = self.state();
         let prefix_id = prompt.and_then(|prompt| prompt.prefix_id);
-        let candidates =
-            state.candidates(now, service, &self.own_data_centre, (prefix_id, restrictions));
-        let choice = choose(&candidates, prompt, max_wait);
+        let view = state.candidates(now, service, &self.own_data_centre, (prompt, restrictions));
+        let candidates = view.candidates;
+        let spread = Spread { unseen: view.unseen, draw: rand::random() };
+        let choice = choose(&candidates, prompt, max_wait, spread);
         let Choice::Upstream(key, queued_ms) = choice else {
             return Err(choice);
         };
+        if let Some(prompt) = prompt {
+            state.on_assigned(service, prompt, queued_ms);
+        }
         let Some(listed) = state.registry.get(key) else {
             return Err(Choice::None);
         };
@@ -266,6 +282,7 @@
         let state = self.state();
         state
             .candidates(now, service, &self.own_data_centre, (None, restrictions))
+            .candidates
             .iter()
             .any(Candidate::is_open)
     }
@@ -419,41 +436,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    fn candidates(
-        &self,
-        now: MonotonicInstant,
-        service: &Service,
-        own_data_centre: &DataCentre,
-        (prefix_id, restrictions): (Option<u64>, Restrictions<'_>),
-    ) -> Vec<Candidate> {
-        let usable = self.registry.iter().filter(|(_, listed)| {
-            let Registration { service: found, version, .. } = &listed.registration;
-            found == service
-                && listed.usable(now)
-                && restrictions.versions.permits(version.as_ref())
-        });
-        let candidates = usable.filter_map(|(key, listed)| {
-            let upstream = self.upstreams.get(key)?;
-            Some(Candidate {
-                key,
-                identity: upstream.identity,
-                requests: upstream.requests(now),
-                queued_prefill_ms: upstream.queued_ms + f64::from(upstream.peer_load.1),
-                slowdown: upstream.slowdown(now),
-                sent_prefix: prefix_id
-                    .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
-                slots: listed.registration.slots,
-                breaker: upstream.breaker_state(now),
-                limit: match upstream.wait(now, upstream.running, listed.registration.slots) {
-                    Some(left) => LimitState::Exhausted(left),
-                    None => self.limits.state(now, key),
-                },
-                is_local: listed.registration.data_centre == *own_data_centre,
-                tried: restrictions.tried.contains(&key),
-            })
-        });
-        candidates.collect()
-    }
-}
--- /dev/null
+++ b/crates/relay/src/candidates.rs
@@ -0,0 +1,112 @@
+//! The upstreams that may take a request, as this daemon expects them to be at present.
+
+use crate::balancer::{Restrictions, State};
+use spindle_policy::upstream_registry::{RegisteredUpstream, Registration, UpstreamKey};
+use spindle_policy::upstream_selection::{
+    Candidate, LimitState, PLAIN_CALL_MS, Prompt, STREAM_HOLD_MS, remaining_share,
+};
+use spindle_types::{DataCentre, MonotonicInstant, Service};
+
+/// Weight of the newest request in the means over the requests for a service. The means then cover
+/// some forty requests, whose sizes differ widely.
+const MIX_WEIGHT: f64 = 0.05;
+
+/// Means over this daemon's requests for a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestMix {
+    /// Prefill time as estimated, in milliseconds.
+    prefill_ms: f64,
+    /// Fraction of the requests that keep to the upstream of their prefix.
+    prefix_share: f64,
+}
+
+/// How old the knowledge of the other daemons' requests is.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PeerNews {
+    /// When the statuses were sent, on average.
+    pub(crate) sent_at: MonotonicInstant,
+}
+
+/// The candidates of a service.
+#[derive(Debug)]
+pub(crate) struct ServiceView {
+    pub(crate) candidates: Vec<Candidate>,
+    /// Requests that the other daemons are expected to have sent since their statuses.
+    pub(crate) unseen: f64,
+}
+
+impl State {
+    /// Of the other daemons' requests, some have ended since their statuses. Since the load changes
+    /// little within this time, as many are expected to have begun: those with a prefix at the same
+    /// upstream, the others anywhere.
+    pub(crate) fn candidates(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        own_data_centre: &DataCentre,
+        (prompt, restrictions): (Option<&Prompt>, Restrictions<'_>),
+    ) -> ServiceView {
+        let hold_ms = if prompt.is_some() { STREAM_HOLD_MS } else { PLAIN_CALL_MS };
+        let age_ms = now.since(self.peer_news.sent_at).as_secs_f64() * 1e3;
+        let mix = self.mix.get(service);
+        let prefix_share = mix.map_or(0.0, |mix| mix.prefix_share);
+        let remaining = remaining_share(age_ms, hold_ms, prefix_share);
+        let mut unseen = 0.0;
+        let usable = self.registry.iter().filter(|(_, listed)| {
+            let Registration { service: found, version, .. } = &listed.registration;
+            found == service
+                && listed.usable(now)
+                && restrictions.versions.permits(version.as_ref())
+        });
+        let candidates = usable.filter_map(|(key, listed)| {
+            let upstream = self.upstreams.get(key)?;
+            let told = f64::from(upstream.peer_load.0);
+            unseen += told * (1.0 - remaining);
+            let peer_requests = upstream.peer_requests(now, told * remaining);
+            Some(Candidate {
+                key,
+                identity: upstream.identity,
+                requests: upstream.running + peer_requests.round() as u32,
+                peer_requests,
+                queued_prefill_ms: upstream.queued_ms,
+                mean_prefill_ms: mix.map_or(0.0, |mix| mix.prefill_ms),
+                hold_ms,
+                slowdown: upstream.slowdown(now),
+                sent_prefix: prompt
+                    .and_then(|prompt| prompt.prefix_id)
+                    .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
+                slots: listed.registration.slots,
+                breaker: upstream.breaker_state(now),
+                limit: self.limit_state(now, key, listed),
+                is_local: listed.registration.data_centre == *own_data_centre,
+                tried: restrictions.tried.contains(&key),
+            })
+        });
+        let candidates = candidates.collect();
+        ServiceView { candidates, unseen }
+    }
+
+    fn limit_state(
+        &self,
+        now: MonotonicInstant,
+        key: UpstreamKey,
+        listed: &RegisteredUpstream,
+    ) -> LimitState {
+        let Some(upstream) = self.upstreams.get(key) else { return LimitState::Unlimited };
+        match upstream.wait(now, upstream.running, listed.registration.slots) {
+            Some(left) => LimitState::Exhausted(left),
+            None => self.limits.state(now, key),
+        }
+    }
+
+    /// Records a request that was assigned, and its prefill time in milliseconds.
+    pub(crate) fn on_assigned(&mut self, service: &Service, prompt: &Prompt, prefill_ms: f64) {
+        let prefix_share = if prompt.prefix_id.is_some() { 1.0 } else { 0.0 };
+        if let Some(mix) = self.mix.get_mut(service) {
+            mix.prefill_ms += (prefill_ms - mix.prefill_ms) * MIX_WEIGHT;
+            mix.prefix_share += (prefix_share - mix.prefix_share) * MIX_WEIGHT;
+        } else {
+            self.mix.insert(service.clone(), RequestMix { prefill_ms, prefix_share });
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backends;
 pub mod balancer;
 pub mod caller_server;
+mod candidates;
 pub mod config;
 pub mod config_versions;
 pub mod connection;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -370,9 +370,6 @@
             let sent = self.send_to(assignment, attempt, past, request_log).await;
             count_send(&request_log.service, &sent);
             request_log.sends = past.reached;
-            if !matches!(sent, AttemptOutcome::Answer(_)) {
-                request_log.on_attempt_failed(self.0.clock.now());
-            }
             match sent {
                 AttemptOutcome::Answer(upstream_response) => {
                     past.may_have_run = true;
@@ -414,7 +411,7 @@
                     return Err(Refusal::TimedOut);
                 }
             }
-            request_log.on_sent_again();
+            request_log.on_sent_again(self.0.clock.now());
         }
     }
 
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -169,8 +169,9 @@
         }
     }
 
-    /// Logs that the request is sent to another upstream.
-    pub(crate) fn on_sent_again(&self) {
+    /// Records and logs that the request is sent to another upstream.
+    pub(crate) fn on_sent_again(&mut self, now: MonotonicInstant) {
+        self.on_attempt_failed(now);
         log::info!(
             "event=sent_again id={} upstream={} cause={} sends={}",
             self.id,
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -73,10 +73,12 @@
         self.breaker.state_at(now)
     }
 
-    pub(crate) fn requests(&self, now: MonotonicInstant) -> u32 {
+    /// The number of other daemons' requests there, of which `expected` are expected from their
+    /// statuses.
+    pub(crate) fn peer_requests(&self, now: MonotonicInstant, expected: f64) -> f64 {
         let reported = self.reported_load.filter(|(at, _)| now.since(*at) <= REPORTED_LOAD_MAX_AGE);
-        let counted = self.running + self.peer_load.0;
-        reported.map_or(counted, |(_, requests)| counted.max(requests))
+        let others = |(_, requests): (_, u32)| f64::from(requests.saturating_sub(self.running));
+        reported.map_or(expected, |reported| expected.max(others(reported)))
     }
 
     /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated.
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -365,13 +365,18 @@
             .usage
             .on_clocks(clock_origins.chain([clock_origin(now, parts.clock.utc())]).collect());
         let mut peer_load: BTreeMap<&Instance, (u32, u32)> = BTreeMap::new();
+        // Weighted by the number of requests that a status tells of.
+        let (mut total_age, mut total) = (Duration::ZERO, 0);
         for daemon in state.presence.live(now) {
+            let requests = daemon.status.running.values().map(|(requests, _)| requests).sum();
+            total_age = total_age.saturating_add(now.since(daemon.at).saturating_mul(requests));
+            total += requests;
             for (instance, (requests, queued)) in &daemon.status.running {
                 let sum = peer_load.entry(instance).or_default();
                 *sum = (sum.0 + requests, sum.1 + queued);
             }
         }
-        parts.balancer.on_peer_load(&peer_load);
+        parts.balancer.on_peer_load(now, &peer_load, total_age / total.max(1));
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
