--- a/crates/policy/src/upstream_selection/tests/play.rs
+++ b/crates/policy/src/upstream_selection/tests/play.rs
@@ -1,6 +1,7 @@
 //! Daemons that choose among engines by late news of each other.
 
 use super::*;
+use crate::upstream_pace::{PaceReports, UpstreamPace};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -25,19 +26,27 @@
     speeds: Vec<f64>,
     /// Number of prefixes that requests share; 0 for none.
     prefixes: u64,
+    /// Whether each engine is slowed at times, and whether daemons use what it reports of this.
+    slowed: Option<bool>,
     /// Whether the unseen requests and the age of the news are taken into account.
     expects_unseen: bool,
 }
 
 impl Setup {
     fn even(daemons: usize) -> Self {
-        Self { daemons, speeds: vec![1.0; ENGINES], prefixes: 0, expects_unseen: true }
+        Self {
+            daemons,
+            speeds: vec![1.0; ENGINES],
+            prefixes: 0,
+            slowed: None,
+            expects_unseen: true,
+        }
     }
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
-    FirstByte { daemon: usize, engine: usize, queued_us: u64 },
+    FirstByte { daemon: usize, engine: usize, queued_us: u64, percent: u32 },
     End { daemon: usize, engine: usize },
 }
 
@@ -48,6 +57,9 @@
     first_byte_ms: f64,
     refused: f64,
     cached: f64,
+    /// Requests sent while the engine was slowed and the daemon had heard of it, and as many choices
+    /// at random would have sent.
+    heard_slow: (f64, f64),
 }
 
 impl Outcome {
@@ -75,6 +87,8 @@
     /// `running` at past times, oldest first.
     news: VecDeque<Vec<Vec<u32>>>,
     events: BinaryHeap<Reverse<(u64, Event)>>,
+    /// What each daemon has heard of the pace of each engine.
+    paces: Vec<Vec<PaceReports>>,
     /// When each engine has prefilled its queue, in milliseconds.
     free_at: Vec<f64>,
     cache: HashSet<(usize, u64)>,
@@ -95,6 +109,7 @@
             queued_ms: vec![vec![0.0; ENGINES]; rows],
             news: VecDeque::new(),
             events: BinaryHeap::new(),
+            paces: vec![vec![PaceReports::default(); ENGINES]; rows],
             free_at: vec![0.0; ENGINES],
             cache: HashSet::new(),
             outcome: Outcome { sent: vec![0.0; ENGINES], ..Outcome::default() },
@@ -111,8 +126,8 @@
             now_us += -gap_us * (1.0 - self.random.random::<f64>()).ln();
             let now = now_us as u64;
             while self.events.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-                let Some(Reverse((_, event))) = self.events.pop() else { break };
-                self.apply(event);
+                let Some(Reverse((at, event))) = self.events.pop() else { break };
+                self.apply(at, event);
             }
             while news_us <= now {
                 news_us += NEWS_MS * 1_000;
@@ -135,9 +150,12 @@
         Prompt { tokens: tokens + 5_000, shared_tokens: 5_000, prefix_id }
     }
 
-    fn apply(&mut self, event: Event) {
+    fn apply(&mut self, now_us: u64, event: Event) {
         match event {
-            Event::FirstByte { daemon, engine, queued_us } => {
+            Event::FirstByte { daemon, engine, queued_us, percent } => {
+                let pace = UpstreamPace::try_from(percent).unwrap();
+                let now = MonotonicInstant::from_micros(now_us);
+                self.paces[daemon][engine].on_report(now, pace);
                 let queued = &mut self.queued_ms[daemon][engine];
                 *queued = (*queued - queued_us as f64 / 1e3).max(0.0);
             }
@@ -149,8 +167,14 @@
         }
     }
 
+    /// The pace of an engine at a time in milliseconds: slowed for 600 ms in every 4 s.
+    fn percent(&self, engine: usize, at_ms: f64) -> u32 {
+        let phase = (at_ms + engine as f64 * 1_370.0) % 4_000.0;
+        if self.setup.slowed.is_some() && phase < 600.0 { 250 } else { 100 }
+    }
+
     /// The candidates as a daemon expects them by news that are one to two seconds old.
-    fn view(&mut self, daemon: usize) -> Spread {
+    fn view(&mut self, now_us: u64, daemon: usize) -> Spread {
         let lag = 10 + daemon * 7 % 11;
         let oldest = self.news.len().saturating_sub(lag);
         let (told, own) = match self.news.get(oldest) {
@@ -170,6 +194,10 @@
             candidate.peer_requests = peers * remaining;
             candidate.requests =
                 self.running[daemon][engine] + candidate.peer_requests.round() as u32;
+            let now = MonotonicInstant::from_micros(now_us);
+            let pace = self.paces[daemon][engine].ratio(now);
+            let used = if self.setup.slowed == Some(true) { pace } else { 1.0 };
+            candidate.slowdown = used / self.setup.speeds[engine];
             candidate.queued_prefill_ms = self.queued_ms[daemon][engine];
         }
         Spread { unseen, draw: self.random.random() }
@@ -179,7 +207,7 @@
         let all = self.setup.daemons;
         let daemon = self.random.random_range(0..all);
         let prompt = self.prompt();
-        let spread = self.view(daemon);
+        let spread = self.view(now_us, daemon);
         let choice = choose(&self.candidates, Some(&prompt), PATIENCE, spread);
         let measured = now_us > LENGTH_MS * 250;
         let Choice::Upstream(key, queued_ms) = choice else {
@@ -193,20 +221,29 @@
         };
         let now_ms = now_us as f64 / 1e3;
         let start_ms = now_ms.max(self.free_at[engine]);
-        let first_ms = start_ms + prompt.prefill_ms(is_cached) / self.setup.speeds[engine];
+        let percent = self.percent(engine, start_ms);
+        let work_ms = prompt.prefill_ms(is_cached) / self.setup.speeds[engine];
+        let first_ms = start_ms + work_ms * f64::from(percent) / 100.0;
         self.free_at[engine] = first_ms;
         let end_ms = first_ms + self.random.random_range(800.0..2_000.0);
         self.running[daemon][engine] += 1;
         self.running[all][engine] += 1;
         self.queued_ms[daemon][engine] += queued_ms;
         let queued_us = (queued_ms * 1e3) as u64;
-        let first = Event::FirstByte { daemon, engine, queued_us };
+        let first = Event::FirstByte { daemon, engine, queued_us, percent };
         self.events.push(Reverse(((first_ms * 1e3) as u64, first)));
         self.events.push(Reverse(((end_ms * 1e3) as u64, Event::End { daemon, engine })));
         if measured {
             self.outcome.sent[engine] += 1.0;
             self.outcome.first_byte_ms += first_ms - now_ms;
             self.outcome.cached += f64::from(u8::from(is_cached));
+            let now = MonotonicInstant::from_micros(now_us);
+            for (found, pace) in self.paces[daemon].iter().enumerate() {
+                let is_slowed = self.percent(found, now_ms) > 100 && pace.ratio(now) > 1.5;
+                let (sent, random) = &mut self.outcome.heard_slow;
+                *sent += f64::from(u8::from(is_slowed && found == engine));
+                *random += f64::from(u8::from(is_slowed)) / ENGINES as f64;
+            }
         }
     }
 }
@@ -263,3 +300,19 @@
     }
     insta::assert_snapshot!(table);
 }
+
+/// Guards against requests that go on to an upstream which has just said that it is slowed.
+#[test]
+fn upstreams_that_are_slowed_for_a_moment_are_avoided_by_those_who_have_heard() {
+    let mut table = String::new();
+    for daemons in [1, 8, 74] {
+        for uses_pace in [true, false] {
+            let setup = Setup { slowed: Some(uses_pace), ..Setup::even(daemons) };
+            let (found, text) = line(setup);
+            let share = found.heard_slow.0 / found.heard_slow.1;
+            assert!(!uses_pace || share < 0.5, "{daemons}: {share}");
+            table.push_str(&format!("uses_pace={uses_pace} sent_to_slowed={share:.2} {text}"));
+        }
+    }
+    insta::assert_snapshot!(table);
+}
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -62,6 +62,9 @@
         let Some(reported_load) = reported_load else { return };
         if let Some(upstream) = self.balancer.state().upstreams.get_mut(self.key) {
             upstream.reported_load = Some((now, reported_load.requests()));
+            if let Some(pace) = reported_load.pace {
+                upstream.pace.on_report(now, pace);
+            }
         }
     }
 
@@ -148,9 +151,12 @@
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
-        if expected_ms > 0.0 {
-            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 + FIXED_LATENCY_MS;
-            let ratio = (measured_ms / expected_ms).clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
+        // A response that was slowed for a moment says nothing of the upstream's lasting slowness.
+        let steady = upstream.pace.steady_ratio(self.assigned_at);
+        if let Some(pace) = steady.filter(|_| expected_ms > 0.0) {
+            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 / pace;
+            let ratio = ((measured_ms + FIXED_LATENCY_MS) / expected_ms)
+                .clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
             let slowdown =
                 upstream.slowdown(now) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
             upstream.slowdown = Some((now, slowdown));
--- a/crates/relay/src/candidates.rs
+++ b/crates/relay/src/candidates.rs
@@ -71,7 +71,7 @@
                 queued_prefill_ms: upstream.queued_ms,
                 mean_prefill_ms: mix.map_or(0.0, |mix| mix.prefill_ms),
                 hold_ms,
-                slowdown: upstream.slowdown(now),
+                slowdown: upstream.slowdown(now) * upstream.pace.ratio(now),
                 sent_prefix: prompt
                     .and_then(|prompt| prompt.prefix_id)
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
