--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -246,9 +246,16 @@
         self.first_byte_ms(self.present)
     }
 
+    /// The number of requests at which the highest utilisation is reached. Each further one waits for
+    /// all before it.
+    fn steep_from(&self) -> f64 {
+        if self.busy_share > 0.0 { UTILISATION_MAX / self.busy_share } else { f64::INFINITY }
+    }
+
     fn first_byte_ms(&self, requests: f64) -> f64 {
         let busy = (requests * self.busy_share).min(UTILISATION_MAX);
-        let queue_ms = self.mean_ms * busy / (1.0 - busy);
+        let beyond = (requests - self.steep_from()).max(0.0);
+        let queue_ms = self.mean_ms * (busy / (1.0 - busy) + beyond);
         let slot_wait_ms = (requests - self.slots).max(0.0) * SLOT_WAIT_MS;
         self.base_ms + requests * self.step_ms + queue_ms + slot_wait_ms
     }
@@ -260,19 +267,23 @@
     }
 
     /// The number of requests at which the time is `level`, which is above the base. The inverse of
-    /// [`Self::first_byte_ms`] up to the slots and the highest utilisation; beyond, only the wait for
-    /// a slot counts.
+    /// [`Self::first_byte_ms`] up to the slots; beyond, only the wait for a slot counts.
     fn requests_at(&self, level: f64) -> f64 {
         let above = level - self.base_ms;
-        let free = if self.busy_share > 0.0 {
+        let steep_from = self.steep_from();
+        let steep_ms =
+            if steep_from.is_finite() { self.first_byte_ms(steep_from) } else { f64::MAX };
+        let free = if self.busy_share <= 0.0 {
+            above / self.step_ms.max(f64::MIN_POSITIVE)
+        } else if level >= steep_ms {
+            steep_from + (level - steep_ms) / (self.mean_ms + self.step_ms)
+        } else {
             // With the utilisation u and the step s per u: above = s*u + mean*u/(1-u).
             let step = (self.step_ms / self.busy_share).max(f64::MIN_POSITIVE);
             let sum = above + step + self.mean_ms;
             let root = (sum * sum - 4.0 * step * above).max(0.0).sqrt();
             // This form of the solution is exact also if the step is tiny.
             (2.0 * above / (sum + root)).min(UTILISATION_MAX) / self.busy_share
-        } else {
-            above / self.step_ms.max(f64::MIN_POSITIVE)
         };
         if free <= self.slots {
             return free;
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -174,3 +174,13 @@
     let choice = select_of(&candidates, None, PATIENCE);
     assert_eq!(chosen(choice), Some(candidates[1].key));
 }
+
+/// Guards against a level that is never reached, so that all requests of a busy service are refused.
+#[test]
+fn engines_that_are_busier_than_they_can_prefill_take_requests_while_these_are_in_time() {
+    let mut candidates = engines(&[0.0, 0.0]);
+    candidates.iter_mut().for_each(|candidate| candidate.slots = 64);
+    let spread = Spread { unseen: 80.0, draw: 0.3 };
+    let choice = choose(&candidates, Some(&prompt(1)), PATIENCE, spread);
+    assert!(chosen(choice).is_some(), "{choice:?}");
+}
