--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -7,6 +7,7 @@
 
 use crate::rate_share::Position;
 use crate::upstream_limit::{LimitReport, RequestRate};
+use crate::upstream_pace::PeerPace;
 use crate::upstream_registry::UpstreamId;
 use crate::usage_windows::{RequestCounts, WINDOWS_KEPT};
 use crate::versioned_map::VersionedMap;
@@ -68,6 +69,10 @@
 /// The maximum number of upstreams whose limits a daemon reports in its status, to bound memory.
 pub const LIMITS_MAX: usize = 256;
 
+/// The maximum number of upstreams whose learnt pace a daemon reports in its status, to bound memory
+/// and messages. The largest known deployment has 90 upstreams.
+pub const PACES_MAX: usize = 256;
+
 /// The maximum number of other daemons' statuses in a reply. A caller that lacks more of them gets
 /// the rest from its next calls; a reply with all of them might not arrive within the timeout.
 const FORWARDED_MAX: usize = 128;
@@ -152,6 +157,9 @@
     /// Limits that upstreams have named to it.
     #[serde(default, skip_serializing_if = "VersionedMap::is_empty")]
     pub limits: VersionedMap<UpstreamId, PublishedLimit>,
+    /// What it has learnt of the pace of upstreams.
+    #[serde(default, skip_serializing_if = "VersionedMap::is_empty")]
+    pub paces: VersionedMap<Instance, PeerPace>,
     /// Services of which it reaches no upstream.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub lost: BTreeSet<Service>,
@@ -176,6 +184,7 @@
             windows: VersionedMap::default(),
             leaving: VersionedMap::default(),
             limits: VersionedMap::default(),
+            paces: VersionedMap::default(),
             lost: BTreeSet::new(),
         }
     }
@@ -193,6 +202,7 @@
             windows: self.windows.changed_since(beat),
             leaving: self.leaving.changed_since(beat),
             limits: self.limits.changed_since(beat),
+            paces: self.paces.changed_since(beat),
             running: self.running.clone(),
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
@@ -207,12 +217,14 @@
         self.windows.merge(&newer.windows, WINDOWS_KEPT);
         self.leaving.merge(&newer.leaving, LEAVING_MAX);
         self.limits.merge(&newer.limits, LIMITS_MAX);
+        self.paces.merge(&newer.paces, PACES_MAX);
         *self = Self {
             identity: self.identity.take(),
             charged: std::mem::take(&mut self.charged),
             windows: std::mem::take(&mut self.windows),
             leaving: std::mem::take(&mut self.leaving),
             limits: std::mem::take(&mut self.limits),
+            paces: std::mem::take(&mut self.paces),
             running: newer.running.clone(),
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
--- a/crates/policy/src/upstream_pace.rs
+++ b/crates/policy/src/upstream_pace.rs
@@ -1,4 +1,9 @@
-//! The pace of an upstream: how long its work takes at this moment, as it reports itself.
+//! The pace of an upstream: how long its work takes at this moment, as it reports itself, and how
+//! long it takes lastingly, as learnt from its responses. See docs/design/upstream-pace.md.
+
+mod learnt;
+
+pub use learnt::{FirstByte, LearntPace, PeerPace, UpstreamCapacity, median};
 
 use spindle_types::MonotonicInstant;
 use std::time::Duration;
--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -25,9 +25,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Prompt tokens that an engine prefills per millisecond; the figure in the users' documentation of
-/// both deployments.
-const PREFILL_TOKENS_PER_MS: f64 = 64.2;
+/// Prompt tokens that an engine prefills per millisecond, until it is learnt: the prior.
+pub const PREFILL_TOKENS_PER_MS: f64 = 64.2;
 
 /// The additional prefill time that grows with the square of the prompt length, in milliseconds per
 /// million pairs of tokens. From the site files.
@@ -44,8 +43,8 @@
 /// The delay that each running stream adds to a new request, in milliseconds.
 const STREAM_DELAY_MS: f64 = 0.5;
 
-/// The prompt length, in tokens, from which the prefill of each chunk delays the streams running
-/// beside it beyond the pause between events that still counts as on time. Follows from the figures
+/// The prompt length, in tokens at the prior speed, from which the prefill of each chunk delays the
+/// streams running beside it beyond the pause between events that still counts as on time. Follows from the figures
 /// above with five tokens per event.
 const LONG_PROMPT_TOKENS: u32 = 30_000;
 
@@ -78,7 +77,7 @@
 const NEXT_HOME_SLACK: f64 = 0.25;
 
 /// The highest utilisation from which a queue is estimated. It grows without bound towards 1.
-const UTILISATION_MAX: f64 = 0.95;
+const UTILISATION_MAX: f64 = 0.9;
 
 /// The difference up to which costs count as equal, in milliseconds: that of the arithmetic.
 const EQUAL_MS: f64 = 1e-6;
@@ -112,9 +111,14 @@
         new / PREFILL_TOKENS_PER_MS + pairs / 1e6 * PREFILL_MS_PER_MEGAPAIR
     }
 
-    /// The cost of the prefill for each running stream, in milliseconds.
-    fn stream_penalty_ms(&self) -> f64 {
-        if self.tokens >= LONG_PROMPT_TOKENS { LONG_PROMPT_PENALTY_MS } else { 0.0 }
+    /// The cost of the prefill for each running stream, in milliseconds. `learnt` is the ratio of the
+    /// duration of work to the prior.
+    fn stream_penalty_ms(&self, learnt: f64) -> f64 {
+        if f64::from(self.tokens) * learnt >= f64::from(LONG_PROMPT_TOKENS) {
+            LONG_PROMPT_PENALTY_MS
+        } else {
+            0.0
+        }
     }
 
     /// The cost of prefilling the shared prefix again, beyond the time that it takes, in
@@ -156,8 +160,10 @@
     pub mean_prefill_ms: f64,
     /// How long a request stays at the upstream, in milliseconds.
     pub hold_ms: f64,
-    /// The recent ratio of the observed to the estimated time to the first byte; 1 is as estimated.
+    /// The ratio of the expected duration of work at present to the prior.
     pub slowdown: f64,
+    /// The same ratio as learnt, without what passes in a moment.
+    pub learnt: f64,
     /// The number of requests that the upstream processes concurrently.
     pub slots: u32,
     /// The state of the circuit breaker.
@@ -202,6 +208,7 @@
             mean_ms,
             busy_share: mean_ms / self.hold_ms.max(1.0),
             slots: slots - own,
+            slot_wait_ms: SLOT_WAIT_MS * self.hold_ms / hold_prior_ms(prompt.is_some()),
             present: self.peer_requests,
         }
     }
@@ -216,8 +223,8 @@
     /// streams, and a prefix that is computed again. `fill` is the number of unseen requests there.
     fn externality_ms(&self, prompt: Option<&Prompt>, cached: bool, fill: f64) -> f64 {
         let recompute = prompt.filter(|_| !cached).map_or(0.0, Prompt::recompute_penalty_ms);
-        let stream = prompt.map_or(0.0, Prompt::stream_penalty_ms);
-        recompute + stream * (f64::from(self.requests) + fill)
+        let stream = prompt.map_or(0.0, |prompt| prompt.stream_penalty_ms(self.learnt));
+        recompute * self.learnt + stream * (f64::from(self.requests) + fill)
     }
 }
 
@@ -236,6 +243,8 @@
     busy_share: f64,
     /// How many of them can run concurrently.
     slots: f64,
+    /// The wait for each beyond these, in milliseconds.
+    slot_wait_ms: f64,
     /// Their expected number without the unseen ones.
     present: f64,
 }
@@ -256,7 +265,7 @@
         let busy = (requests * self.busy_share).min(UTILISATION_MAX);
         let beyond = (requests - self.steep_from()).max(0.0);
         let queue_ms = self.mean_ms * (busy / (1.0 - busy) + beyond);
-        let slot_wait_ms = (requests - self.slots).max(0.0) * SLOT_WAIT_MS;
+        let slot_wait_ms = (requests - self.slots).max(0.0) * self.slot_wait_ms;
         self.base_ms + requests * self.step_ms + queue_ms + slot_wait_ms
     }
 
@@ -289,7 +298,7 @@
             return free;
         }
         let slots = self.slots.max(0.0);
-        slots + (level - self.first_byte_ms(slots)).max(0.0) / (SLOT_WAIT_MS + self.step_ms)
+        slots + (level - self.first_byte_ms(slots)).max(0.0) / (self.slot_wait_ms + self.step_ms)
     }
 }
 
@@ -317,6 +326,11 @@
     pub draw: f64,
 }
 
+/// How long a request stays at an upstream until it is learnt, in milliseconds.
+pub const fn hold_prior_ms(has_prompt: bool) -> f64 {
+    if has_prompt { STREAM_HOLD_MS } else { PLAIN_CALL_MS }
+}
+
 /// The fraction of an upstream's requests in a status of age `age_ms` that is expected there now,
 /// those included that have taken the place of requests with a prefix. A request stays for
 /// `hold_ms`, and `prefix_share` of them have a prefix.
@@ -439,7 +453,9 @@
 ) -> Option<&'a Ranked<'a>> {
     let lowest = ranked.iter().min_by(|a, b| a.cost.total_cmp(&b.cost))?;
     if !lowest.is_cached {
-        let slack = prompt.map_or(0.0, Prompt::recompute_penalty_ms) * NEXT_HOME_SLACK;
+        let slack = prompt.map_or(0.0, Prompt::recompute_penalty_ms)
+            * lowest.candidate.learnt
+            * NEXT_HOME_SLACK;
         for home in homes {
             let found = ranked.iter().find(|found| found.candidate.key == *home);
             if let Some(found) = found.filter(|found| found.cost <= lowest.cost + slack) {
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -19,6 +19,7 @@
         mean_prefill_ms: 50.0,
         hold_ms: STREAM_HOLD_MS,
         slowdown: 1.0,
+        learnt: 1.0,
         slots: 10,
         breaker: BreakerState::Closed,
         limit: LimitState::Unlimited,
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -7,6 +7,7 @@
 use crate::tracked_upstream::SendPermission;
 use opentelemetry::KeyValue;
 use spindle_policy::breaker::{BreakerTransition, FailureKind};
+use spindle_policy::upstream_pace::FirstByte;
 use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey, UpstreamState};
 use spindle_types::{MonotonicInstant, SoftwareVersion};
 use std::net::SocketAddr;
@@ -35,8 +36,8 @@
     /// Time that processing the prompt adds to the upstream's queue until the response begins, in
     /// milliseconds.
     pub(crate) queued_ms: f64,
-    /// Estimated time until the response begins, in milliseconds.
-    pub(crate) expected_ms: f64,
+    /// What is expected of the first byte of the response, until it arrives.
+    pub(crate) expected: Option<FirstByte>,
     /// Whether the request counts against the limit of the upstream.
     pub(crate) counted: bool,
     /// Whether the request has been sent, at least in part.
@@ -147,19 +148,21 @@
     /// latency updates the upstream's slowdown. Later calls have no effect.
     pub fn on_first_byte(&mut self, now: MonotonicInstant) {
         let queued_ms = std::mem::take(&mut self.queued_ms);
-        let expected_ms = std::mem::take(&mut self.expected_ms);
+        let expected = self.expected.take();
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
         // A response that was slowed for a moment says nothing of the upstream's lasting slowness.
         let steady = upstream.pace.steady_ratio(self.assigned_at);
-        if let Some(pace) = steady.filter(|_| expected_ms > 0.0) {
+        if let Some((expected, pace)) = expected.zip(steady) {
             let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 / pace;
-            let ratio = ((measured_ms + FIXED_LATENCY_MS) / expected_ms)
+            let ratio = ((measured_ms + FIXED_LATENCY_MS)
+                / (expected.expected_ms + FIXED_LATENCY_MS))
                 .clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
             let slowdown =
                 upstream.slowdown(now) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
             upstream.slowdown = Some((now, slowdown));
+            upstream.learnt.on_first_byte(now, FirstByte { measured_ms, ..expected });
         }
     }
 
@@ -187,7 +190,10 @@
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         let transition = match result {
-            UpstreamResult::Answered => upstream.breaker.on_success(),
+            UpstreamResult::Answered => {
+                upstream.learnt.on_end(now.since(self.assigned_at));
+                upstream.breaker.on_success()
+            }
             UpstreamResult::Failed => {
                 upstream.breaker.on_failure(now, self.assigned_at, FailureKind::Failed)
             }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -14,10 +14,13 @@
 };
 use spindle_policy::upstream_contact::ServiceContact;
 use spindle_policy::upstream_limit::LimitReport;
+use spindle_policy::upstream_pace::{FirstByte, PeerPace, UpstreamCapacity};
 use spindle_policy::upstream_registry::{
     Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry, UpstreamState,
 };
-use spindle_policy::upstream_selection::{Candidate, Choice, Prompt, Spread, choose};
+use spindle_policy::upstream_selection::{
+    Candidate, Choice, PLAIN_CALL_MS, Prompt, Spread, choose,
+};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -248,9 +251,17 @@
         };
         let Registration { id: upstream_id, address, version, .. } = listed.registration.clone();
         let chosen = candidates.iter().find(|found| found.key == key);
-        let expected_ms = chosen.map_or(0.0, |found| {
-            let found = Candidate { slowdown: 1.0, ..*found };
-            found.first_byte_ms(prompt, found.sent_prefix) + FIXED_LATENCY_MS
+        // What is learnt is compared with the expectation without what passes in a moment.
+        let expected = chosen.map(|found| {
+            let found = Candidate { slowdown: found.learnt, ..*found };
+            let prior_ms =
+                prompt.map_or(PLAIN_CALL_MS, |prompt| prompt.prefill_ms(found.sent_prefix));
+            FirstByte {
+                work_ms: prior_ms,
+                expected_ms: found.first_byte_ms(prompt, found.sent_prefix),
+                ratio: found.learnt,
+                measured_ms: 0.0,
+            }
         });
         let counted = state.limits.take(now, key) == Some(true);
         let upstream = &mut state.upstreams[key];
@@ -266,12 +277,45 @@
             version,
             assigned_at: now,
             queued_ms,
-            expected_ms,
+            expected,
             counted,
             sent: false,
         })
     }
 
+    /// The learnt capacity of each upstream that may get requests for a service, for admission and for
+    /// planning the number of instances.
+    pub fn learnt_capacity(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+    ) -> Vec<UpstreamCapacity> {
+        self.state().capacity(now, service)
+    }
+
+    /// What this daemon has learnt of the pace of upstreams, at most `count`. The other daemons are
+    /// told of it.
+    pub fn own_paces(&self, now: MonotonicInstant, count: usize) -> Vec<(Instance, PeerPace)> {
+        let state = self.state();
+        let paces = state.registry.iter().filter_map(|(key, listed)| {
+            let pace = state.upstreams.get(key)?.learnt.own(now)?;
+            Some((listed.registration.id.instance.clone(), pace))
+        });
+        paces.take(count).collect()
+    }
+
+    /// Sets what the other daemons have learnt of the pace of each instance.
+    pub fn on_peer_paces(&self, told: &BTreeMap<&Instance, Vec<PeerPace>>) {
+        let mut state = self.state();
+        let State { registry, upstreams, .. } = &mut *state;
+        for (key, listed) in registry.iter() {
+            if let Some(upstream) = upstreams.get_mut(key) {
+                let told = told.get(&listed.registration.id.instance);
+                upstream.learnt.set_peers(told.and_then(|told| PeerPace::medians(told)));
+            }
+        }
+    }
+
     /// Whether a service has a usable upstream that has not been tried.
     pub fn has_untried(
         &self,
--- a/crates/relay/src/candidates.rs
+++ b/crates/relay/src/candidates.rs
@@ -1,11 +1,13 @@
 //! The upstreams that may take a request, as this daemon expects them to be at present.
 
 use crate::balancer::{Restrictions, State};
+use spindle_policy::upstream_pace::{LearntPace, UpstreamCapacity, median};
 use spindle_policy::upstream_registry::{RegisteredUpstream, Registration, UpstreamKey};
 use spindle_policy::upstream_selection::{
-    Candidate, LimitState, PLAIN_CALL_MS, Prompt, STREAM_HOLD_MS, remaining_share,
+    Candidate, LimitState, PLAIN_CALL_MS, Prompt, hold_prior_ms, remaining_share,
 };
 use spindle_types::{DataCentre, MonotonicInstant, Service};
+use std::time::Duration;
 
 /// Weight of the newest request in the means over the requests for a service. The means then cover
 /// some forty requests, whose sizes differ widely.
@@ -46,11 +48,11 @@
         own_data_centre: &DataCentre,
         (prompt, restrictions): (Option<&Prompt>, Restrictions<'_>),
     ) -> ServiceView {
-        let hold_ms = if prompt.is_some() { STREAM_HOLD_MS } else { PLAIN_CALL_MS };
+        let prior_ms = hold_prior_ms(prompt.is_some());
+        let service_median = self.median_ratio(now, service);
         let age_ms = now.since(self.peer_news.sent_at).as_secs_f64() * 1e3;
         let mix = self.mix.get(service);
         let prefix_share = mix.map_or(0.0, |mix| mix.prefix_share);
-        let remaining = remaining_share(age_ms, hold_ms, prefix_share);
         let mut unseen = 0.0;
         let usable = self.registry.iter().filter(|(_, listed)| {
             let Registration { service: found, version, .. } = &listed.registration;
@@ -60,6 +62,9 @@
         });
         let candidates = usable.filter_map(|(key, listed)| {
             let upstream = self.upstreams.get(key)?;
+            let hold_ms = upstream.learnt.hold_ms(prior_ms);
+            let remaining = remaining_share(age_ms, hold_ms, prefix_share);
+            let learnt = upstream.learnt.ratio(now, service_median);
             let told = f64::from(upstream.peer_load.0);
             unseen += told * (1.0 - remaining);
             let peer_requests = upstream.peer_requests(now, told * remaining);
@@ -71,7 +76,8 @@
                 queued_prefill_ms: upstream.queued_ms,
                 mean_prefill_ms: mix.map_or(0.0, |mix| mix.prefill_ms),
                 hold_ms,
-                slowdown: upstream.slowdown(now) * upstream.pace.ratio(now),
+                slowdown: learnt * upstream.slowdown(now) * upstream.pace.ratio(now),
+                learnt,
                 sent_prefix: prompt
                     .and_then(|prompt| prompt.prefix_id)
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
@@ -86,6 +92,44 @@
         ServiceView { candidates, unseen }
     }
 
+    /// The median over a service's upstreams of the learnt ratio of the duration of work to the prior;
+    /// 1 until something is learnt.
+    pub(crate) fn median_ratio(&self, now: MonotonicInstant, service: &Service) -> f64 {
+        let of_service =
+            self.registry.iter().filter(|(_, listed)| listed.registration.service == *service);
+        let ratios = of_service
+            .filter_map(|(key, _)| self.upstreams.get(key)?.learnt.known_ratio(now))
+            .collect();
+        median(ratios).unwrap_or(1.0)
+    }
+
+    /// The capacity of each upstream that may get requests for a service.
+    pub(crate) fn capacity(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+    ) -> Vec<UpstreamCapacity> {
+        let service_median = self.median_ratio(now, service);
+        // Only requests with prompts are in the mix.
+        let prior_ms = hold_prior_ms(self.mix.contains_key(service));
+        let usable = self
+            .registry
+            .iter()
+            .filter(|(_, listed)| listed.registration.service == *service && listed.usable(now));
+        let capacities = usable.filter_map(|(key, listed)| {
+            let learnt = &self.upstreams.get(key)?.learnt;
+            let ratio = learnt.ratio(now, service_median);
+            Some(UpstreamCapacity {
+                id: listed.registration.id.clone(),
+                prefill_speed: LearntPace::prefill_speed(ratio),
+                call_time: Duration::from_secs_f64(PLAIN_CALL_MS * ratio / 1e3),
+                slots: listed.registration.slots,
+                hold: Duration::from_secs_f64(learnt.hold_ms(prior_ms) / 1e3),
+            })
+        });
+        capacities.collect()
+    }
+
     fn limit_state(
         &self,
         now: MonotonicInstant,
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -2,7 +2,7 @@
 
 use spindle_policy::breaker::{BreakerState, CircuitBreaker};
 use spindle_policy::upstream_brittleness::Brittleness;
-use spindle_policy::upstream_pace::PaceReports;
+use spindle_policy::upstream_pace::{LearntPace, PaceReports};
 use spindle_policy::upstream_pause::UpstreamPause;
 use spindle_types::MonotonicInstant;
 use std::collections::HashMap;
@@ -52,6 +52,8 @@
     pub(crate) queued_ms: f64,
     /// The other daemons' requests there, and their queued prompt processing in milliseconds.
     pub(crate) peer_load: (u32, u32),
+    /// What is learnt from its responses.
+    pub(crate) learnt: LearntPace,
     /// What it has reported of its pace.
     pub(crate) pace: PaceReports,
     /// Number of requests that the upstream reported last, and when.
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -15,11 +15,12 @@
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::clock_origin;
 use spindle_policy::presence::{
-    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, Phase, Presence, PublishedLimit,
-    ROUND_INTERVAL, Status,
+    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, PACES_MAX, Phase, Presence,
+    PublishedLimit, ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
 use spindle_policy::upstream_limit::LimitReport;
+use spindle_policy::upstream_pace::PeerPace;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
@@ -325,6 +326,20 @@
         own.windows.set(beat, windows.counts().iter().map(|(key, counts)| (*key, counts.clone())));
         own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
         own.limits.set(beat, limits);
+        let paces = parts.balancer.own_paces(now, PACES_MAX).into_iter().map(|(instance, pace)| {
+            let sent = own.paces.get(&instance).copied();
+            let kept = sent.filter(|sent| !sent.differs(pace)).unwrap_or(pace);
+            (instance, kept)
+        });
+        let paces: Vec<_> = paces.collect();
+        own.paces.set(beat, paces);
+        let mut told: BTreeMap<&Instance, Vec<PeerPace>> = BTreeMap::new();
+        for daemon in state.presence.live(now) {
+            for (instance, pace) in daemon.status.paces.iter() {
+                told.entry(instance).or_default().push(*pace);
+            }
+        }
+        parts.balancer.on_peer_paces(&told);
     }
 
     /// Sets this daemon's place among the senders to each limited upstream. While the others may
