--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -377,7 +377,7 @@
             self.record_version(admitted, &buffered.inbound, past, assignment.version.as_ref());
             request_log.on_assigned(now, &assignment);
             let assigned_at = assignment.assigned_at;
-            let sent = self.send_to(assignment, attempt, past).await;
+            let sent = self.send_to(assignment, attempt, past, request_log).await;
             count_send(&request_log.service, &sent);
             request_log.sends = past.reached;
             match sent {
@@ -421,7 +421,7 @@
                     return Err(Refusal::TimedOut);
                 }
             }
-            request_log.on_sent_again();
+            request_log.on_sent_again(self.0.clock.now());
         }
     }
 
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -17,11 +17,12 @@
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::clock_origin;
 use spindle_policy::presence::{
-    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, Phase, Presence, PublishedLimit,
-    ROUND_INTERVAL, Status,
+    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, PACES_MAX, Phase, Presence,
+    PublishedLimit, ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
 use spindle_policy::upstream_limit::LimitReport;
+use spindle_policy::upstream_pace::PeerPace;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
@@ -334,6 +335,20 @@
         own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
         own.limits.set(beat, limits);
         self.update_own_rollouts(now, beat, &state.rollouts, &mut own.rollouts);
+        let paces = parts.balancer.own_paces(now, PACES_MAX).into_iter().map(|(instance, pace)| {
+            let sent = own.paces.get(&instance).copied();
+            let kept = sent.filter(|sent| !sent.differs(pace)).unwrap_or(pace);
+            (instance, kept)
+        });
+        let paces: Vec<_> = paces.collect();
+        own.paces.set(beat, paces);
+        let mut told: BTreeMap<&Instance, Vec<PeerPace>> = BTreeMap::new();
+        for daemon in state.presence.live(now) {
+            for (instance, pace) in daemon.status.paces.iter() {
+                told.entry(instance).or_default().push(*pace);
+            }
+        }
+        parts.balancer.on_peer_paces(&told);
     }
 
     /// Sets this daemon's place among the senders to each limited upstream. While the others may
@@ -374,13 +389,18 @@
             .usage
             .on_clocks(clock_origins.chain([clock_origin(now, parts.clock.utc())]).collect());
         let mut peer_load: BTreeMap<&Instance, (u32, u32)> = BTreeMap::new();
+        // Weighted by the number of requests that a status tells of.
+        let (mut total_age, mut total) = (Duration::ZERO, 0);
         for daemon in state.presence.live(now) {
+            let requests = daemon.status.running.values().map(|(requests, _)| requests).sum();
+            total_age = total_age.saturating_add(now.since(daemon.at).saturating_mul(requests));
+            total += requests;
             for (instance, (requests, queued)) in &daemon.status.running {
                 let sum = peer_load.entry(instance).or_default();
                 *sum = (sum.0 + requests, sum.1 + queued);
             }
         }
-        parts.balancer.on_peer_load(&peer_load);
+        parts.balancer.on_peer_load(now, &peer_load, total_age / total.max(1));
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
