--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -35,7 +35,7 @@
 
 /// The fraction of the allowed exposure that is used. The rest covers errors of the expected number
 /// of requests and a switch that is early by half an interval of `next_step`. With 0.92, 3 of 104
-/// plays with a sound version exceeded the exposure before the deadline by up to 3%.
+/// plays with a sound version exceeded the exposure before the deadline, by 3% with a dead holder.
 const USABLE_SHARE: f64 = 0.88;
 
 /// Largest fraction of the allowed exposure that the trial uses.
