--- a/crates/policy/src/rollout_status.rs
+++ b/crates/policy/src/rollout_status.rs
@@ -42,6 +42,9 @@
     pub old_in_flight: BTreeMap<String, u32>,
     /// Its requests in flight at the target.
     pub target_in_flight: u32,
+    /// Whether it has found the target bad.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_convicted: bool,
 }
 
 /// The part of a daemon's status that concerns rollouts; empty in deployments without them.
--- a/crates/policy/src/rollout_status/tests.rs
+++ b/crates/policy/src/rollout_status/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::presence::Status;
-use crate::rollout::{OrderRevision, RolloutOrder, StepReason};
+use crate::rollout::{OrderRevision, RolloutOrder, StepReason, TrialPhase};
 use spindle_types::Offset;
 
 fn at(millis: u64) -> MonotonicInstant {
@@ -25,6 +25,7 @@
         deadline_utc_ms: 1_764_806_412_000,
         shares: BTreeMap::from([("read".to_owned(), 0.05)]),
         default_share: 0.05,
+        phase: TrialPhase::Spread,
         upstreams: 4,
         base: Some("v1".try_into().unwrap()),
         reason: StepReason::Shares,
@@ -48,6 +49,7 @@
         sent: BTreeMap::from([("read".to_owned(), 9)]),
         old_in_flight: BTreeMap::new(),
         target_in_flight: 2,
+        is_convicted: false,
     };
     status.reports.set(5, [(service("a"), report)]);
     status.evidence.set(5, [(key("a", 1, "read"), evidence(3))]);
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -45,7 +45,7 @@
     /// Whether the estimated time depends on a prompt.
     pub(crate) has_prompt: bool,
     /// What is observed for a rollout; none in deployments without rollouts.
-    pub(crate) observation: Option<Observation>,
+    pub(crate) observation: Option<Box<Observation>>,
 }
 
 /// Outcome of an attempt, as far as it concerns the circuit breaker of the upstream.
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -86,6 +86,11 @@
         &self.pool
     }
 
+    /// What learns of the versions of the upstreams.
+    pub const fn rollouts(&self) -> &RolloutWatch {
+        &self.rollouts
+    }
+
     /// Adds or updates an upstream from its registration. `source` tells in the log where the
     /// registration came from.
     pub fn on_registration(
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,7 +2,7 @@
 //! the response.
 
 use crate::admission::AdmittedRequest;
-use crate::assignment::UpstreamResult;
+use crate::assignment::{Assignment, UpstreamResult};
 use crate::attempt::{Attempt, AttemptOutcome, silence_limit};
 use crate::balancer::{Balancer, Restrictions};
 use crate::config::ActiveConfig;
@@ -32,7 +32,7 @@
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_registry::UpstreamKey;
 use spindle_service::headers::remove_hop_by_hop;
-use spindle_types::{Clock, Instance, SoftwareVersion};
+use spindle_types::{Clock, Instance, MonotonicInstant, SoftwareVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32};
@@ -369,11 +369,8 @@
                 NextAttempt::Upstream(assignment) => *assignment,
                 NextAttempt::Helper(upstream_response) => return Ok(*upstream_response),
             };
-            let (now, work) = (self.0.clock.now(), (&admitted.service, &admitted.route));
-            let is_first = past.tried.is_empty();
-            assignment.observation = self.0.rollouts.begin(now, work, &assignment, is_first);
-            past.left_trial |= assignment.observation.as_ref().is_some_and(|seen| seen.is_trial);
-            past.tried.push(assignment.key);
+            let now = self.0.clock.now();
+            self.on_assigned(now, admitted, past, &mut assignment);
             self.record_version(admitted, &buffered.inbound, past, assignment.version.as_ref());
             request_log.on_assigned(now, &assignment);
             let assigned_at = assignment.assigned_at;
@@ -425,6 +422,20 @@
         }
     }
 
+    /// Records that a request is assigned to an upstream.
+    fn on_assigned(
+        &self,
+        now: MonotonicInstant,
+        admitted: &AdmittedRequest,
+        past: &mut AttemptHistory,
+        assignment: &mut Assignment,
+    ) {
+        let (work, is_first) = ((&admitted.service, &admitted.route), past.tried.is_empty());
+        assignment.observation = self.0.rollouts.begin(now, work, assignment, is_first);
+        past.left_trial |= assignment.observation.as_ref().is_some_and(|seen| seen.is_trial);
+        past.tried.push(assignment.key);
+    }
+
     /// Reads a response that is not a stream to its end.
     ///
     /// # Errors
--- a/crates/relay/src/rollout_watch.rs
+++ b/crates/relay/src/rollout_watch.rs
@@ -44,6 +44,9 @@
 /// still to be computed, which doesn't make the version slow.
 const RATIO_MIN: f64 = 0.5;
 
+/// Reports by service.
+pub type ServiceReports = Vec<(Service, RolloutReport)>;
+
 /// The upstreams that may get a new request.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Eligible {
@@ -244,10 +247,7 @@
 
     /// What the other daemons are told of this one's requests: a report of each service with a
     /// rollout, and the evidence.
-    pub fn reports(
-        &self,
-        now: MonotonicInstant,
-    ) -> (Vec<(Service, RolloutReport)>, Vec<(EvidenceKey, Evidence)>) {
+    pub fn reports(&self, now: MonotonicInstant) -> (ServiceReports, Vec<(EvidenceKey, Evidence)>) {
         let (mut reports, mut entries) = (Vec::new(), Vec::new());
         let Some(state) = self.state() else { return (reports, entries) };
         let mut services: Vec<_> = state.services.iter().collect();
@@ -256,7 +256,8 @@
             let Some(step) = state.view.step(service).filter(|_| known.is_counted(now)) else {
                 continue;
             };
-            reports.push((service.clone(), known.report(step)));
+            let is_convicted = state.view.is_convicted(service);
+            reports.push((service.clone(), known.report(step, is_convicted)));
             let (order, evidence) = &known.evidence;
             for ((route, upstream), counts) in &evidence.0 {
                 let key = (service.clone(), *order, route.clone(), upstream.clone());
@@ -277,7 +278,7 @@
         (service, route): (&Service, &Arc<Route>),
         assignment: &Assignment,
         is_first: bool,
-    ) -> Option<Observation> {
+    ) -> Option<Box<Observation>> {
         let mut state = self.state()?;
         let State { view, services } = &mut *state;
         let known = services.entry(service.clone()).or_default();
@@ -292,7 +293,7 @@
             let service = KeyValue::new("service", service.to_string());
             METRICS.rollout_requests.add(1, &[service, side]);
         }
-        Some(Observation {
+        Some(Box::new(Observation {
             watch: self.clone(),
             service: service.clone(),
             route: Arc::clone(route),
@@ -304,7 +305,7 @@
             first_events: None,
             pace: None,
             recorded: AtomicU8::new(UNRECORDED),
-        })
+        }))
     }
 
     fn state(&self) -> Option<MutexGuard<'_, State>> {
@@ -361,7 +362,7 @@
         self.routes.get_mut(name).expect("inserted if it was missing")
     }
 
-    fn report(&self, step: &RolloutStep) -> RolloutReport {
+    fn report(&self, step: &RolloutStep, is_convicted: bool) -> RolloutReport {
         let is_target =
             |version: &Option<SoftwareVersion>| version.as_ref() == Some(&step.order.target);
         let in_flight = |counts: &RouteCounts, of_target: bool| -> u32 {
@@ -377,6 +378,7 @@
             sent: self.routes.iter().map(|(route, counts)| (route.clone(), counts.sent)).collect(),
             old_in_flight: old.map(|(route, count)| (route.clone(), count)).collect(),
             target_in_flight: self.routes.values().map(|counts| in_flight(counts, true)).sum(),
+            is_convicted,
         }
     }
 }
--- a/crates/relay/src/rollout_watch/tests.rs
+++ b/crates/relay/src/rollout_watch/tests.rs
@@ -2,7 +2,7 @@
 use crate::balancer::{Balancer, Restrictions};
 use crate::config::RepeatPolicy;
 use crate::pool::ConnectionPool;
-use spindle_policy::rollout::{OrderRevision, RolloutOrder, StepReason};
+use spindle_policy::rollout::{OrderRevision, RolloutOrder, StepReason, TrialPhase};
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_registry::{Registration, UpstreamId};
 use spindle_types::Offset;
@@ -46,6 +46,7 @@
         deadline_utc_ms: 0,
         shares: BTreeMap::new(),
         default_share: share,
+        phase: TrialPhase::Spread,
         upstreams: 2,
         base: Some("v1".try_into().unwrap()),
         reason: StepReason::Shares,
@@ -159,7 +160,7 @@
 }
 
 /// Begins a request at an upstream of the version.
-fn begin(balancer: &Balancer, rollouts: &RolloutWatch, version: &str) -> Observation {
+fn begin(balancer: &Balancer, rollouts: &RolloutWatch, version: &str) -> Box<Observation> {
     let eligible = Eligible { versions: NewWork::Only(version.try_into().unwrap()), trial: None };
     let restrictions =
         Restrictions { tried: &[], versions: &PermittedVersions::Any, eligible: &eligible };
--- a/src/node.rs
+++ b/src/node.rs
@@ -120,7 +120,6 @@
     follower: ConfigurationFollower<PlatformStore, BootClock>,
     registrations: RegistrationFollower<PlatformStore, BootClock>,
     statuses: PeerStatuses,
-    rollouts: RolloutWatch,
     relay: Relay<PlatformProtocol, BootClock>,
 }
 
@@ -213,21 +212,13 @@
     let store = PlatformStore::new(settings.store_address);
     let rollouts = build_rollouts(settings);
     let balancer = build_balancer(settings).with_rollouts(rollouts.clone());
-    let cluster_clock = ClusterClock::new(clock.now(), clock.utc());
-    let usage = UsageTracker::new(usage_rules(settings), cluster_clock, calls);
+    let usage = build_usage(settings, calls);
     let (config_sender, config) = watch::channel(Arc::new(ActiveConfig::default()));
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
     let config_is_current: Arc<AtomicBool> = Arc::default();
-    let registrations = RegistrationFollower::new(
-        store.clone(),
-        clock,
-        balancer.clone(),
-        Arc::clone(&daemon_count),
-        settings.bounds.upstream_drain,
-        rand::random(),
-    );
+    let registrations = build_registrations(settings, &store, &balancer, &daemon_count);
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
@@ -268,21 +259,10 @@
         keeper,
         crashes,
         helpers,
-        rollouts: rollouts.clone(),
+        rollouts,
         instance: settings.instance.clone(),
     });
-    Components {
-        clock,
-        store,
-        balancer,
-        config,
-        limits,
-        follower,
-        registrations,
-        statuses,
-        rollouts,
-        relay,
-    }
+    Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
 
 fn build_rollouts(settings: &NodeSettings) -> RolloutWatch {
@@ -292,6 +272,27 @@
     }
 }
 
+fn build_registrations(
+    settings: &NodeSettings,
+    store: &PlatformStore,
+    balancer: &Balancer,
+    daemon_count: &Arc<AtomicU32>,
+) -> RegistrationFollower<PlatformStore, BootClock> {
+    RegistrationFollower::new(
+        store.clone(),
+        BootClock,
+        balancer.clone(),
+        Arc::clone(daemon_count),
+        settings.bounds.upstream_drain,
+        rand::random(),
+    )
+}
+
+fn build_usage(settings: &NodeSettings, calls: mpsc::Sender<QuotaCall>) -> UsageTracker {
+    let cluster_clock = ClusterClock::new(BootClock.now(), BootClock.utc());
+    UsageTracker::new(usage_rules(settings), cluster_clock, calls)
+}
+
 /// Memory that all request bodies may use together, in bytes.
 fn request_memory(settings: &NodeSettings) -> usize {
     (settings.memory_bytes as f64 * REQUEST_MEMORY_FRACTION) as usize
@@ -440,7 +441,7 @@
     let cloud = PlatformCloud::new(settings.cloud_address?, settings.instance.clone());
     let (permission, rollout_permission) = watch::channel(None);
     if let Some(bounds) = settings.bounds.rollouts {
-        let fleet = (components.statuses.clone(), components.rollouts.clone());
+        let fleet = (components.statuses.clone(), components.balancer.rollouts().clone());
         let outside = (components.store.clone(), fleet, components.clock);
         tokio::spawn(RolloutLeader::new(bounds, outside, rollout_permission).run());
     }
@@ -453,7 +454,7 @@
         balancer: components.balancer.clone(),
         config: components.config.clone(),
         statuses: components.statuses.clone(),
-        rollouts: components.rollouts.clone(),
+        rollouts: components.balancer.rollouts().clone(),
         permission,
     };
     Some(tokio::spawn(Leader::new(parts, shutdown.draining.signal()).run()))
--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -117,12 +117,15 @@
     stored_for: Option<MonotonicInstant>,
 }
 
+/// A call that writes the state of a rollout. Returns the era of the store.
+type WriteCall = JoinHandle<Result<Option<u64>, StoreError>>;
+
 /// The states that were written for the operators.
 #[derive(Debug, Default)]
 struct WrittenStates {
     acknowledged: BTreeMap<Service, RolloutStep>,
     retry_at: MonotonicInstant,
-    call: Option<(RolloutStep, JoinHandle<Result<Option<u64>, StoreError>>)>,
+    call: Option<(RolloutStep, WriteCall)>,
 }
 
 /// Runs the rollouts of all services while this daemon holds the lease.
@@ -265,7 +268,9 @@
                         steps.for_each(|step| term.on_stored(now, self.bounds, step));
                     }
                     Err(error) => {
-                        log::warn!("event=rollout_steps_unreadable offset={offset} error={error:?}")
+                        log::warn!(
+                            "event=rollout_steps_unreadable offset={offset} error={error:?}"
+                        );
                     }
                 }
             }
--- a/src/node/rollouts/tests.rs
+++ b/src/node/rollouts/tests.rs
@@ -6,12 +6,15 @@
 use spindle_types::{Offset, SystemClock};
 use std::sync::{Arc, Mutex};
 
+/// Steps that the daemons were told of, and whether at once.
+type Told = (Option<LedSteps>, bool);
+
 /// What the other daemons tell and are told, in the place of statuses.
 #[derive(Clone, Debug, Default)]
 struct FakeFleet {
     view: Arc<Mutex<FleetView>>,
     known: Arc<Mutex<Vec<RolloutStep>>>,
-    told: Arc<Mutex<Vec<(Option<LedSteps>, bool)>>>,
+    told: Arc<Mutex<Vec<Told>>>,
 }
 
 impl RolloutFleet for FakeFleet {
--- a/src/node/service_stock/tests.rs
+++ b/src/node/service_stock/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use spindle_policy::rollout::{OrderRevision, RolloutOrder, StepReason};
+use spindle_policy::rollout::{OrderRevision, RolloutOrder, StepReason, TrialPhase};
 use spindle_types::Offset;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
         deadline_utc_ms: 0,
         shares: BTreeMap::new(),
         default_share: 0.0,
+        phase: TrialPhase::Spread,
         upstreams: 4,
         base: None,
         reason: StepReason::Ordered,
--- a/src/node/status_exchange/rollouts.rs
+++ b/src/node/status_exchange/rollouts.rs
@@ -171,6 +171,7 @@
 /// send further requests to the old version, so it counts as having one there.
 fn add_in_flight(view: &mut FleetView, step: &RolloutStep, report: Option<&RolloutReport>) {
     let report = report.filter(|report| report.order == step.first_sequence);
+    view.is_convicted |= report.is_some_and(|report| report.is_convicted);
     let Some(report) = report.filter(|report| report.stage >= step.stage) else {
         *view.old_in_flight.entry(ALL_ROUTES.to_owned()).or_default() += 1;
         return;
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -80,7 +80,6 @@
     for name in 0..names {
         let registration = Registration {
             id: UpstreamId {
-                rollouts: RolloutWatch::default(),
                 instance: format!("i-{name}").as_str().try_into().unwrap(),
                 started_at_ms: 1,
             },
@@ -146,6 +145,7 @@
             keeper: StreamKeeper::new().0,
             crashes: CrashKeeper::new("d-1".try_into().unwrap()),
             helpers: Helpers::default(),
+            rollouts: RolloutWatch::default(),
             instance: "d-1".try_into().unwrap(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
