feat(policy): admit requests by priority rank under overload

Cause: engines prefill prompts of all ranks side by side, and the maximum wait was three times the route's own target. Under overload the most urgent requests were late or refused while the least urgent were admitted. Change: each daemon admits by rank from the load that all daemons report in a new optional status field, its own arrivals since, and the delays, queues and refusals of upstreams; the capacity is learnt from these. Floors of each rank come first, then the ranks in order; within a rank, even shares by team. The maximum wait of a request is bounded by the target of more urgent ranks. Services with a single rank are not affected.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod presence;
 pub mod proposal;
 pub mod quota;
+pub mod rank_admission;
 pub mod rate_share;
 pub mod read_schedule;
 pub mod reconcile;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -5,6 +5,7 @@
 //! directly between two daemons takes a round through a third. [`crate::membership`] is for daemons
 //! that talk to a few neighbours only; here every status changes with each heartbeat.
 
+use crate::rank_admission::RankLoad;
 use crate::rate_share::Position;
 use crate::upstream_limit::{LimitReport, RequestRate};
 use crate::upstream_registry::UpstreamId;
@@ -155,6 +156,9 @@
     /// Services of which it reaches no upstream.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub lost: BTreeSet<Service>,
+    /// Load by rank of each service that has requests of several.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ranks: BTreeMap<Service, RankLoad>,
 }
 
 impl Status {
@@ -177,6 +181,7 @@
             leaving: VersionedMap::default(),
             limits: VersionedMap::default(),
             lost: BTreeSet::new(),
+            ranks: BTreeMap::new(),
         }
     }
 
@@ -196,6 +201,7 @@
             running: self.running.clone(),
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
+            ranks: self.ranks.clone(),
             identity: self.identity.clone().filter(|_| beat == 0),
             ..*self
         }
@@ -216,6 +222,7 @@
             running: newer.running.clone(),
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
+            ranks: newer.ranks.clone(),
             ..*newer
         };
     }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -3,11 +3,13 @@
 use crate::config::{ActiveConfig, Route, TeamSpec};
 use crate::handoff::Handoff;
 use crate::protocol::UpstreamProtocol;
+use crate::rank_room::RankedRequest;
 use crate::relay::{RETRY_AFTER_MIN, Relay, backoff};
 use crate::request::{Inbound, Refusal};
 use crate::request_log::RequestLog;
 use crate::stream_origin::choose_service;
 use spindle_policy::crash_ledger::WorkKey;
+use spindle_policy::rank_admission::Rank;
 use spindle_types::{Clock, MonotonicInstant, Service, Team};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -25,6 +27,10 @@
     pub(crate) team: Option<Team>,
     /// Priority at an engine; `None` if the service does not run on engines.
     pub(crate) engine_priority: Option<u32>,
+    /// How urgent it is compared with others for the service.
+    pub(crate) rank: Rank,
+    /// Counts the request as waiting for its first byte, if it was admitted by its rank.
+    pub(crate) ranked: Option<Arc<RankedRequest>>,
     /// Units charged to the team's quota.
     pub(crate) cost: f64,
     pub(crate) deadline: MonotonicInstant,
@@ -83,6 +89,8 @@
         Ok(AdmittedRequest {
             team: spec.map(|spec| spec.team.clone()),
             engine_priority: has_engine.then_some(priority.min(ENGINE_PRIORITY_MAX)),
+            rank: Rank::from(priority),
+            ranked: None,
             deadline: inbound.received_at + timeout,
             work_keys: Arc::default(),
             is_handed_over: handoff.is_some(),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -355,6 +355,7 @@
         match class {
             ResponseClass::Executed(executed) => {
                 assignment.on_load(now, executed.load);
+                self.0.ranks.on_load(now, &attempt.admitted.service, executed.load, false);
                 let reusable = !executed.close
                     && framing != Framing::Close
                     && head.version >= Version::HTTP_11;
@@ -370,6 +371,7 @@
             }
             ResponseClass::Refused { load } => {
                 assignment.on_load(now, load);
+                self.0.ranks.on_load(now, &attempt.admitted.service, load, true);
                 assignment.on_result(now, UpstreamResult::Refused);
                 AttemptOutcome::Refused
             }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,9 +1,10 @@
 //! The configuration as the request path uses it: immutable, indexed for lookups and only
 //! replaced in its entirety.
 
+use spindle_policy::rank_admission::Rank;
 use spindle_policy::shared_limits::QuotaSpec;
 use spindle_types::{DataCentre, Service, Team};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -138,6 +139,38 @@
     }
 }
 
+/// The priority ranks of a service that has two or more.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceRanks {
+    /// Shortest target latency of the service's routes.
+    pub shortest_target: Duration,
+    /// Shortest target latency of the requests that may be of each rank.
+    targets: BTreeMap<Rank, Duration>,
+}
+
+impl ServiceRanks {
+    /// The ranks of the requests of some routes of one service, and of some teams that may use them;
+    /// `None` if there are fewer than two.
+    fn new(routes: &[&Route], teams: &[TeamSpec]) -> Option<Self> {
+        let shortest_target = routes.iter().map(|route| route.target_latency).min()?;
+        let mut targets: BTreeMap<Rank, Duration> = BTreeMap::new();
+        for route in routes {
+            let target = targets.entry(Rank::from(route.priority)).or_insert(route.target_latency);
+            *target = route.target_latency.min(*target);
+        }
+        let is_public = routes.iter().all(|route| route.public);
+        for priority in teams.iter().filter_map(|spec| spec.priority).filter(|_| !is_public) {
+            targets.insert(Rank::from(priority), shortest_target);
+        }
+        (targets.len() >= 2).then_some(Self { shortest_target, targets })
+    }
+
+    /// The shortest target latency of requests that are at least as urgent as `rank`.
+    pub fn target_up_to(&self, rank: Rank) -> Option<Duration> {
+        self.targets.range(..=rank).map(|(_, target)| *target).min()
+    }
+}
+
 /// A configuration with indices for lookups. The default one has version 0, which means that
 /// none has been read yet.
 #[derive(Clone, Debug, Default)]
@@ -148,6 +181,7 @@
     pub limits: Limits,
     /// Services by name.
     pub services: HashMap<Service, ServiceSpec>,
+    ranks: HashMap<Service, ServiceRanks>,
     routes: Vec<Arc<Route>>,
     index: HashMap<String, HashMap<String, usize>>,
     teams: Vec<TeamSpec>,
@@ -174,8 +208,9 @@
             keys.extend(team_keys.into_iter().map(|key| (key, specs.len())));
             specs.push(spec);
         }
+        let ranks = service_ranks(&routes, &specs);
         let routes = routes.into_iter().map(Arc::new).collect();
-        Self { version, limits, services, routes, index, teams: specs, keys }
+        Self { version, limits, services, ranks, routes, index, teams: specs, keys }
     }
 
     /// Finds the route of a host with the longest matching path prefix. A port in `host` is ignored
@@ -192,6 +227,11 @@
         self.routes.get(*position)
     }
 
+    /// The priority ranks of a service; `None` if all its requests are equally urgent.
+    pub fn ranks(&self, service: &Service) -> Option<&ServiceRanks> {
+        self.ranks.get(service)
+    }
+
     /// All routes, in the order of the configuration.
     pub fn routes(&self) -> &[Arc<Route>] {
         &self.routes
@@ -208,5 +248,16 @@
     }
 }
 
+fn service_ranks(routes: &[Route], teams: &[TeamSpec]) -> HashMap<Service, ServiceRanks> {
+    let names: BTreeSet<&Service> =
+        routes.iter().flat_map(|route| route.services.iter().map(|(service, _)| service)).collect();
+    let ranks = names.into_iter().filter_map(|name| {
+        let leads_there = |route: &&Route| route.services.iter().any(|(found, _)| found == name);
+        let own: Vec<&Route> = routes.iter().filter(leads_there).collect();
+        Some((name.clone(), ServiceRanks::new(&own, teams)?))
+    });
+    ranks.collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -42,6 +42,10 @@
     pub handoffs: Counter<u64>,
     /// Number of requests accepted from other daemons.
     pub accepted_handoffs: Counter<u64>,
+    /// Number of requests refused because of their rank, by service and rank.
+    pub rank_refusals: Counter<u64>,
+    /// Fraction of the requests of a rank that this daemon admits, by service and rank.
+    pub rank_fraction: Gauge<f64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
     pub first_byte_seconds: Histogram<f64>,
     /// Time from the first byte of a request to the end of its response, in seconds.
@@ -77,6 +81,8 @@
         contact_losses: meter.u64_counter("relay_contact_losses").build(),
         handoffs: meter.u64_counter("relay_handoffs").build(),
         accepted_handoffs: meter.u64_counter("relay_accepted_handoffs").build(),
+        rank_refusals: meter.u64_counter("relay_rank_refusals").build(),
+        rank_fraction: meter.f64_gauge("relay_rank_fraction").build(),
         first_byte_seconds: meter.f64_histogram("relay_first_byte_seconds").build(),
         total_seconds: meter.f64_histogram("relay_whole_seconds").build(),
         event_interval_seconds: meter.f64_histogram("relay_event_interval_seconds").build(),
--- a/crates/relay/src/next_attempt.rs
+++ b/crates/relay/src/next_attempt.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 /// A request is refused if its response is expected to begin later than this multiple of the
-/// route's target latency. Callers give up after four times the target at the latest.
+/// route's target latency, or of the shortest one of a more urgent rank. Callers give up after four times the target at the latest.
 const LATENESS_FACTOR_MAX: u32 = 3;
 
 /// Number of attempts that did not reach an upstream after which a request is refused.
@@ -106,8 +106,7 @@
             return Err(refuse(past, Refusal::NoUpstream { retry_after: backoff() }));
         }
         let prompt = buffered.inbound.prompt();
-        let max_wait =
-            (admitted.route.target_latency * LATENESS_FACTOR_MAX).min(admitted.deadline.since(now));
+        let max_wait = max_wait(admitted).min(admitted.deadline.since(now));
         let balancer = &self.0.balancer;
         let assign = |versions| {
             let restrictions = Restrictions { tried: &past.tried, versions };
@@ -132,3 +131,12 @@
         })
     }
 }
+
+/// The longest acceptable time until the response to a request begins. A less urgent one must not be
+/// sent to an upstream whose queue is too long for a more urgent one.
+fn max_wait(admitted: &AdmittedRequest) -> Duration {
+    let ranks = admitted.config.ranks(&admitted.service);
+    let urgent = ranks.and_then(|ranks| ranks.target_up_to(admitted.rank));
+    let target = admitted.route.target_latency;
+    urgent.map_or(target, |urgent| urgent.min(target)) * LATENESS_FACTOR_MAX
+}
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -28,6 +28,10 @@
 pub struct ReportedLoad {
     /// Number of requests running or waiting there.
     pub requests: u32,
+    /// Number of requests of these that are waiting.
+    pub waiting: u32,
+    /// Number of requests that it runs at a time; 0 if it doesn't say.
+    pub slots: u32,
 }
 
 /// What the head of the response to an executed request says.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::metrics::METRICS;
 use crate::next_attempt::NextAttempt;
 use crate::protocol::UpstreamProtocol;
+use crate::rank_room::RankRoom;
 use crate::request::{BufferedRequest, Inbound, Refusal};
 use crate::request_log::{Outcome, RequestLog};
 use crate::response_body::{BodyMemory, PartialBody};
@@ -89,6 +90,8 @@
     pub helpers: Helpers,
     /// Instance that the daemon runs on.
     pub instance: Instance,
+    /// Admission of requests by their priority ranks.
+    pub ranks: RankRoom,
 }
 
 /// The request path. Clones share all state.
@@ -284,7 +287,14 @@
             Some(known) => Ok(known.clone()),
             None => self.permitted_versions(&admitted, inbound, request_log).await,
         };
-        let result = match versions {
+        let is_new = handoff.is_none() && inbound.last_event_id.is_none();
+        let permitted = versions.and_then(|versions| {
+            if is_new {
+                self.admit_by_rank(&mut admitted, &buffered, request_log)?;
+            }
+            Ok(versions)
+        });
+        let result = match permitted {
             Ok(versions) => {
                 past.versions = versions;
                 self.forward(&admitted, &buffered, past, request_log).await
@@ -496,6 +506,9 @@
         source: &ResponseSource,
         request_log: &mut RequestLog<K>,
     ) {
+        if let Some(ranked) = &admitted.ranked {
+            ranked.on_first_byte(self.0.clock.now());
+        }
         if request_log.on_first_byte(self.0.clock.now())
             && source.assignment().is_some()
             && !admitted.is_counted
--- a/src/node.rs
+++ b/src/node.rs
@@ -47,6 +47,7 @@
 use spindle_relay::handoff_server::HandoffHandler;
 use spindle_relay::helpers::Helpers;
 use spindle_relay::pool::ConnectionPool;
+use spindle_relay::rank_room::RankRoom;
 use spindle_relay::relay::RelayParts;
 use spindle_relay::response_body::BodyMemory;
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
@@ -213,15 +214,9 @@
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
+    let ranks = RankRoom::default();
     let config_is_current: Arc<AtomicBool> = Arc::default();
-    let registrations = RegistrationFollower::new(
-        store.clone(),
-        clock,
-        balancer.clone(),
-        Arc::clone(&daemon_count),
-        settings.bounds.upstream_drain,
-        rand::random(),
-    );
+    let registrations = build_registrations(settings, &store, &balancer, &daemon_count);
     let follower = ConfigurationFollower::new(
         store.clone(),
         clock,
@@ -244,6 +239,7 @@
         config_is_current: Arc::clone(&config_is_current),
         draining: shutdown.draining.signal(),
         helpers: helpers.clone(),
+        ranks: ranks.clone(),
     });
     let relay = Relay::new(RelayParts {
         clock,
@@ -262,10 +258,27 @@
         crashes,
         helpers,
         instance: settings.instance.clone(),
+        ranks,
     });
     Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
 
+fn build_registrations(
+    settings: &NodeSettings,
+    store: &PlatformStore,
+    balancer: &Balancer,
+    daemon_count: &Arc<AtomicU32>,
+) -> RegistrationFollower<PlatformStore, BootClock> {
+    RegistrationFollower::new(
+        store.clone(),
+        BootClock,
+        balancer.clone(),
+        Arc::clone(daemon_count),
+        settings.bounds.upstream_drain,
+        rand::random(),
+    )
+}
+
 /// Memory that all request bodies may use together, in bytes.
 fn request_memory(settings: &NodeSettings) -> usize {
     (settings.memory_bytes as f64 * REQUEST_MEMORY_FRACTION) as usize
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -2,6 +2,7 @@
 
 mod config_peers;
 mod quota_keepers;
+mod ranks;
 mod suitable;
 mod versions;
 
@@ -25,6 +26,7 @@
 use spindle_relay::backends::Store;
 use spindle_relay::balancer::LeavingUpstreams;
 use spindle_relay::helpers::Helpers;
+use spindle_relay::rank_room::RankRoom;
 use spindle_relay::{ActiveConfig, Balancer, UsageTracker};
 use spindle_types::{
     Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
@@ -97,6 +99,8 @@
     pub draining: Drain,
     /// Receives the daemons through which requests can be sent.
     pub helpers: Helpers,
+    /// Admission by rank; receives the load that peers report.
+    pub ranks: RankRoom,
 }
 
 #[derive(Debug)]
@@ -319,6 +323,7 @@
         let last_success = parts.follower.last_success().max(parts.registrations.last_success());
         own.age = last_success.map(|at| millis(now.since(at)));
         (own.running, own.arrived) = (parts.balancer.own_load(), parts.usage.prompt_tokens());
+        own.ranks = parts.ranks.own_loads(now);
         let beat = own.beat;
         own.charged.set(beat, parts.usage.own_charges());
         let windows = parts.usage.windows();
@@ -372,6 +377,7 @@
             }
         }
         parts.balancer.on_peer_load(&peer_load);
+        self.update_ranks(now, state);
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
--- a/tests/response_ends/front.rs
+++ b/tests/response_ends/front.rs
@@ -10,6 +10,7 @@
 use spindle_relay::crash_keeper::CrashKeeper;
 use spindle_relay::helpers::Helpers;
 use spindle_relay::pool::ConnectionPool;
+use spindle_relay::rank_room::RankRoom;
 use spindle_relay::relay::RelayParts;
 use spindle_relay::response_body::BodyMemory;
 use spindle_relay::stream_keeper::StreamKeeper;
@@ -146,6 +147,7 @@
             crashes: CrashKeeper::new("d-1".try_into().unwrap()),
             helpers: Helpers::default(),
             instance: "d-1".try_into().unwrap(),
+            ranks: RankRoom::default(),
         });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let caller = listener.local_addr().unwrap();
