--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -462,3 +462,17 @@
     }
     assert_eq!(late, []);
 }
+
+/// Guards against statuses that daemons of an older version can't read, and against their statuses.
+#[test]
+fn load_by_rank_is_left_out_if_there_is_none_and_is_replaced_by_a_newer_status() {
+    let mut known = status(1);
+    let text = serde_json::to_string(&known).unwrap();
+    assert!(!text.contains("ranks"), "{text}");
+    assert_eq!(serde_json::from_str::<Status>(&text).unwrap(), known);
+    let load = RankLoad { pressure: 0.5, ..RankLoad::default() };
+    let ranks = BTreeMap::from([("desk".try_into().unwrap(), load)]);
+    let newer = Status { beat: 2, ranks: ranks.clone(), ..status(1) };
+    known.update(&newer.changed_since(1));
+    assert_eq!(known.ranks, ranks);
+}
--- a/crates/policy/src/rank_admission.rs
+++ b/crates/policy/src/rank_admission.rs
@@ -61,7 +61,7 @@
 
 /// How fast the learnt capacity falls at most, per second. Work of which a part is done counts only
 /// when its response begins, so less work seems to be done while a queue grows.
-const FALL_MAX_PER_S: f64 = 0.6;
+const FALL_MAX_PER_S: f64 = 0.3;
 
 /// How fast the learnt capacity rises, per second and unit of pressure below the aim.
 const RISE_PER_S: f64 = 1.5;
@@ -76,12 +76,19 @@
 
 /// The fraction of the capacity that is left unused per unit of pressure above the aim, so that the
 /// queue drains.
-const DRAIN_SHARE: f64 = 0.6;
+const DRAIN_SHARE: f64 = 1.2;
+
+/// The largest fraction of the capacity that is left unused.
+const DRAIN_SHARE_MAX: f64 = 0.6;
 
 /// The fraction of the capacity that the first rank may use while a queue drains. Its requests are
 /// refused for a queue only if refusing those of all other ranks is not enough.
 const URGENT_SHARE: f64 = 0.7;
 
+/// The fraction of the capacity that is admitted beyond it while no queue shows at all: the estimates
+/// of load and capacity are uncertain, and a queue will show if they are right.
+const QUIET_SLACK: f64 = 0.2;
+
 /// The weight of the other daemons' capacity in the learnt one, per second. Without it, daemons that
 /// see few responses drift apart.
 const PEER_WEIGHT_PER_S: f64 = 0.5;
@@ -408,14 +415,15 @@
             return;
         };
         let is_free = total <= FREE_LOAD * capacity && pressure < PRESSURE_HIGH;
-        let drained = (pressure - PRESSURE_AIM).clamp(0.0, 1.0) * DRAIN_SHARE;
+        let drained = ((pressure - PRESSURE_AIM) * DRAIN_SHARE).clamp(0.0, DRAIN_SHARE_MAX);
         let first = offered.values().next().copied().unwrap_or_default();
-        let urgent = first + (total - first) * ATTEMPT_FLOOR;
+        let urgent = first + (total - first) * ATTEMPT_FLOOR * (1.0 - drained);
         let is_urgent_met = urgent <= capacity * URGENT_SHARE;
         let drained_limit =
             (capacity * (1.0 - drained)).max(if is_urgent_met { urgent } else { 0.0 });
-        let limit = if is_free { f64::INFINITY } else { drained_limit };
-        self.fractions = fractions(&offered, limit);
+        let slack = 1.0 + QUIET_SLACK * (1.0 - pressure / PRESSURE_AIM).max(0.0);
+        let limit = if is_free { f64::INFINITY } else { drained_limit * slack };
+        self.fractions = fractions(&offered, limit, ATTEMPT_FLOOR * (1.0 - drained));
         let kept = (-elapsed_s / EXCESS_MEMORY.as_secs_f64()).exp();
         self.excess_s = (self.excess_s * kept + (total / capacity - 1.0) * elapsed_s).max(0.0);
     }
@@ -502,9 +510,9 @@
 
 /// The fraction of each rank that is admitted so that the work stays within `limit`: the floor of
 /// each rank first, then the rest of each rank in their order.
-fn fractions(offered: &BTreeMap<Rank, f64>, limit: f64) -> BTreeMap<Rank, f64> {
+fn fractions(offered: &BTreeMap<Rank, f64>, limit: f64, floor: f64) -> BTreeMap<Rank, f64> {
     let total: f64 = offered.values().sum();
-    let floor = ATTEMPT_FLOOR.min(limit * FLOORS_SHARE / total);
+    let floor = floor.min(limit * FLOORS_SHARE / total);
     let mut free = (limit - total * floor).max(0.0);
     let fraction = |(rank, work): (&Rank, &f64)| {
         let given = (work * (1.0 - floor)).min(free);
--- a/crates/policy/src/rank_admission/teams.rs
+++ b/crates/policy/src/rank_admission/teams.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The time constant of the measured work of a team: a daemon sees some requests per second.
-const SMOOTHING: Duration = Duration::from_secs(2);
+/// The time constant of the measured work of a team. A daemon sees few requests of each team; with 2 s,
+/// a fifth of the requests of teams below their share was refused by chance.
+const SMOOTHING: Duration = Duration::from_secs(4);
 
 /// The number of teams that are told apart. Further ones get the fraction of their rank.
 const TEAMS_MAX: usize = 64;
--- a/crates/policy/src/rank_admission/tests/play.rs
+++ b/crates/policy/src/rank_admission/tests/play.rs
@@ -129,6 +129,10 @@
     pub(super) teams: Vec<f64>,
     /// A daemon that hears no other and is heard by none.
     pub(super) deaf: Option<usize>,
+    /// Whether the daemons know the capacity from an earlier overload.
+    pub(super) is_learnt: bool,
+    /// Whether refused callers come back once.
+    pub(super) retries: bool,
     pub(super) seed: u64,
 }
 
@@ -141,6 +145,8 @@
             burst: [0.4, 0.05, 0.55],
             teams: vec![1.0],
             deaf: None,
+            is_learnt: false,
+            retries: true,
             seed: 7,
         }
     }
@@ -194,8 +200,11 @@
 impl Play {
     pub(super) fn run(&self) -> Outcome {
         let target = Duration::from_millis(KINDS[0].target_ms);
-        let daemon =
-            |_| Daemon { admission: RankAdmission::new(at(0), target), published: VecDeque::new() };
+        let capacity = self.is_learnt.then_some(ENGINE_TOKENS_PER_MS * 1e3);
+        let daemon = |_| Daemon {
+            admission: RankAdmission { capacity, ..RankAdmission::new(at(0), target) },
+            published: VecDeque::new(),
+        };
         let mut stage = Stage {
             play: self,
             teams: (0..self.teams.len())
@@ -278,7 +287,7 @@
         }
         match decision {
             RankDecision::Admit => self.send(now, index, name),
-            RankDecision::Refuse { retry_after } if is_first => {
+            RankDecision::Refuse { retry_after } if is_first && self.play.retries => {
                 let retry_ms = (retry_after.as_millis() as u64).max(RETRY_AFTER_MIN_MS);
                 self.retries.push(Reverse((now + retry_ms.min(left_ms / 3), index)));
             }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod odd_entries;
 mod partitions;
+mod ranks;
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
 mod raw;
