--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -5,6 +5,7 @@
 //! directly between two daemons takes a round through a third. [`crate::membership`] is for daemons
 //! that talk to a few neighbours only; here every status changes with each heartbeat.
 
+use crate::rank_admission::RankLoad;
 use crate::rate_share::Position;
 use crate::rollout_status::{BeatClock, RolloutStatus};
 use crate::upstream_limit::{LimitReport, RequestRate};
@@ -167,6 +168,9 @@
     /// What it tells of rollouts.
     #[serde(default, skip_serializing_if = "RolloutStatus::is_empty")]
     pub rollouts: RolloutStatus,
+    /// Load by rank of each service that has requests of several.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ranks: BTreeMap<Service, RankLoad>,
 }
 
 impl Status {
@@ -191,6 +195,7 @@
             paces: VersionedMap::default(),
             lost: BTreeSet::new(),
             rollouts: RolloutStatus::default(),
+            ranks: BTreeMap::new(),
         }
     }
 
@@ -212,6 +217,7 @@
             running: self.running.clone(),
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
+            ranks: self.ranks.clone(),
             identity: self.identity.clone().filter(|_| beat == 0),
             ..*self
         }
@@ -236,6 +242,7 @@
             running: newer.running.clone(),
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
+            ranks: newer.ranks.clone(),
             ..*newer
         };
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -50,6 +50,7 @@
 use spindle_relay::handoff_server::HandoffHandler;
 use spindle_relay::helpers::Helpers;
 use spindle_relay::pool::ConnectionPool;
+use spindle_relay::rank_room::RankRoom;
 use spindle_relay::relay::RelayParts;
 use spindle_relay::response_body::BodyMemory;
 use spindle_relay::stream_keeper::{PendingQuestion, StreamKeeper};
@@ -217,6 +218,7 @@
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
+    let ranks = RankRoom::default();
     let config_is_current: Arc<AtomicBool> = Arc::default();
     let registrations = build_registrations(settings, &store, &balancer, &daemon_count);
     let follower = ConfigurationFollower::new(
@@ -242,6 +244,7 @@
         draining: shutdown.draining.signal(),
         helpers: helpers.clone(),
         rollouts: rollouts.clone(),
+        ranks: ranks.clone(),
     });
     let relay = Relay::new(RelayParts {
         clock,
@@ -261,6 +264,7 @@
         helpers,
         rollouts,
         instance: settings.instance.clone(),
+        ranks,
     });
     Components { clock, store, balancer, config, limits, follower, registrations, statuses, relay }
 }
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -2,6 +2,7 @@
 
 mod config_peers;
 mod quota_keepers;
+mod ranks;
 pub mod rollouts;
 mod suitable;
 mod versions;
@@ -28,6 +29,7 @@
 use spindle_relay::backends::Store;
 use spindle_relay::balancer::LeavingUpstreams;
 use spindle_relay::helpers::Helpers;
+use spindle_relay::rank_room::RankRoom;
 use spindle_relay::{ActiveConfig, Balancer, RolloutWatch, UsageTracker};
 use spindle_types::{
     Clock, Fencing, Incarnation, Instance, MonotonicInstant, Service, Team, UtcInstant,
@@ -102,6 +104,8 @@
     pub helpers: Helpers,
     /// Rollouts as this daemon follows them.
     pub rollouts: RolloutWatch,
+    /// Admission by rank; receives the load that peers report.
+    pub ranks: RankRoom,
 }
 
 #[derive(Debug)]
@@ -328,6 +332,7 @@
         let last_success = parts.follower.last_success().max(parts.registrations.last_success());
         own.age = last_success.map(|at| millis(now.since(at)));
         (own.running, own.arrived) = (parts.balancer.own_load(), parts.usage.prompt_tokens());
+        own.ranks = parts.ranks.own_loads(now);
         let beat = own.beat;
         own.charged.set(beat, parts.usage.own_charges());
         let windows = parts.usage.windows();
@@ -401,6 +406,7 @@
             }
         }
         parts.balancer.on_peer_load(now, &peer_load, total_age / total.max(1));
+        self.update_ranks(now, state);
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
