--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -31,14 +31,11 @@
 /// The fraction of the needed engines that are on-demand instances.
 const ON_DEMAND_SHARE: f64 = 0.25;
 
-/// The fraction of the engines found at the start that is kept in any case until the load is known. A
-/// new engine takes as long to start as the load takes to be measured.
+/// The fraction of the engines found at the start that is kept until the load is known. A new
+/// engine takes as long to start as the load takes to be measured, so too few engines at the start
+/// would affect the first ten seconds.
 const START_SHARE: f64 = 0.7;
 
-/// The fraction of the quotas of all teams together that is expected as load before it is known. Teams
-/// are given about twice what they use.
-const QUOTA_USE: f64 = 0.5;
-
 /// The delay after a refusal before the same kind of instance is ordered in the data centre again.
 const REFUSAL_DELAY: Duration = Duration::from_secs(3);
 
@@ -167,8 +164,6 @@
     refused: BTreeMap<InstanceKey, MonotonicInstant>,
     /// Engines whose capacity is missing because of limits.
     missing: f64,
-    /// Prompt tokens a second that the quotas of all teams allow together; 0 if they are unlimited.
-    quotas: f64,
 }
 
 impl FleetPlanner {
@@ -191,11 +186,6 @@
         self.missing = rates.iter().map(unused).sum();
     }
 
-    /// Sets the prompt tokens a second that the quotas of all teams allow together.
-    pub const fn on_quotas(&mut self, rate: f64) {
-        self.quotas = rate;
-    }
-
     /// Records that the cloud accepted an order.
     pub fn on_ordered(&mut self, now: MonotonicInstant, order: &CapacityOrder) {
         self.refused.remove(&(order.data_centre.clone(), order.reclaimable));
@@ -214,21 +204,15 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The number of engines that the load needs, including those that only make up for limits. Until
-    /// the rate has been known for `PEAK_MEMORY`, it is at least what the quotas let expect, of the most
-    /// engines found so far, and at least `START_SHARE` of these. Queues that build up while new
-    /// engines start outlast that time, since callers repeat what is late.
+    /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
+    /// at least `START_SHARE` of the most engines found so far is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
+        let start = share_of(self.found, START_SHARE);
         let need =
             self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
         let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
-        need.max(if early { self.start_need() } else { 1 }).max(1)
-    }
-
-    fn start_need(&self) -> u32 {
-        let expected = (self.quotas * QUOTA_USE / TOKENS_PER_ENGINE).ceil() as u32;
-        expected.min(self.found).max(share_of(self.found, START_SHARE))
+        need.max(if early { start } else { 1 }).max(1)
     }
 
     /// Orders that are due, given the instances that exist now.
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -429,7 +429,6 @@
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
             let limited_rates = self.parts.balancer.limited_rates(now, service);
-            planner.on_quotas(token_quotas(&config));
             planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
             arrivals.on_totals(now, prompt_tokens.into_iter());
             let rate = if arrivals.has_arrivals() { arrivals.rate() } else { None };
@@ -502,15 +501,6 @@
     }
 }
 
-/// The tokens a second that the quotas of all teams allow together; 0 if one has none.
-fn token_quotas(config: &ActiveConfig) -> f64 {
-    let rates = config
-        .teams()
-        .iter()
-        .map(|spec| spec.quota.filter(|_| spec.counts_tokens).map(|quota| quota.rate));
-    rates.sum::<Option<f64>>().unwrap_or_default()
-}
-
 fn fleet_spec(scale: &ScaleSpec) -> FleetSpec {
     FleetSpec {
         min: scale.instances_min,
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
 mod config_peers;
+mod paces;
 mod quota_keepers;
 mod ranks;
 pub mod rollouts;
@@ -18,12 +19,11 @@
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::clock_origin;
 use spindle_policy::presence::{
-    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, PACES_MAX, Phase, Presence,
-    PublishedLimit, ROUND_INTERVAL, Status,
+    Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, Phase, Presence, PublishedLimit,
+    ROUND_INTERVAL, Status,
 };
 use spindle_policy::shared_limits::DaemonVisibility;
 use spindle_policy::upstream_limit::LimitReport;
-use spindle_policy::upstream_pace::PeerPace;
 use spindle_policy::upstream_registry::UpstreamId;
 use spindle_policy::usage_windows::{RequestCounts, sum_counts};
 use spindle_relay::backends::Store;
@@ -340,20 +340,7 @@
         own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
         own.limits.set(beat, limits);
         self.update_own_rollouts(now, beat, &state.rollouts, &mut own.rollouts);
-        let paces = parts.balancer.own_paces(now, PACES_MAX).into_iter().map(|(instance, pace)| {
-            let sent = own.paces.get(&instance).copied();
-            let kept = sent.filter(|sent| !sent.differs(pace)).unwrap_or(pace);
-            (instance, kept)
-        });
-        let paces: Vec<_> = paces.collect();
-        own.paces.set(beat, paces);
-        let mut told: BTreeMap<&Instance, Vec<PeerPace>> = BTreeMap::new();
-        for daemon in state.presence.live(now) {
-            for (instance, pace) in daemon.status.paces.iter() {
-                told.entry(instance).or_default().push(*pace);
-            }
-        }
-        parts.balancer.on_peer_paces(&told);
+        self.update_paces(now, state);
     }
 
     /// Sets this daemon's place among the senders to each limited upstream. While the others may
