--- a/crates/policy/src/rank_admission/pressure.rs
+++ b/crates/policy/src/rank_admission/pressure.rs
@@ -51,7 +51,7 @@
 /// Smoothed signs of queueing.
 #[derive(Debug, Default)]
 pub(super) struct Pressure {
-    pub(super) level: f64,
+    level: f64,
     /// Smoothed delay of first bytes beyond what the requests' own work needs, in seconds.
     delay_s: f64,
     /// Responses per second, smoothed.
@@ -135,7 +135,7 @@
 
     /// The pressure that waiting requests show by their age, which is on average half of the time
     /// that they will have waited. It rises before any late response has begun.
-    pub(super) fn level_in_flight(&self, now: MonotonicInstant) -> f64 {
+    fn level_in_flight(&self, now: MonotonicInstant) -> f64 {
         let Waiting { count, since_s, work } = self.waiting;
         let Some((_, pace)) = self.pace.filter(|_| count > 0.5) else { return 0.0 };
         let age_s = seconds(now) - since_s / count;
