--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -69,10 +69,6 @@
 /// The maximum number of upstreams whose limits a daemon reports in its status, to bound memory.
 pub const LIMITS_MAX: usize = 256;
 
-/// The maximum number of upstreams whose learnt pace a daemon reports in its status, to bound memory
-/// and messages. The largest known deployment has 90 upstreams.
-pub const PACES_MAX: usize = 256;
-
 /// The maximum number of other daemons' statuses in a reply. A caller that lacks more of them gets
 /// the rest from its next calls; a reply with all of them might not arrive within the timeout.
 const FORWARDED_MAX: usize = 128;
--- a/crates/policy/src/presence/status.rs
+++ b/crates/policy/src/presence/status.rs
@@ -1,10 +1,9 @@
 //! What a daemon tells the others of itself.
 
-use super::{LEAVING_MAX, LIMITS_MAX, PACES_MAX, TEAMS_MAX};
+use super::{LEAVING_MAX, LIMITS_MAX, TEAMS_MAX};
 use crate::rank_admission::RankLoad;
 use crate::rollout_status::RolloutStatus;
 use crate::upstream_limit::RequestRate;
-use crate::upstream_pace::PeerPace;
 use crate::upstream_registry::UpstreamId;
 use crate::usage_windows::{RequestCounts, WINDOWS_KEPT};
 use crate::versioned_map::VersionedMap;
@@ -91,9 +90,6 @@
     /// Limits that upstreams have named to it.
     #[serde(default, skip_serializing_if = "VersionedMap::is_empty")]
     pub limits: VersionedMap<UpstreamId, PublishedLimit>,
-    /// What it has learnt of the pace of upstreams.
-    #[serde(default, skip_serializing_if = "VersionedMap::is_empty")]
-    pub paces: VersionedMap<Instance, PeerPace>,
     /// Services of which it reaches no upstream.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub lost: BTreeSet<Service>,
@@ -124,7 +120,6 @@
             windows: VersionedMap::default(),
             leaving: VersionedMap::default(),
             limits: VersionedMap::default(),
-            paces: VersionedMap::default(),
             lost: BTreeSet::new(),
             rollouts: RolloutStatus::default(),
             ranks: BTreeMap::new(),
@@ -145,7 +140,6 @@
             leaving: self.leaving.changed_since(beat),
             limits: self.limits.changed_since(beat),
             rollouts: self.rollouts.changed_since(beat),
-            paces: self.paces.changed_since(beat),
             running: self.running.clone(),
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
@@ -162,7 +156,6 @@
         self.leaving.merge(&newer.leaving, LEAVING_MAX);
         self.limits.merge(&newer.limits, LIMITS_MAX);
         self.rollouts.merge(&newer.rollouts);
-        self.paces.merge(&newer.paces, PACES_MAX);
         *self = Self {
             identity: self.identity.take(),
             charged: std::mem::take(&mut self.charged),
@@ -170,7 +163,6 @@
             leaving: std::mem::take(&mut self.leaving),
             limits: std::mem::take(&mut self.limits),
             rollouts: std::mem::take(&mut self.rollouts),
-            paces: std::mem::take(&mut self.paces),
             running: newer.running.clone(),
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -8,7 +8,6 @@
 use crate::tracked_upstream::SendPermission;
 use opentelemetry::KeyValue;
 use spindle_policy::breaker::{BreakerTransition, FailureKind};
-use spindle_policy::upstream_pace::FirstByte;
 use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey, UpstreamState};
 use spindle_types::{MonotonicInstant, SoftwareVersion};
 use std::net::SocketAddr;
@@ -37,8 +36,8 @@
     /// Time that processing the prompt adds to the upstream's queue until the response begins, in
     /// milliseconds.
     pub(crate) queued_ms: f64,
-    /// What is expected of the first byte of the response, until it arrives.
-    pub(crate) expected: Option<FirstByte>,
+    /// Estimated time until the response begins, in milliseconds.
+    pub(crate) expected_ms: f64,
     /// Whether the request counts against the limit of the upstream.
     pub(crate) counted: bool,
     /// Whether the request has been sent, at least in part.
@@ -68,9 +67,6 @@
         let Some(reported_load) = reported_load else { return };
         if let Some(upstream) = self.balancer.state().upstreams.get_mut(self.key) {
             upstream.reported_load = Some((now, reported_load.requests()));
-            if let Some(pace) = reported_load.pace {
-                upstream.pace.on_report(now, pace);
-            }
         }
     }
 
@@ -161,26 +157,21 @@
     /// latency updates the upstream's slowdown. Later calls have no effect.
     pub fn on_first_byte(&mut self, now: MonotonicInstant) {
         let queued_ms = std::mem::take(&mut self.queued_ms);
-        let expected = self.expected.take();
+        let expected_ms = std::mem::take(&mut self.expected_ms);
         if let Some(observation) = &mut self.observation {
-            let estimated_ms = expected.map_or(0.0, |expected| expected.expected_ms);
-            let estimated = Duration::from_secs_f64(estimated_ms / 1e3);
-            observation.on_first_byte(now, self.has_prompt.then_some(estimated));
+            let estimated_ms = (expected_ms - FIXED_LATENCY_MS).max(0.0);
+            let expected = Duration::from_secs_f64(estimated_ms / 1e3);
+            observation.on_first_byte(now, self.has_prompt.then_some(expected));
         }
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
-        // A response that was slowed for a moment says nothing of the upstream's lasting slowness.
-        let steady = upstream.pace.steady_ratio(self.assigned_at);
-        if let Some((expected, pace)) = expected.zip(steady) {
-            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 / pace;
-            let ratio = ((measured_ms + FIXED_LATENCY_MS)
-                / (expected.expected_ms + FIXED_LATENCY_MS))
-                .clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
+        if expected_ms > 0.0 {
+            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 + FIXED_LATENCY_MS;
+            let ratio = (measured_ms / expected_ms).clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
             let slowdown =
                 upstream.slowdown(now) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
             upstream.slowdown = Some((now, slowdown));
-            upstream.learnt.on_first_byte(now, FirstByte { measured_ms, ..expected });
         }
     }
 
@@ -218,10 +209,7 @@
         let mut state = self.balancer.state();
         let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
         let transition = match result {
-            UpstreamResult::Answered => {
-                upstream.learnt.on_end(now.since(self.assigned_at));
-                upstream.breaker.on_success()
-            }
+            UpstreamResult::Answered => upstream.breaker.on_success(),
             UpstreamResult::Failed => {
                 upstream.breaker.on_failure(now, self.assigned_at, FailureKind::Failed)
             }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -2,7 +2,6 @@
 
 use crate::assignment::Assignment;
 use crate::backends::StoredVersions;
-use crate::candidates::{PeerNews, RequestMix};
 use crate::limits::UpstreamLimits;
 use crate::pool::{ConnectionPool, Endpoint};
 use crate::rollout_watch::{Eligible, RolloutWatch};
@@ -10,19 +9,17 @@
 use slotmap::SecondaryMap;
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
+use spindle_policy::rollout::trial_upstreams;
 use spindle_policy::stream_versions::{
     KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
 };
 use spindle_policy::upstream_contact::ServiceContact;
 use spindle_policy::upstream_limit::LimitReport;
-use spindle_policy::upstream_pace::{FirstByte, PeerPace, UpstreamCapacity};
 use spindle_policy::upstream_registry::{
     RegisteredUpstream, Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry,
     UpstreamState,
 };
-use spindle_policy::upstream_selection::{
-    Candidate, Choice, PLAIN_CALL_MS, Prompt, Spread, choose,
-};
+use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,10 +36,6 @@
     pub(crate) upstreams: SecondaryMap<UpstreamKey, TrackedUpstream>,
     pub(crate) limits: UpstreamLimits,
     pub(crate) contacts: HashMap<Service, ServiceContact>,
-    /// What is known of the other daemons' requests.
-    pub(crate) peer_news: PeerNews,
-    /// This daemon's requests for each service that have prompts.
-    pub(crate) mix: HashMap<Service, RequestMix>,
 }
 
 /// Load balancer over all known upstreams. Clones share all state.
@@ -205,15 +198,9 @@
     }
 
     /// Sets the load that the other daemons put on each instance: number of requests, and queued
-    /// prompt processing in milliseconds. `age` is the mean age of these figures.
-    pub fn on_peer_load(
-        &self,
-        now: MonotonicInstant,
-        peer_load: &BTreeMap<&Instance, (u32, u32)>,
-        age: Duration,
-    ) {
+    /// prompt processing in milliseconds.
+    pub fn on_peer_load(&self, peer_load: &BTreeMap<&Instance, (u32, u32)>) {
         let mut state = self.state();
-        state.peer_news = PeerNews { sent_at: now - age };
         let State { registry, upstreams, .. } = &mut *state;
         for (key, listed) in registry.iter() {
             if let Some(upstream) = upstreams.get_mut(key) {
@@ -226,7 +213,7 @@
     /// Forgets upstreams that have been gone for long and have no request left.
     pub fn prune(&self, now: MonotonicInstant) {
         let mut state = self.state();
-        let State { registry, upstreams, limits, contacts, mix, .. } = &mut *state;
+        let State { registry, upstreams, limits, contacts } = &mut *state;
         registry.prune(now, |key| upstreams.get(key).is_some_and(|upstream| upstream.running > 0));
         upstreams.retain(|key, _| registry.get(key).is_some());
         limits.retain(|key| registry.get(key).is_some());
@@ -234,7 +221,6 @@
             registry.iter().any(|(_, listed)| listed.registration.service == *service)
         };
         contacts.retain(|service, _| is_listed(service));
-        mix.retain(|service, _| is_listed(service));
     }
 
     /// Assigns a request to an upstream of a service. `max_wait` is the longest acceptable time
@@ -253,32 +239,20 @@
     ) -> Result<Assignment, Choice> {
         let mut state = self.state();
         let prefix_id = prompt.and_then(|prompt| prompt.prefix_id);
-        let view = state.candidates(now, service, &self.own_data_centre, (prompt, restrictions));
-        let candidates = view.candidates;
-        let spread = Spread { unseen: view.unseen, draw: rand::random() };
-        let choice = choose(&candidates, prompt, max_wait, spread);
+        let candidates =
+            state.candidates(now, service, &self.own_data_centre, (prefix_id, restrictions));
+        let choice = choose(&candidates, prompt, max_wait);
         let Choice::Upstream(key, queued_ms) = choice else {
             return Err(choice);
         };
-        if let Some(prompt) = prompt {
-            state.on_assigned(service, prompt, queued_ms);
-        }
         let Some(listed) = state.registry.get(key) else {
             return Err(Choice::None);
         };
         let Registration { id: upstream_id, address, version, .. } = listed.registration.clone();
         let chosen = candidates.iter().find(|found| found.key == key);
-        // What is learnt is compared with the expectation without what passes in a moment.
-        let expected = chosen.map(|found| {
-            let found = Candidate { slowdown: found.learnt, ..*found };
-            let prior_ms =
-                prompt.map_or(PLAIN_CALL_MS, |prompt| prompt.prefill_ms(found.sent_prefix));
-            FirstByte {
-                work_ms: prior_ms,
-                expected_ms: found.first_byte_ms(prompt, found.sent_prefix),
-                ratio: found.learnt,
-                measured_ms: 0.0,
-            }
+        let expected_ms = chosen.map_or(0.0, |found| {
+            let found = Candidate { slowdown: 1.0, ..*found };
+            found.first_byte_ms(prompt, found.sent_prefix) + FIXED_LATENCY_MS
         });
         let counted = state.limits.take(now, key) == Some(true);
         let upstream = &mut state.upstreams[key];
@@ -294,7 +268,7 @@
             version,
             assigned_at: now,
             queued_ms,
-            expected,
+            expected_ms,
             counted,
             sent: false,
             has_prompt: prompt.is_some(),
@@ -302,39 +276,6 @@
         })
     }
 
-    /// The learnt capacity of each upstream that may get requests for a service, for admission and for
-    /// planning the number of instances.
-    pub fn learnt_capacity(
-        &self,
-        now: MonotonicInstant,
-        service: &Service,
-    ) -> Vec<UpstreamCapacity> {
-        self.state().capacity(now, service)
-    }
-
-    /// What this daemon has learnt of the pace of upstreams, at most `count`. The other daemons are
-    /// told of it.
-    pub fn own_paces(&self, now: MonotonicInstant, count: usize) -> Vec<(Instance, PeerPace)> {
-        let state = self.state();
-        let paces = state.registry.iter().filter_map(|(key, listed)| {
-            let pace = state.upstreams.get(key)?.learnt.own(now)?;
-            Some((listed.registration.id.instance.clone(), pace))
-        });
-        paces.take(count).collect()
-    }
-
-    /// Sets what the other daemons have learnt of the pace of each instance.
-    pub fn on_peer_paces(&self, told: &BTreeMap<&Instance, Vec<PeerPace>>) {
-        let mut state = self.state();
-        let State { registry, upstreams, .. } = &mut *state;
-        for (key, listed) in registry.iter() {
-            if let Some(upstream) = upstreams.get_mut(key) {
-                let told = told.get(&listed.registration.id.instance);
-                upstream.learnt.set_peers(told.and_then(|told| PeerPace::medians(told)));
-            }
-        }
-    }
-
     /// Whether a service has a usable upstream that has not been tried.
     pub fn has_untried(
         &self,
@@ -345,7 +286,6 @@
         let state = self.state();
         state
             .candidates(now, service, &self.own_data_centre, (None, restrictions))
-            .candidates
             .iter()
             .any(Candidate::is_open)
     }
@@ -542,3 +482,51 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl State {
+    fn candidates(
+        &self,
+        now: MonotonicInstant,
+        service: &Service,
+        own_data_centre: &DataCentre,
+        (prefix_id, restrictions): (Option<u64>, Restrictions<'_>),
+    ) -> Vec<Candidate> {
+        let Restrictions { tried, versions, eligible } = restrictions;
+        let usable = self.registry.iter().filter(|(_, listed)| {
+            let Registration { service: found, version, .. } = &listed.registration;
+            found == service
+                && listed.usable(now)
+                && versions.permits(version.as_ref())
+                && eligible.versions.permits(version.as_ref())
+        });
+        let mut usable: Vec<_> = usable.collect();
+        if let Some(step) = &eligible.trial {
+            let instances = usable.iter().map(|(_, listed)| &listed.registration.id.instance);
+            let chosen: BTreeSet<Instance> =
+                trial_upstreams(step, instances).into_iter().cloned().collect();
+            usable.retain(|(_, listed)| chosen.contains(&listed.registration.id.instance));
+        }
+        let usable = usable.into_iter();
+        let candidates = usable.filter_map(|(key, listed)| {
+            let upstream = self.upstreams.get(key)?;
+            Some(Candidate {
+                key,
+                identity: upstream.identity,
+                requests: upstream.requests(now),
+                queued_prefill_ms: upstream.queued_ms + f64::from(upstream.peer_load.1),
+                slowdown: upstream.slowdown(now),
+                sent_prefix: prefix_id
+                    .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
+                slots: listed.registration.slots,
+                breaker: upstream.breaker_state(now),
+                limit: match upstream.wait(now, upstream.running, listed.registration.slots) {
+                    Some(left) => LimitState::Exhausted(left),
+                    None => self.limits.state(now, key),
+                },
+                is_local: listed.registration.data_centre == *own_data_centre,
+                tried: tried.contains(&key),
+            })
+        });
+        candidates.collect()
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod backends;
 pub mod balancer;
 pub mod caller_server;
-mod candidates;
 pub mod config;
 pub mod config_versions;
 pub mod connection;
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -2,7 +2,6 @@
 
 use spindle_policy::breaker::{BreakerState, CircuitBreaker};
 use spindle_policy::upstream_brittleness::Brittleness;
-use spindle_policy::upstream_pace::{LearntPace, PaceReports};
 use spindle_policy::upstream_pause::UpstreamPause;
 use spindle_types::MonotonicInstant;
 use std::collections::HashMap;
@@ -52,10 +51,6 @@
     pub(crate) queued_ms: f64,
     /// The other daemons' requests there, and their queued prompt processing in milliseconds.
     pub(crate) peer_load: (u32, u32),
-    /// What is learnt from its responses.
-    pub(crate) learnt: LearntPace,
-    /// What it has reported of its pace.
-    pub(crate) pace: PaceReports,
     /// Number of requests that the upstream reported last, and when.
     pub(crate) reported_load: Option<(MonotonicInstant, u32)>,
     /// Prompt prefixes sent there, and when last.
@@ -78,12 +73,10 @@
         self.breaker.state_at(now)
     }
 
-    /// The number of other daemons' requests there, of which `expected` are expected from their
-    /// statuses.
-    pub(crate) fn peer_requests(&self, now: MonotonicInstant, expected: f64) -> f64 {
+    pub(crate) fn requests(&self, now: MonotonicInstant) -> u32 {
         let reported = self.reported_load.filter(|(at, _)| now.since(*at) <= REPORTED_LOAD_MAX_AGE);
-        let others = |(_, requests): (_, u32)| f64::from(requests.saturating_sub(self.running));
-        reported.map_or(expected, |reported| expected.max(others(reported)))
+        let counted = self.running + self.peer_load.0;
+        reported.map_or(counted, |(_, requests)| counted.max(requests))
     }
 
     /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated.
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,7 +1,6 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
 mod config_peers;
-mod paces;
 mod quota_keepers;
 mod ranks;
 pub mod rollouts;
@@ -340,7 +339,6 @@
         own.leaving.set(beat, leaving.ids.into_iter().map(|upstream| (upstream, ())));
         own.limits.set(beat, limits);
         self.update_own_rollouts(now, beat, &state.rollouts, &mut own.rollouts);
-        self.update_paces(now, state);
     }
 
     /// Sets this daemon's place among the senders to each limited upstream. While the others may
@@ -381,18 +379,13 @@
             .usage
             .on_clocks(clock_origins.chain([clock_origin(now, parts.clock.utc())]).collect());
         let mut peer_load: BTreeMap<&Instance, (u32, u32)> = BTreeMap::new();
-        // Weighted by the number of requests that a status tells of.
-        let (mut total_age, mut total) = (Duration::ZERO, 0);
         for daemon in state.presence.live(now) {
-            let requests = daemon.status.running.values().map(|(requests, _)| requests).sum();
-            total_age = total_age.saturating_add(now.since(daemon.at).saturating_mul(requests));
-            total += requests;
             for (instance, (requests, queued)) in &daemon.status.running {
                 let sum = peer_load.entry(instance).or_default();
                 *sum = (sum.0 + requests, sum.1 + queued);
             }
         }
-        parts.balancer.on_peer_load(now, &peer_load, total_age / total.max(1));
+        parts.balancer.on_peer_load(&peer_load);
         self.update_ranks(now, state);
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
