--- a/crates/policy/src/shared_limits.rs
+++ b/crates/policy/src/shared_limits.rs
@@ -5,9 +5,6 @@
 //! some seconds late, so no daemon decides by what others have used: a few daemons, chosen by hashing,
 //! keep the quota of a team, and the others ask them for units with a call of a few milliseconds.
 
-mod bucket;
-
-use self::bucket::{Bucket, RecentSum};
 use crate::presence::FORGET_AFTER;
 use serde::{Deserialize, Serialize};
 use spindle_types::{Instance, MonotonicInstant, Team};
@@ -200,36 +197,6 @@
     pub expected: f64,
     /// Units granted before that it returns.
     pub returned: f64,
-    /// The fraction of the quota that has to be left for more urgent requests. Daemons of earlier
-    /// releases leave none.
-    #[serde(default)]
-    pub reserve: f64,
-}
-
-/// A request as the quota of its team sees it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QuotaRequest {
-    /// The units that it costs.
-    pub cost: f64,
-    /// The fraction of the quota that has to be left for more urgent requests of the team.
-    pub reserve: f64,
-}
-
-/// A time in which a keeper is not asked.
-#[derive(Clone, Copy, Debug)]
-struct Rest {
-    until: MonotonicInstant,
-    /// The reserve of the request that it has turned down. It may have the units for a more urgent
-    /// one.
-    reserve: f64,
-    /// The number of calls in a row that it has not answered.
-    failures: u32,
-}
-
-impl Rest {
-    fn includes(&self, now: MonotonicInstant, request: QuotaRequest) -> bool {
-        self.until > now && request.reserve >= self.reserve
-    }
 }
 
 /// A keeper's answer.
@@ -252,6 +219,52 @@
     RetryAfter(Duration),
 }
 
+/// A token bucket.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    /// Units available. Negative while excess usage is paid back.
+    level: f64,
+    refilled_at: MonotonicInstant,
+}
+
+impl Bucket {
+    const fn new(now: MonotonicInstant, level: f64) -> Self {
+        Self { level, refilled_at: now }
+    }
+
+    fn refill(&mut self, now: MonotonicInstant, rate: f64, capacity: f64) {
+        let refill = rate * now.since(self.refilled_at).as_secs_f64();
+        self.level = (self.level + refill).min(capacity);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Takes units. A request larger than the bucket is admitted when the bucket is full. The level
+    /// then goes below zero and is paid back by later refills. Returns the missing units on failure.
+    fn take(&mut self, units: f64, capacity: f64) -> Result<(), f64> {
+        let needed = units.min(capacity);
+        if self.level < needed {
+            return Err(needed - self.level);
+        }
+        self.level -= units;
+        Ok(())
+    }
+}
+
+/// A sum of what has come in lately, which decays within [`DEMAND_TIME`].
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentSum {
+    sum: f64,
+    at: MonotonicInstant,
+}
+
+impl RecentSum {
+    fn add(&mut self, now: MonotonicInstant, amount: f64) {
+        let passed = now.since(self.at).as_secs_f64() / DEMAND_TIME.as_secs_f64();
+        self.sum = self.sum * (-passed).exp() + amount;
+        self.at = self.at.max(now);
+    }
+}
+
 /// The units that this daemon was granted and has not used.
 #[derive(Clone, Copy, Debug, Default)]
 struct Held {
@@ -282,8 +295,8 @@
     demand: RecentSum,
     /// The questions of other daemons that were turned down.
     refusals: RecentSum,
-    /// The keepers that are not asked now.
-    resting: HashMap<A, Rest>,
+    /// Until when keepers are not asked, and how many calls in a row each has not answered.
+    resting: HashMap<A, (MonotonicInstant, u32)>,
     /// The number of calls to keepers so far.
     calls: usize,
     /// All units charged by this daemon since it started.
@@ -324,22 +337,22 @@
         self.refill(now, part);
     }
 
-    /// Admits and charges a request if it fits.
+    /// Admits and charges a request of `cost` units if it fits.
     pub fn admit(
         &mut self,
         now: MonotonicInstant,
-        request: QuotaRequest,
+        cost: f64,
         keepers: &QuotaKeepers<A>,
     ) -> SharedQuotaDecision<A> {
-        self.demand.add(now, request.cost);
-        self.decide(now, request, keepers)
+        self.demand.add(now, cost);
+        self.decide(now, cost, keepers)
     }
 
     /// Applies the answer of a keeper, `None` if there was none, and decides again.
     pub fn on_grant(
         &mut self,
         now: MonotonicInstant,
-        request: QuotaRequest,
+        cost: f64,
         (keeper, question, grant): (A, QuotaQuestion, Option<QuotaGrant>),
         keepers: &QuotaKeepers<A>,
     ) -> SharedQuotaDecision<A> {
@@ -347,23 +360,21 @@
             Some(grant) if grant.units >= question.needed => {
                 self.resting.remove(&keeper);
                 self.hold(now, grant.units - question.needed);
-                self.own_usage += request.cost;
+                self.own_usage += cost;
                 return SharedQuotaDecision::Admitted;
             }
             Some(grant) => {
-                let until = now + Duration::from_millis(grant.wait).min(RETRY_AFTER_MAX);
-                let reserve = request.reserve;
-                self.resting.insert(keeper, Rest { until, reserve, failures: 0 });
+                let wait = Duration::from_millis(grant.wait).min(RETRY_AFTER_MAX);
+                self.resting.insert(keeper, (now + wait, 0));
             }
             None => {
-                let failures = self.resting.get(&keeper).map_or(0, |rest| rest.failures);
+                let failures = self.resting.get(&keeper).map_or(0, |(_, failures)| *failures);
                 let wait = AVOID_TIME.saturating_mul(2_u32.saturating_pow(failures));
                 let until = now + wait.min(AVOID_TIME_MAX);
-                let failures = failures.saturating_add(1);
-                self.resting.insert(keeper, Rest { until, reserve: 0.0, failures });
+                self.resting.insert(keeper, (until, failures.saturating_add(1)));
             }
         }
-        self.decide(now, request, keepers)
+        self.decide(now, cost, keepers)
     }
 
     /// Answers another daemon out of the part that this one keeps.
@@ -381,8 +392,7 @@
             return QuotaGrant { units: 0.0, wait: wait_millis(AVOID_TIME) };
         };
         kept.level = (kept.level + question.returned.max(0.0)).min(capacity);
-        let left = capacity * question.reserve.clamp(0.0, 1.0);
-        if let Err(missing) = kept.take(question.needed, capacity, left) {
+        if let Err(missing) = kept.take(question.needed, capacity) {
             self.refusals.add(now, 1.0);
             let spacing = CALL_SPACING.mul_f64(self.refusals.sum);
             let wait = refill_time(missing, rate).max(spacing).min(RETRY_AFTER_MAX);
@@ -408,10 +418,9 @@
     fn decide(
         &mut self,
         now: MonotonicInstant,
-        request: QuotaRequest,
+        cost: f64,
         keepers: &QuotaKeepers<A>,
     ) -> SharedQuotaDecision<A> {
-        let QuotaRequest { cost, reserve } = request;
         self.expire(now);
         if self.held.units >= cost {
             self.held.units -= cost;
@@ -427,7 +436,7 @@
             let returned = std::mem::take(&mut self.returned);
             if let Some(kept) = &mut self.kept {
                 kept.level = (kept.level + returned).min(capacity);
-                match kept.take(cost, capacity, capacity * reserve) {
+                match kept.take(cost, capacity) {
                     Ok(()) => {
                         self.own_usage += cost;
                         return SharedQuotaDecision::Admitted;
@@ -440,17 +449,18 @@
         for index in 0..count {
             // Begins with another one each time, so that all have about the same left.
             let keeper = &keepers.others[(index + self.calls) % count];
-            if let Some(rest) = self.resting.get(keeper)
-                && rest.includes(now, request)
-            {
-                wait = wait.min(rest.until.since(now));
-                continue;
+            match self.resting.get(keeper) {
+                Some((until, _)) if *until > now => {
+                    wait = wait.min(until.since(now));
+                }
+                _ => {
+                    self.calls = self.calls.wrapping_add(1);
+                    let expected = self.demand.sum * EXPECTED_SHARE;
+                    let returned = std::mem::take(&mut self.returned);
+                    let question = QuotaQuestion { needed: cost, expected, returned };
+                    return SharedQuotaDecision::Ask(*keeper, question);
+                }
             }
-            self.calls = self.calls.wrapping_add(1);
-            let expected = self.demand.sum * EXPECTED_SHARE;
-            let returned = std::mem::take(&mut self.returned);
-            let question = QuotaQuestion { needed: cost, expected, returned, reserve };
-            return SharedQuotaDecision::Ask(*keeper, question);
         }
         SharedQuotaDecision::RetryAfter(wait)
     }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -76,10 +76,7 @@
         let service = choose_service(&route, inbound);
         request_log.service = service.to_string();
         let cost = match spec.filter(|_| handoff.is_none()) {
-            Some(spec) => {
-                let reserve = config.quota_reserve(spec.priority.unwrap_or(route.priority));
-                self.0.usage.admit(&self.0.clock, spec, inbound.tokens, reserve).await
-            }
+            Some(spec) => self.0.usage.admit(&self.0.clock, spec, inbound.tokens).await,
             None => Ok(0.0),
         };
         let cost =
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -9,10 +9,6 @@
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
 
-/// The fraction of a team's quota that its least urgent requests leave to the others. Half of the
-/// quota's burst covers a few large urgent requests until units that others hold are given back.
-const QUOTA_RESERVE_MAX: f64 = 0.5;
-
 /// API key by which a caller is identified as a member of a team.
 pub type ApiKey = String;
 
@@ -190,8 +186,6 @@
     index: HashMap<String, HashMap<String, usize>>,
     teams: Vec<TeamSpec>,
     keys: HashMap<ApiKey, usize>,
-    /// The priorities of all routes and teams, most urgent first.
-    priorities: Vec<u32>,
 }
 
 impl ActiveConfig {
@@ -214,20 +208,9 @@
             keys.extend(team_keys.into_iter().map(|key| (key, specs.len())));
             specs.push(spec);
         }
-        let mut priorities: Vec<u32> = routes.iter().map(|route| route.priority).collect();
-        priorities.extend(specs.iter().filter_map(|spec| spec.priority));
-        priorities.sort_unstable();
-        priorities.dedup();
         let ranks = service_ranks(&routes, &specs);
         let routes = routes.into_iter().map(Arc::new).collect();
-        Self { version, limits, services, ranks, routes, index, teams: specs, keys, priorities }
-    }
-
-    /// The fraction of a team's quota that a request of a priority leaves to more urgent ones.
-    pub fn quota_reserve(&self, priority: u32) -> f64 {
-        let last = self.priorities.len().saturating_sub(1).max(1);
-        let place = self.priorities.iter().filter(|known| **known < priority).count();
-        QUOTA_RESERVE_MAX * place as f64 / last as f64
+        Self { version, limits, services, ranks, routes, index, teams: specs, keys }
     }
 
     /// Finds the route of a host with the longest matching path prefix. A port in `host` is ignored
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -4,8 +4,8 @@
 use crate::config::{ActiveConfig, TeamSpec};
 use spindle_policy::cluster_clock::ClusterClock;
 use spindle_policy::shared_limits::{
-    DaemonVisibility, KEEPERS, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaRequest,
-    QuotaTolerance, RetryBudgetShare, RetryBudgetSpec, SharedQuota, SharedQuotaDecision,
+    DaemonVisibility, KEEPERS, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaTolerance,
+    RetryBudgetShare, RetryBudgetSpec, SharedQuota, SharedQuotaDecision,
 };
 use spindle_policy::usage_windows::UsageWindows;
 use spindle_types::{Clock, MonotonicInstant, Service, Team, UtcInstant};
@@ -142,8 +142,7 @@
 
     /// Charges a request to the quota of its team and returns its cost in units of the quota. Asks the
     /// daemons that keep the quota if this one has not been granted enough. `tokens` are the number of
-    /// prompt tokens and the maximum number of tokens to generate; `reserve` is the fraction of the
-    /// quota that is left for more urgent requests.
+    /// prompt tokens and the maximum number of tokens to generate.
     ///
     /// # Errors
     ///
@@ -153,7 +152,6 @@
         clock: &impl Clock,
         spec: &TeamSpec,
         tokens: Option<(u32, u32)>,
-        reserve: f64,
     ) -> Result<f64, Duration> {
         if spec.quota.is_none() {
             return Ok(0.0);
@@ -163,10 +161,9 @@
             Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
             None => spec.default_tokens,
         };
-        let request = QuotaRequest { cost, reserve };
         let mut asked = None;
         for _ in 0..=KEEPERS {
-            match self.decide(clock.now(), spec, request, asked.take()) {
+            match self.decide(clock.now(), spec, cost, asked.take()) {
                 SharedQuotaDecision::Admitted => return Ok(cost),
                 SharedQuotaDecision::RetryAfter(after) => return Err(after),
                 SharedQuotaDecision::Ask(keeper, question) => {
@@ -175,7 +172,7 @@
                 }
             }
         }
-        match self.decide(clock.now(), spec, request, asked) {
+        match self.decide(clock.now(), spec, cost, asked) {
             SharedQuotaDecision::Admitted => Ok(cost),
             SharedQuotaDecision::RetryAfter(after) => Err(after),
             SharedQuotaDecision::Ask(..) => Err(Duration::ZERO),
@@ -187,7 +184,7 @@
         &self,
         now: MonotonicInstant,
         spec: &TeamSpec,
-        request: QuotaRequest,
+        cost: f64,
         asked: Option<(SocketAddr, QuotaQuestion, Option<QuotaGrant>)>,
     ) -> SharedQuotaDecision<SocketAddr> {
         let mut state = self.state();
@@ -196,8 +193,8 @@
             return SharedQuotaDecision::Admitted;
         };
         match asked {
-            None => quota.admit(now, request, keepers),
-            Some(asked) => quota.on_grant(now, request, asked, keepers),
+            None => quota.admit(now, cost, keepers),
+            Some(asked) => quota.on_grant(now, cost, asked, keepers),
         }
     }
 
