--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -51,9 +51,9 @@
 /// The round-trip time to another data centre, in milliseconds.
 const REMOTE_ROUND_TRIP_MS: f64 = 2.0;
 
-/// The ratio of requests to slots from which an upstream counts as overloaded. The queue of an
-/// engine holds about twice its slots; at this ratio half of the queue is filled.
-const OVERLOAD_RATIO: f64 = 2.0;
+/// The ratio of requests to slots from which an upstream is too busy for any request. The queue of
+/// an engine holds about twice its slots; at this ratio half of the queue is filled.
+pub const LOAD_LIMIT_MAX: f64 = 2.0;
 
 /// The size and shared prefix of a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -172,6 +172,19 @@
     }
 }
 
+/// What an upstream is chosen by, besides what is known of the upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct Criteria<'a> {
+    /// The prompt; plain calls have none.
+    pub prompt: Option<&'a Prompt>,
+    /// The longest acceptable time to the first byte.
+    pub max_wait: Duration,
+    /// The ratio of requests to slots from which an upstream is too busy for the request.
+    pub load_limit: f64,
+    /// Evenly distributed between 0 and 1; differs between requests and between daemons.
+    pub draw: f64,
+}
+
 /// Result of the selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Choice {
@@ -186,10 +199,10 @@
     None,
 }
 
-/// Selects an upstream for a request that can wait for `patience`. Plain calls have no prompt. An
-/// upstream whose circuit breaker allows a probe, or whose limit is to be learnt again, takes
-/// precedence.
-pub fn choose(candidates: &[Candidate], prompt: Option<&Prompt>, patience: Duration) -> Choice {
+/// Selects an upstream for a request. An upstream whose circuit breaker allows a probe, or whose
+/// limit is to be learnt again, takes precedence.
+pub fn choose(candidates: &[Candidate], criteria: &Criteria<'_>) -> Choice {
+    let Criteria { prompt, max_wait, load_limit, .. } = *criteria;
     let untried: Vec<&Candidate> =
         candidates.iter().filter(|candidate| candidate.is_open()).collect();
     if let Some(probe) = untried.iter().find(|candidate| candidate.needs_probe()) {
@@ -212,8 +225,8 @@
         return limit_wait(candidates).map_or(Choice::None, Choice::Limited);
     };
     let wait = Duration::from_secs_f64(best.first_byte_ms(prompt, is_cached(best)) / 1e3);
-    if best.load() >= OVERLOAD_RATIO || wait > patience {
-        return Choice::Overloaded(wait.saturating_sub(patience));
+    if best.load() >= load_limit || wait > max_wait {
+        return Choice::Overloaded(wait.saturating_sub(max_wait));
     }
     Choice::Upstream(best.key, prompt.map_or(0.0, |prompt| prompt.prefill_ms(is_cached(best))))
 }
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -28,6 +28,14 @@
     Prompt { tokens: 6_000, shared_tokens: 5_000, prefix_id: Some(prefix_id) }
 }
 
+fn plain_call() -> Criteria<'static> {
+    Criteria { prompt: None, max_wait: PATIENCE, load_limit: LOAD_LIMIT_MAX, draw: 0.5 }
+}
+
+fn stream(prompt: &Prompt) -> Criteria<'_> {
+    Criteria { prompt: Some(prompt), ..plain_call() }
+}
+
 fn chosen(choice: Choice) -> Option<UpstreamKey> {
     match choice {
         Choice::Upstream(key, _) => Some(key),
@@ -38,9 +46,8 @@
 #[test]
 fn requests_with_one_prefix_go_to_one_engine_and_prefixes_are_spread() {
     let even = engines(&[50.0, 50.0, 50.0, 50.0]);
-    let chosen_upstreams: BTreeSet<_> = (0..50)
-        .map(|prefix_id| chosen(choose(&even, Some(&prompt(prefix_id)), PATIENCE)))
-        .collect();
+    let chosen_upstreams: BTreeSet<_> =
+        (0..50).map(|prefix_id| chosen(choose(&even, &stream(&prompt(prefix_id))))).collect();
     assert_eq!(chosen_upstreams.len(), 4);
 }
 
@@ -48,12 +55,12 @@
 fn a_prefix_leaves_its_engine_only_for_a_much_shorter_queue() {
     for prefix_id in 0..50 {
         let even = engines(&[0.0; 4]);
-        let preferred = chosen(choose(&even, Some(&prompt(prefix_id)), PATIENCE));
+        let preferred = chosen(choose(&even, &stream(&prompt(prefix_id))));
         let index = even.iter().position(|candidate| Some(candidate.key) == preferred).unwrap();
         let with_queue = |millis| {
             let mut candidates = even.clone();
             candidates[index].queued_prefill_ms = millis;
-            chosen(choose(&candidates, Some(&prompt(prefix_id)), PATIENCE))
+            chosen(choose(&candidates, &stream(&prompt(prefix_id))))
         };
         assert_eq!(with_queue(150.0), preferred);
         assert_ne!(with_queue(400.0), preferred);
@@ -64,17 +71,17 @@
 fn a_short_prompt_goes_to_the_engine_with_the_shortest_queue() {
     let short = Prompt { tokens: 600, shared_tokens: 200, prefix_id: Some(1) };
     let candidates = engines(&[900.0, 300.0, 5.0]);
-    assert_eq!(chosen(choose(&candidates, Some(&short), PATIENCE)), Some(candidates[2].key));
+    assert_eq!(chosen(choose(&candidates, &stream(&short))), Some(candidates[2].key));
 }
 
 #[test]
 fn a_slow_upstream_gets_fewer_requests() {
     let mut candidates = engines(&[0.0, 0.0]);
     candidates[0].slowdown = 4.0;
-    assert_eq!(chosen(choose(&candidates, None, PATIENCE)), Some(candidates[1].key));
+    assert_eq!(chosen(choose(&candidates, &plain_call())), Some(candidates[1].key));
     candidates[1].requests = 40;
     candidates[1].slots = 100;
-    assert_eq!(chosen(choose(&candidates, None, PATIENCE)), Some(candidates[1].key));
+    assert_eq!(chosen(choose(&candidates, &plain_call())), Some(candidates[1].key));
 }
 
 #[test]
@@ -82,25 +89,25 @@
     let mut candidates = engines(&[0.0, 500.0]);
     let until = MonotonicInstant::from_millis(9);
     candidates[0].breaker = BreakerState::Open { until };
-    assert_eq!(chosen(choose(&candidates, None, PATIENCE)), Some(candidates[1].key));
+    assert_eq!(chosen(choose(&candidates, &plain_call())), Some(candidates[1].key));
     candidates[1].breaker = BreakerState::Open { until };
     candidates[1].requests = 5;
-    assert_eq!(chosen(choose(&candidates, None, PATIENCE)), Some(candidates[0].key));
+    assert_eq!(chosen(choose(&candidates, &plain_call())), Some(candidates[0].key));
 }
 
 #[test]
 fn no_upstream_is_chosen_twice_for_one_request() {
     let mut candidates = engines(&[0.0, 500.0]);
     candidates[0].tried = true;
-    assert_eq!(chosen(choose(&candidates, Some(&prompt(3)), PATIENCE)), Some(candidates[1].key));
+    assert_eq!(chosen(choose(&candidates, &stream(&prompt(3)))), Some(candidates[1].key));
     candidates[1].tried = true;
-    assert_eq!(choose(&candidates, Some(&prompt(3)), PATIENCE), Choice::None);
+    assert_eq!(choose(&candidates, &stream(&prompt(3))), Choice::None);
 }
 
 #[test]
 fn a_request_that_cannot_be_served_in_time_is_rejected_with_the_delay_until_it_can() {
     let candidates = engines(&[4_000.0, 3_500.0]);
-    match choose(&candidates, Some(&prompt(3)), PATIENCE) {
+    match choose(&candidates, &stream(&prompt(3))) {
         Choice::Overloaded(after) => {
             assert!(after > Duration::from_millis(1_400), "{after:?}");
             assert!(after < Duration::from_millis(2_200), "{after:?}");
@@ -116,21 +123,24 @@
     candidates[0].requests = 9;
     candidates[1].requests = 1;
     assert_eq!(
-        chosen(choose(&candidates, Some(&huge), Duration::from_secs(9))),
+        chosen(choose(
+            &candidates,
+            &Criteria { max_wait: Duration::from_secs(9), ..stream(&huge) }
+        )),
         Some(candidates[1].key)
     );
     let small = Prompt { tokens: 500, ..huge };
-    assert_eq!(chosen(choose(&candidates, Some(&small), PATIENCE)), Some(candidates[0].key));
+    assert_eq!(chosen(choose(&candidates, &stream(&small))), Some(candidates[0].key));
 }
 
 #[test]
 fn an_upstream_whose_limit_is_used_up_gets_nothing_and_the_others_take_the_rest() {
     let mut candidates = engines(&[0.0, 500.0]);
     candidates[0].limit = LimitState::Exhausted(Duration::from_secs(3));
-    let choice = choose(&candidates, None, PATIENCE);
+    let choice = choose(&candidates, &plain_call());
     assert_eq!(chosen(choice), Some(candidates[1].key));
     candidates[1].limit = LimitState::Exhausted(Duration::from_secs(2));
-    let choice = choose(&candidates, None, PATIENCE);
+    let choice = choose(&candidates, &plain_call());
     assert_eq!(choice, Choice::Limited(Duration::from_secs(2)));
 }
 
@@ -139,12 +149,12 @@
     for prefix_id in 0..50 {
         let mut candidates = engines(&[0.0; 3]);
         candidates[0].limit = LimitState::Permitted { probe: false };
-        let preferred = chosen(choose(&candidates, Some(&prompt(prefix_id)), PATIENCE));
+        let preferred = chosen(choose(&candidates, &stream(&prompt(prefix_id))));
         assert_ne!(preferred, Some(candidates[0].key));
     }
     let mut candidates = engines(&[0.0, 900.0, 900.0]);
     candidates[0].limit = LimitState::Permitted { probe: false };
-    let choice = choose(&candidates, Some(&prompt(1)), PATIENCE);
+    let choice = choose(&candidates, &stream(&prompt(1)));
     assert_eq!(chosen(choice), Some(candidates[0].key));
 }
 
@@ -152,7 +162,7 @@
 fn an_upstream_whose_limit_may_have_ended_is_asked_first() {
     let mut candidates = engines(&[0.0, 900.0]);
     candidates[1].limit = LimitState::Permitted { probe: true };
-    let choice = choose(&candidates, Some(&prompt(1)), PATIENCE);
+    let choice = choose(&candidates, &stream(&prompt(1)));
     assert_eq!(chosen(choice), Some(candidates[1].key));
 }
 
@@ -161,6 +171,6 @@
     let mut candidates = engines(&[0.0, 900.0]);
     candidates[0].limit = LimitState::Permitted { probe: true };
     candidates[0].breaker = BreakerState::Open { until: MonotonicInstant::from_millis(1_000) };
-    let choice = choose(&candidates, None, PATIENCE);
+    let choice = choose(&candidates, &plain_call());
     assert_eq!(chosen(choice), Some(candidates[1].key));
 }
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -19,7 +19,7 @@
     RegisteredUpstream, Registration, UpstreamChange, UpstreamId, UpstreamKey, UpstreamRegistry,
     UpstreamState,
 };
-use spindle_policy::upstream_selection::{Candidate, Choice, LimitState, Prompt, choose};
+use spindle_policy::upstream_selection::{Candidate, Choice, Criteria, LimitState, choose};
 use spindle_types::{DataCentre, Instance, MonotonicInstant, Service, SoftwareVersion};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -223,8 +223,7 @@
         contacts.retain(|service, _| is_listed(service));
     }
 
-    /// Assigns a request to an upstream of a service. `max_wait` is the longest acceptable time
-    /// until its response begins.
+    /// Assigns a request to an upstream of a service.
     ///
     /// # Errors
     ///
@@ -233,15 +232,15 @@
         &self,
         now: MonotonicInstant,
         service: &Service,
-        prompt: Option<&Prompt>,
-        max_wait: Duration,
+        criteria: &Criteria<'_>,
         restrictions: Restrictions<'_>,
     ) -> Result<Assignment, Choice> {
         let mut state = self.state();
+        let prompt = criteria.prompt;
         let prefix_id = prompt.and_then(|prompt| prompt.prefix_id);
         let candidates =
             state.candidates(now, service, &self.own_data_centre, (prefix_id, restrictions));
-        let choice = choose(&candidates, prompt, max_wait);
+        let choice = choose(&candidates, criteria);
         let Choice::Upstream(key, queued_ms) = choice else {
             return Err(choice);
         };
--- a/crates/relay/src/next_attempt.rs
+++ b/crates/relay/src/next_attempt.rs
@@ -13,7 +13,7 @@
 use crate::rollout_watch::Eligible;
 use crate::upstream_response::UpstreamResponse;
 use spindle_policy::stream_versions::PermittedVersions;
-use spindle_policy::upstream_selection::Choice;
+use spindle_policy::upstream_selection::{Choice, Criteria, LOAD_LIMIT_MAX};
 use spindle_types::{Clock, MonotonicInstant};
 use std::time::Duration;
 
@@ -131,11 +131,16 @@
             return Err(refuse(past, Refusal::NoUpstream { retry_after: backoff() }));
         }
         let prompt = buffered.inbound.prompt();
-        let max_wait = max_wait(admitted).min(admitted.deadline.since(now));
+        let criteria = Criteria {
+            prompt: prompt.as_ref(),
+            max_wait: max_wait(admitted).min(admitted.deadline.since(now)),
+            load_limit: LOAD_LIMIT_MAX,
+            draw: rand::random(),
+        };
         let balancer = &self.0.balancer;
         let assign = |versions: &PermittedVersions, eligible: &Eligible| {
             let restrictions = Restrictions { tried: &past.tried, versions, eligible };
-            balancer.assign(now, &admitted.service, prompt.as_ref(), max_wait, restrictions)
+            balancer.assign(now, &admitted.service, &criteria, restrictions)
         };
         let eligible = self.eligible(now, admitted, past);
         // Others may have been told of the version that the stream was sent to first.
--- a/crates/relay/src/rollout_watch/tests.rs
+++ b/crates/relay/src/rollout_watch/tests.rs
@@ -5,6 +5,7 @@
 use spindle_policy::rollout::{OrderRevision, RolloutOrder, StepReason, TrialPhase};
 use spindle_policy::stream_versions::PermittedVersions;
 use spindle_policy::upstream_registry::{Registration, UpstreamId};
+use spindle_policy::upstream_selection::{Criteria, LOAD_LIMIT_MAX};
 use spindle_types::Offset;
 use std::collections::BTreeSet;
 
@@ -81,6 +82,14 @@
     rollouts.on_holder(now, (now, now), [step].into_iter());
 }
 
+/// Criteria of a plain call that waits as long as it takes.
+const CRITERIA: Criteria<'static> = Criteria {
+    prompt: None,
+    max_wait: Duration::from_secs(9),
+    load_limit: LOAD_LIMIT_MAX,
+    draw: 0.5,
+};
+
 /// Assigns requests with draws from 0 to 1. Returns the upstreams of each side that were used, and
 /// the number of requests that went to the target.
 fn assign(
@@ -96,8 +105,7 @@
         let eligible = rollouts.eligible(now, &service(), &route(), draw);
         let restrictions =
             Restrictions { tried: &[], versions: &PermittedVersions::Any, eligible: &eligible };
-        let wait = Duration::from_secs(9);
-        let assignment = balancer.assign(now, &service(), None, wait, restrictions).unwrap();
+        let assignment = balancer.assign(now, &service(), &CRITERIA, restrictions).unwrap();
         let instance = assignment.upstream_id.instance.to_string();
         if assignment.version.as_ref().unwrap().as_str() == "v2" {
             count += 1;
@@ -164,8 +172,7 @@
     let eligible = Eligible { versions: NewWork::Only(version.try_into().unwrap()), trial: None };
     let restrictions =
         Restrictions { tried: &[], versions: &PermittedVersions::Any, eligible: &eligible };
-    let wait = Duration::from_secs(9);
-    let assignment = balancer.assign(at(3_000), &service(), None, wait, restrictions).unwrap();
+    let assignment = balancer.assign(at(3_000), &service(), &CRITERIA, restrictions).unwrap();
     rollouts.begin(at(3_000), (&service(), &route()), &assignment, true).unwrap()
 }
 
