--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -429,9 +429,10 @@
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
             let limited_rates = self.parts.balancer.limited_rates(now, service);
-            planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
+            let mean_tokens = self.parts.statuses.mean_prompt_tokens(service);
+            planner.on_limits(&limited_rates, mean_tokens);
             arrivals.on_totals(now, prompt_tokens.into_iter());
-            let rate = if arrivals.has_arrivals() { arrivals.rate() } else { None };
+            let rate = arrivals.has_arrivals().then(|| arrivals.rate(mean_tokens)).flatten();
             if let Some(rate) = rate {
                 planner.on_rate(now, rate);
             }
