fix(policy): a request is refused for the load only while all upstreams are at the limit

Cause: the upstream with the lowest cost was chosen first and its load checked afterwards. While the engine of a prefix was at the limit, a request was refused although others had free slots.

Change: the choice is among the upstreams below the limit. The new test failed before (Overloaded in place of the other upstream).

--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -233,8 +233,9 @@
     let is_cached =
         |candidate: &Candidate| candidate.sent_prefix || preferred_upstream == Some(candidate.key);
     let cost = |candidate: &Candidate| candidate.cost(prompt, is_cached(candidate));
-    let best = usable.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
-    let Some(best) = best else {
+    let cheaper = |a: &&&Candidate, b: &&&Candidate| cost(a).total_cmp(&cost(b));
+    let below = usable.iter().filter(|candidate| candidate.load() < load_limit).min_by(cheaper);
+    let Some(best) = below.or_else(|| usable.iter().min_by(cheaper)) else {
         return limit_wait(candidates).map_or(Choice::None, Choice::Limited);
     };
     let wait = Duration::from_secs_f64(best.first_byte_ms(prompt, is_cached(best)) / 1e3);
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -131,6 +131,17 @@
     }
 }
 
+/// Guards against requests that are refused since the engine of their prefix is full, while another one is not.
+#[test]
+fn a_request_is_refused_for_the_load_only_while_all_upstreams_are_at_the_limit() {
+    let mut candidates = engines(&[0.0, 500.0]);
+    candidates[0].requests = 20;
+    let prompt = Prompt { prefix_id: None, ..prompt(3) };
+    assert_eq!(chosen(choose(&candidates, &stream(&prompt))), Some(candidates[1].key));
+    candidates[1].requests = 20;
+    assert!(matches!(choose(&candidates, &stream(&prompt)), Choice::Overloaded(_)));
+}
+
 #[test]
 fn a_prompt_that_delays_running_streams_goes_where_few_run() {
     let huge = Prompt { tokens: 50_000, shared_tokens: 0, prefix_id: None };
