--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -37,16 +37,11 @@
 /// The fraction of the needed engines that are on-demand instances.
 const ON_DEMAND_SHARE: f64 = 0.25;
 
-/// The fraction of the engines found at the start for which replacements are ordered until the load
-/// is known. A new engine takes as long to start as the load takes to be measured, so too few engines
-/// at the start would affect the first ten seconds.
+/// The fraction of the engines found at the start that is kept until the load is known. A new
+/// engine takes as long to start as the load takes to be measured, so too few engines at the start
+/// would affect the first ten seconds.
 const START_SHARE: f64 = 0.7;
 
-/// How long no further instance must have been found at the start before on-demand ones are ordered
-/// or released. Longer than the interval between two reads of the registered instances, 4 s above 16
-/// daemons.
-const REGISTRATION_TIME: Duration = Duration::from_secs(5);
-
 /// The delay after a refusal before the same kind of instance is ordered in the data centre again.
 const REFUSAL_DELAY: Duration = Duration::from_secs(3);
 
@@ -71,6 +66,8 @@
     pub max: u32,
     /// The time from an order until the instance serves requests.
     pub startup_time: Duration,
+    /// How long the list of instances may be incomplete after the last one was found at the start.
+    pub registration_time: Duration,
     /// Whether reclaimable instances may be ordered.
     pub reclaimable: bool,
     /// The price of an instance in each data centre. Only the order of the prices matters.
@@ -168,12 +165,10 @@
 /// Plans the instances of one service; used by the daemon that holds the lease.
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
-    /// The instances that were there before any order of this planner.
-    found: InstanceCounts,
-    /// When the number of on-demand instances found at the start last rose.
+    /// The largest number of instances found so far.
+    found: u32,
+    /// When the largest number of instances found last rose, while the load was unknown.
     grown_at: MonotonicInstant,
-    /// Whether the cloud has accepted an order of this planner.
-    has_ordered: bool,
     /// When the first rate was recorded.
     rate_known_since: Option<MonotonicInstant>,
     /// Rates that no later rate exceeds, in descending order.
@@ -215,7 +210,6 @@
     /// Records that the answer to an order was lost. The order may still be executed; it is
     /// repeated like one without effect.
     pub fn on_unanswered(&mut self, now: MonotonicInstant, order: &CapacityOrder) {
-        self.has_ordered = true;
         let key = (order.data_centre.clone(), order.reclaimable);
         self.ordered.insert(key, (now, order.count));
     }
@@ -226,38 +220,20 @@
     }
 
     /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
-    /// at least `START_SHARE` of the engines found at the start is needed.
+    /// at least `START_SHARE` of the most engines found so far is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
-        let start = share_of(self.found.total(), START_SHARE);
+        let start = share_of(self.found, START_SHARE);
         let need =
             self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
         let need = need.ceil() as u32;
-        need.max(if self.is_early(now) { start } else { 1 }).max(1)
-    }
-
-    /// Whether the load has not been known for long enough to release what was found at the start.
-    fn is_early(&self, now: MonotonicInstant) -> bool {
-        self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY)
+        let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
+        need.max(if early { start } else { 1 }).max(1)
     }
 
     /// Whether instances that exist may not have registered yet. An order names the number of all
     /// instances of a kind, so one that counts only those that are known would stop the others.
-    fn is_registering(&self, now: MonotonicInstant) -> bool {
-        self.rate_known_since.is_none() && now.since(self.grown_at) < REGISTRATION_TIME
-    }
-
-    /// Counts the instances that were there at the start. Those that this planner orders meanwhile
-    /// are reclaimable and don't count.
-    fn on_stock(&mut self, now: MonotonicInstant, stock: &BTreeMap<DataCentre, InstanceCounts>) {
-        let sum = |of: fn(&InstanceCounts) -> u32| stock.values().map(of).sum::<u32>();
-        let on_demand = sum(|counts| counts.on_demand);
-        if on_demand > self.found.on_demand && self.rate_known_since.is_none() {
-            self.found.on_demand = on_demand;
-            self.grown_at = now;
-        }
-        if !self.has_ordered {
-            self.found.reclaimable = self.found.reclaimable.max(sum(|counts| counts.reclaimable));
-        }
+    fn is_registering(&self, now: MonotonicInstant, spec: &FleetSpec) -> bool {
+        self.rate_known_since.is_none() && now.since(self.grown_at) < spec.registration_time
     }
 
     /// Orders that are due, given the instances that exist now.
@@ -267,7 +243,10 @@
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, InstanceCounts>,
     ) -> Vec<CapacityOrder> {
-        self.on_stock(now, stock);
+        let found = stock.values().map(InstanceCounts::total).sum();
+        if found > self.found {
+            (self.found, self.grown_at) = (found, now);
+        }
         let need = self.engines_needed(now);
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
@@ -277,7 +256,7 @@
             for reclaimable in [true, false] {
                 let (count, found) = (wanted.of(reclaimable), present.of(reclaimable));
                 let key = (data_centre.clone(), reclaimable);
-                if !reclaimable && self.is_registering(now) {
+                if !reclaimable && self.is_registering(now, spec) {
                     continue;
                 }
                 if self.is_due(now, spec, &key, count, found) {
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -423,7 +423,7 @@
         for (service, spec) in &config.services {
             let Some(scale) = &spec.scale else { continue };
             let now = self.parts.clock.now();
-            let spec = fleet_spec(scale);
+            let spec = fleet_spec(scale, self.registration_time());
             let stock = ServiceStock::new(&self.parts, now, service);
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
@@ -452,6 +452,13 @@
         }
     }
 
+    /// How long the list of instances may be incomplete at the start. Above 16 daemons, each reads it
+    /// only every 4 s; fewer have read it again before the first order.
+    fn registration_time(&self) -> Duration {
+        let interval = ReadSchedule::interval_max(self.parts.statuses.daemon_count());
+        if interval >= FULL_READ_INTERVAL { interval } else { Duration::ZERO }
+    }
+
     /// Sends an order with the number `count`, which includes instances that the planner doesn't
     /// count.
     async fn send_order(
@@ -502,8 +509,9 @@
     }
 }
 
-fn fleet_spec(scale: &ScaleSpec) -> FleetSpec {
+fn fleet_spec(scale: &ScaleSpec, registration_time: Duration) -> FleetSpec {
     FleetSpec {
+        registration_time,
         min: scale.instances_min,
         max: scale.instances_max,
         startup_time: scale.startup_time,
