feat(policy): a service's pace is learnt from first bytes

Cause: prompt work is estimated by the constants of one deployment; engines of others are up to 2.4 times as fast. Change: service_pace bounds the pace of each service by the responses of streams; a daemon's own pace is the value nearest to 1 within the bounds, the one in use the median of the daemons, which report theirs as the optional status field paces.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod rollout_status;
 pub mod roster;
 pub mod routing;
+pub mod service_pace;
 pub mod service_time;
 pub mod shared_limits;
 pub mod signal;
--- a/crates/policy/src/presence/status.rs
+++ b/crates/policy/src/presence/status.rs
@@ -3,6 +3,7 @@
 use super::{LEAVING_MAX, LIMITS_MAX, TEAMS_MAX};
 use crate::rank_admission::RankLoad;
 use crate::rollout_status::RolloutStatus;
+use crate::service_pace::PaceReport;
 use crate::upstream_limit::RequestRate;
 use crate::upstream_registry::UpstreamId;
 use crate::usage_windows::{RequestCounts, WINDOWS_KEPT};
@@ -99,6 +100,9 @@
     /// Load by rank of each service that has requests of several.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub ranks: BTreeMap<Service, RankLoad>,
+    /// The pace of the engines of each service, by its own responses.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub paces: BTreeMap<Service, PaceReport>,
 }
 
 impl Status {
@@ -123,6 +127,7 @@
             lost: BTreeSet::new(),
             rollouts: RolloutStatus::default(),
             ranks: BTreeMap::new(),
+            paces: BTreeMap::new(),
         }
     }
 
@@ -144,6 +149,7 @@
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
             ranks: self.ranks.clone(),
+            paces: self.paces.clone(),
             identity: self.identity.clone().filter(|_| beat == 0),
             ..*self
         }
@@ -167,6 +173,7 @@
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
             ranks: newer.ranks.clone(),
+            paces: newer.paces.clone(),
             ..*newer
         };
     }
--- a/crates/policy/src/presence/tests.rs
+++ b/crates/policy/src/presence/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::rank_admission::RankLoad;
+use crate::service_pace::PaceReport;
 use crate::usage_windows::UsageWindows;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -479,3 +480,16 @@
     known.update(&newer.changed_since(1));
     assert_eq!(known.ranks, ranks);
 }
+
+/// Guards against statuses that daemons of an older version can't read, and against their statuses.
+#[test]
+fn paces_are_left_out_if_there_are_none_and_are_replaced_by_newer_ones() {
+    let mut known = status(1);
+    let text = serde_json::to_string(&known).unwrap();
+    assert!(!text.contains("paces"), "{text}");
+    assert_eq!(serde_json::from_str::<Status>(&text).unwrap(), known);
+    let report = PaceReport { pace: 0.5, weight: 40 };
+    let paces = BTreeMap::from([("desk".try_into().unwrap(), report)]);
+    known.update(&Status { beat: 2, paces: paces.clone(), ..status(1) }.changed_since(1));
+    assert_eq!(known.paces, paces);
+}
