feat(policy): the fleet plan expects an engine's tokens by the pace of its service

Cause: the number of engines follows from the speed of one deployment's engines. Change: FleetPlanner::on_pace, called by the holder of the lease.

--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -428,6 +428,7 @@
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
+            planner.on_pace(self.parts.balancer.service_pace(now, service));
             let limited_rates = self.parts.balancer.limited_rates(now, service);
             planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
             arrivals.on_totals(now, prompt_tokens.into_iter());
