feat(relay): slowdowns decay to the pace of the service

Cause: an upstream without recent responses counted as fast as the constants say. Change: first bytes of streams with a prompt are passed to service_pace, slowdowns decay to it, peers' paces are read from their statuses; event=pace and relay_service_pace. At a pace of 1 all estimates are as before.

--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -8,6 +8,7 @@
 use crate::tracked_upstream::SendPermission;
 use opentelemetry::KeyValue;
 use spindle_policy::breaker::{BreakerTransition, FailureKind};
+use spindle_policy::service_pace::ExpectedWork;
 use spindle_policy::upstream_registry::{UpstreamId, UpstreamKey, UpstreamState};
 use spindle_types::{MonotonicInstant, SoftwareVersion};
 use std::net::SocketAddr;
@@ -44,6 +45,8 @@
     pub(crate) sent: bool,
     /// Whether the estimated time depends on a prompt.
     pub(crate) has_prompt: bool,
+    /// What is known of the work of the prompt; none if the first byte says nothing of it.
+    pub(crate) work: Option<ExpectedWork>,
     /// What is observed for a rollout; none in deployments without rollouts.
     pub(crate) observation: Option<Box<Observation>>,
 }
@@ -164,17 +167,33 @@
             observation.on_first_byte(now, self.has_prompt.then_some(expected));
         }
         let mut state = self.balancer.state();
-        let Some(upstream) = state.upstreams.get_mut(self.key) else { return };
+        let State { registry, upstreams, paces, .. } = &mut *state;
+        let Some(listed) = registry.get(self.key) else { return };
+        let Some(upstream) = upstreams.get_mut(self.key) else { return };
         upstream.queued_ms = (upstream.queued_ms - queued_ms).max(0.0);
+        let service = &listed.registration.service;
+        let measured = now.since(self.assigned_at);
+        if let Some(work) = self.work.take() {
+            let pace = paces.entry(service.clone()).or_default();
+            pace.on_first_byte(now, self.key, work, measured);
+        }
         if expected_ms > 0.0 {
-            let measured_ms = now.since(self.assigned_at).as_secs_f64() * 1e3 + FIXED_LATENCY_MS;
-            let ratio = (measured_ms / expected_ms).clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX);
+            let pace = paces.get(service).map_or(1.0, |pace| pace.pace(now));
+            let measured_ms = measured.as_secs_f64() * 1e3 + FIXED_LATENCY_MS;
+            let paced_ms = (expected_ms - FIXED_LATENCY_MS) * pace + FIXED_LATENCY_MS;
+            let ratio = (measured_ms / paced_ms).clamp(1.0 / SLOWDOWN_MAX, SLOWDOWN_MAX) * pace;
             let slowdown =
-                upstream.slowdown(now) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
+                upstream.slowdown(now, pace) * (1.0 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT;
             upstream.slowdown = Some((now, slowdown));
         }
     }
 
+    /// Records that the response is no stream: it may begin long before or after its prompt has been
+    /// processed, so it says nothing of the pace.
+    pub(crate) const fn on_whole_response(&mut self) {
+        self.work = None;
+    }
+
     /// Records that the deadline has passed without a response.
     pub(crate) fn on_overdue(&mut self, now: MonotonicInstant) {
         if let Some(observation) = &mut self.observation {
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -10,6 +10,7 @@
 use spindle_policy::fleet::InstanceCounts;
 use spindle_policy::rate_share::Position;
 use spindle_policy::rollout::trial_upstreams;
+use spindle_policy::service_pace::{ExpectedWork, ServicePace};
 use spindle_policy::stream_versions::{
     KnownVersions, PermittedVersions, STREAM_LIFETIME_MAX, VersionHistory,
 };
@@ -36,6 +37,7 @@
     pub(crate) upstreams: SecondaryMap<UpstreamKey, TrackedUpstream>,
     pub(crate) limits: UpstreamLimits,
     pub(crate) contacts: HashMap<Service, ServiceContact>,
+    pub(crate) paces: HashMap<Service, ServicePace>,
 }
 
 /// Load balancer over all known upstreams. Clones share all state.
@@ -213,7 +215,7 @@
     /// Forgets upstreams that have been gone for long and have no request left.
     pub fn prune(&self, now: MonotonicInstant) {
         let mut state = self.state();
-        let State { registry, upstreams, limits, contacts } = &mut *state;
+        let State { registry, upstreams, limits, contacts, .. } = &mut *state;
         registry.prune(now, |key| upstreams.get(key).is_some_and(|upstream| upstream.running > 0));
         upstreams.retain(|key, _| registry.get(key).is_some());
         limits.retain(|key| registry.get(key).is_some());
@@ -253,6 +255,7 @@
             let found = Candidate { slowdown: 1.0, ..*found };
             found.first_byte_ms(prompt, found.sent_prefix) + FIXED_LATENCY_MS
         });
+        let work = chosen.zip(prompt).map(|(chosen, prompt)| ExpectedWork::new(chosen, prompt));
         let counted = state.limits.take(now, key) == Some(true);
         let upstream = &mut state.upstreams[key];
         upstream.breaker.on_attempt(now);
@@ -271,6 +274,7 @@
             counted,
             sent: false,
             has_prompt: prompt.is_some(),
+            work,
             observation: None,
         })
     }
@@ -506,6 +510,7 @@
             usable.retain(|(_, listed)| chosen.contains(&listed.registration.id.instance));
         }
         let usable = usable.into_iter();
+        let pace = self.pace(now, service);
         let candidates = usable.filter_map(|(key, listed)| {
             let upstream = self.upstreams.get(key)?;
             Some(Candidate {
@@ -513,7 +518,7 @@
                 identity: upstream.identity,
                 requests: upstream.requests(now),
                 queued_prefill_ms: upstream.queued_ms + f64::from(upstream.peer_load.1),
-                slowdown: upstream.slowdown(now),
+                slowdown: upstream.slowdown(now, pace),
                 sent_prefix: prefix_id
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
                 slots: listed.registration.slots,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod response_end;
 mod response_stream;
 pub mod rollout_watch;
+mod service_paces;
 mod stream;
 pub mod stream_keeper;
 mod stream_origin;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -52,6 +52,9 @@
     pub rank_refusals: Counter<u64>,
     /// Fraction of the requests of a rank that this daemon admits, by service and rank.
     pub rank_fraction: Gauge<f64>,
+    /// Ratio of the time that prompt work takes to the time that is assumed, by service, when it last
+    /// changed by a tenth.
+    pub service_pace: Gauge<f64>,
     /// Time from the first byte of a request to the first byte of its response, in seconds.
     pub first_byte_seconds: Histogram<f64>,
     /// Time from the first byte of a request to the end of its response, in seconds.
@@ -91,6 +94,7 @@
         accepted_handoffs: meter.u64_counter("relay_accepted_handoffs").build(),
         rank_refusals: meter.u64_counter("relay_rank_refusals").build(),
         rank_fraction: meter.f64_gauge("relay_rank_fraction").build(),
+        service_pace: meter.f64_gauge("relay_service_pace").build(),
         first_byte_seconds: meter.f64_histogram("relay_first_byte_seconds").build(),
         total_seconds: meter.f64_histogram("relay_whole_seconds").build(),
         event_interval_seconds: meter.f64_histogram("relay_event_interval_seconds").build(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -462,6 +462,7 @@
         let UpstreamResponse { head, framing, mut body, keep_alive, reusable, pooled, mut source } =
             upstream_response;
         let now = self.0.clock.now();
+        source.on_whole_response();
         source.on_first_byte(now);
         self.on_first_byte(admitted, &source, request_log);
         let limit = source.patience(silence_limit(&admitted.route));
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -18,8 +18,8 @@
 /// Maximum number of prompt prefixes remembered for one upstream.
 const RECENT_PREFIXES_MAX: usize = 256;
 
-/// Time constant with which a measured slowdown decays towards 1: its excess falls to 1/e. Slow
-/// upstreams are tried again by then.
+/// Time constant with which a measured slowdown decays towards the pace of the service: the
+/// difference falls to 1/e. Slow upstreams are tried again by then.
 const SLOWDOWN_DECAY: Duration = Duration::from_secs(4);
 
 /// Whether an assigned request may be sent.
@@ -79,11 +79,12 @@
         reported.map_or(counted, |(_, requests)| counted.max(requests))
     }
 
-    /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated.
-    pub(crate) fn slowdown(&self, now: MonotonicInstant) -> f64 {
-        let Some((at, slowdown)) = self.slowdown else { return 1.0 };
+    /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated. `pace`
+    /// is the ratio at the engines of the service.
+    pub(crate) fn slowdown(&self, now: MonotonicInstant, pace: f64) -> f64 {
+        let Some((at, slowdown)) = self.slowdown else { return pace };
         let remaining = (-now.since(at).as_secs_f64() / SLOWDOWN_DECAY.as_secs_f64()).exp();
-        1.0 + (slowdown - 1.0) * remaining
+        pace + (slowdown - pace) * remaining
     }
 
     pub(crate) fn has_recent_prefix(&self, now: MonotonicInstant, prefix_id: u64) -> bool {
--- a/crates/relay/src/upstream_response.rs
+++ b/crates/relay/src/upstream_response.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Records that the response is no stream.
+    pub(crate) const fn on_whole_response(&mut self) {
+        if let Self::Upstream(assignment) = self {
+            assignment.on_whole_response();
+        }
+    }
+
     /// Records how many events have been passed on, and how long the caller has delayed them.
     pub(crate) fn on_events(&mut self, now: MonotonicInstant, delivered: u64, held: Duration) {
         if let Self::Upstream(assignment) = self
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
 mod config_peers;
+mod paces;
 mod quota_keepers;
 mod ranks;
 pub mod rollouts;
@@ -332,6 +333,7 @@
         own.age = last_success.map(|at| millis(now.since(at)));
         (own.running, own.arrived) = (parts.balancer.own_load(), parts.usage.prompt_tokens());
         own.ranks = parts.ranks.own_loads(now);
+        own.paces = parts.balancer.own_paces(now);
         let beat = own.beat;
         own.charged.set(beat, parts.usage.own_charges());
         let windows = parts.usage.windows();
@@ -387,6 +389,7 @@
         }
         parts.balancer.on_peer_load(&peer_load);
         self.update_ranks(now, state);
+        self.update_paces(now, state);
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
