--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -13,6 +13,7 @@
 use spindle_policy::lease::{
     Grant, LeaseAction, LeaseRecord, LeaseState, LeaseStep, Permission, PermissionCheck,
 };
+use spindle_policy::read_schedule::ReadSchedule;
 use spindle_policy::store_era::EraChange;
 use spindle_policy::usage_windows::{due_windows, window_at};
 use spindle_relay::backends::{
@@ -27,6 +28,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+/// Interval between two reads of the registered instances from which the first list may be the only
+/// one before the first order.
+const RARE_READ_INTERVAL: Duration = Duration::from_secs(4);
+
 /// Interval at which the leader checks for due work.
 const LEADER_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -428,6 +433,7 @@
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
+            planner.on_pace(self.parts.balancer.service_pace(now, service));
             let limited_rates = self.parts.balancer.limited_rates(now, service);
             let mean_tokens = self.parts.statuses.mean_prompt_tokens(service);
             planner.on_limits(&limited_rates, mean_tokens);
@@ -456,7 +462,7 @@
     /// only every 4 s; fewer have read it again before the first order.
     fn registration_time(&self) -> Duration {
         let interval = ReadSchedule::interval_max(self.parts.statuses.daemon_count());
-        if interval >= FULL_READ_INTERVAL { interval } else { Duration::ZERO }
+        if interval >= RARE_READ_INTERVAL { interval } else { Duration::ZERO }
     }
 
     /// Sends an order with the number `count`, which includes instances that the planner doesn't
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -1,6 +1,7 @@
 //! Exchanges statuses with the other daemons, and updates the components that depend on them.
 
 mod config_peers;
+mod paces;
 mod quota_keepers;
 mod ranks;
 pub mod rollouts;
@@ -262,6 +263,11 @@
         reported.chain([(self.parts.incarnation, own)]).collect()
     }
 
+    /// The number of live daemons, this one included.
+    pub fn daemon_count(&self) -> u32 {
+        self.parts.daemon_count.load(Ordering::Relaxed)
+    }
+
     /// The mean number of prompt tokens of this daemon's requests for a service.
     pub fn mean_prompt_tokens(&self, service: &Service) -> f64 {
         self.parts.usage.mean_prompt_tokens(service)
@@ -332,6 +338,7 @@
         own.age = last_success.map(|at| millis(now.since(at)));
         (own.running, own.arrived) = (parts.balancer.own_load(), parts.usage.prompt_tokens());
         own.ranks = parts.ranks.own_loads(now);
+        own.paces = parts.balancer.own_paces(now);
         let beat = own.beat;
         own.charged.set(beat, parts.usage.own_charges());
         let windows = parts.usage.windows();
@@ -387,6 +394,7 @@
         }
         parts.balancer.on_peer_load(&peer_load);
         self.update_ranks(now, state);
+        self.update_paces(now, state);
         parts.helpers.set(suitable::helpers(now, &parts.settings.data_centre, &state.presence));
         let age = |reported: Option<u64>, since: Duration| {
             reported.map(|reported| Duration::from_millis(reported).saturating_add(since))
