fix(policy): trials load two upstreams as an old one at its busiest

A version that is bad from a number of requests in flight completed its rollout: with streams of 0.1 to 1.6 s, four upstreams shared the trial's requests, and pulses were skipped as the trial's requests per second were enough for two upstreams. The plays counted arrivals in 250 ms instead of requests in flight.

The second half of the trial's requests now goes to two upstreams, at 1.5 times the peak of an old one (mean and three standard deviations, up to the slots of an upstream). The requests that statuses don't tell yet are counted by the steps in force then, no longer at the present rate. A completed rollout is rolled back if the target is bad and old upstreams are still registered 3 s later.

--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -126,9 +126,9 @@
     }
 }
 
-/// A part of a trial. Where the trial's requests are too few for the normal load of two upstreams,
-/// two short pulses bring one upstream each to that load, so that a version that is bad only under
-/// load is found.
+/// A part of a trial. In `FirstPulse`, two upstreams have the load of an old one at its busiest, so
+/// that a version that is bad only under load is found. Where the trial's requests are too few for
+/// the normal load of two upstreams, two short pulses bring one upstream each to that load.
 #[derive(
     Clone,
     Copy,
@@ -148,7 +148,7 @@
     /// Requests spread over the trial's upstreams.
     #[default]
     Spread,
-    /// The normal load of the first upstream.
+    /// The normal load of the first upstream, or the highest of the first two.
     FirstPulse,
     /// Spread again.
     Pause,
@@ -250,6 +250,8 @@
     pub version: Option<SoftwareVersion>,
     /// The number of its registered upstreams that aren't leaving.
     pub upstreams: u32,
+    /// The smallest number of slots of one of them.
+    pub slots: u32,
     /// When the longest-running of them started.
     pub started_at: UtcInstant,
     /// When this daemon first saw the version in this service.
@@ -273,6 +275,12 @@
         others.map(|seen| seen.upstreams).sum()
     }
 
+    /// The smallest number of slots of a registered upstream of a version; 0 without one.
+    fn slots(&self, version: &SoftwareVersion) -> u32 {
+        let of_version = self.0.iter().filter(|seen| seen.version.as_ref() == Some(version));
+        of_version.map(|seen| seen.slots).min().unwrap_or_default()
+    }
+
     /// The version of the longest-running upstream among those that `is_permitted` accepts.
     fn oldest(&self, is_permitted: impl Fn(&VersionSeen) -> bool) -> Option<&VersionSeen> {
         let usable = self.0.iter().filter(|seen| seen.upstreams > 0 && is_permitted(seen));
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -1,12 +1,14 @@
 //! The lease holder's decisions on one rollout.
 
-use super::share::{Budget, PULSE, PULSE_PAUSE, equal_shares, trial_size};
+use super::share::{
+    Budget, LOADED_UPSTREAMS, Loaded, PULSE, PULSE_PAUSE, equal_shares, trial_size,
+};
 use super::{
     DECISION_LEAD, EvidenceHistory, FleetView, RESTORE_GRACE, RolloutBounds, RolloutOrder,
     RolloutStep, STEP_VALIDITY, Stage, StepReason, TrialPhase, Verdict,
 };
 use spindle_types::{MonotonicInstant, Service, SoftwareVersion, UtcInstant};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// The age that an order is assumed to have if it is in a holder's first listing: the time until
@@ -30,6 +32,10 @@
 /// pause between them, and the time in which steps arrive.
 const PULSES_S: f64 = 2.2;
 
+/// Time after the completion within which old upstreams that the platform has stopped may still be
+/// known as registered.
+const STOP_TIME: Duration = Duration::from_secs(3);
+
 /// Part of the trial's requests after which its second half begins.
 const SECOND_HALF: f64 = 0.5;
 
@@ -79,9 +85,10 @@
     /// The highest sequence of any step that is known.
     sequence: u64,
     history: EvidenceHistory,
-    /// The number of trial requests that the shares in force have sent by `planned_at`.
-    planned: f64,
-    planned_at: Option<MonotonicInstant>,
+    /// The number of trial requests that the steps in force have sent by now.
+    planned: Planned,
+    /// The largest number of requests in flight that an old upstream had on average.
+    per_old: f64,
 }
 
 impl RolloutController {
@@ -103,8 +110,8 @@
             stored_at: MonotonicInstant::default(),
             sequence: 0,
             history: EvidenceHistory::default(),
-            planned: 0.0,
-            planned_at: None,
+            planned: Planned::default(),
+            per_old: 0.0,
         }
     }
 
@@ -167,8 +174,8 @@
         let first = self.current.as_ref().map(|current| current.first_sequence);
         if first != Some(step.first_sequence) {
             self.history = EvidenceHistory::default();
-            self.planned = 0.0;
-            self.planned_at = None;
+            self.planned = Planned::default();
+            self.per_old = 0.0;
         }
         self.current = Some(step);
         self.stored_at = now;
@@ -206,6 +213,7 @@
                 Some(RolloutStep { order, ..step })
             }
             _ if is_running => self.carry_on(now, utc, &current, view),
+            _ if current.stage == Stage::Completed => self.revoke(now, &current, view),
             _ => None,
         }
     }
@@ -307,7 +315,7 @@
         current: &RolloutStep,
         view: &FleetView,
     ) -> Option<RolloutStep> {
-        self.count_planned(now, current, view);
+        self.planned.count(now, trial_rate(current, view));
         let verdict = self.history.judge(now, &view.evidence);
         if view.is_convicted || matches!(verdict, Verdict::Bad { .. }) {
             return Some(self.advance(current, Stage::RolledBack, StepReason::Bad));
@@ -326,9 +334,10 @@
             }
             _ => {}
         }
-        let budget = Budget::new(&self.bounds, &current.order, view);
+        self.per_old = self.per_old.max(in_flight_per_old(target, view));
+        let budget = Budget::new(&self.bounds, &current.order, view, self.per_old);
         let left_s = left.as_secs_f64();
-        let used = self.used(now, current, view);
+        let used = self.used(now, view);
         let leads = budget.leads(used, &view.route_rates);
         let is_due = |route: &String| leads.get(route).is_none_or(|l| *l + HALF_TICK_S >= left_s);
         let due: Vec<&String> = view.route_rates.keys().filter(|route| is_due(route)).collect();
@@ -353,23 +362,28 @@
         }
     }
 
-    /// Counts the trial requests that the shares in force have sent since the last call.
-    fn count_planned(&mut self, now: MonotonicInstant, current: &RolloutStep, view: &FleetView) {
-        let since = self.planned_at.replace(now).map_or(Duration::ZERO, |last| now.since(last));
-        self.planned += trial_rate(current, view) * since.as_secs_f64();
+    /// Rolls a completed rollout back if the target turns bad while old upstreams are still there: the
+    /// platform stops them only once it has read that the rollout is completed.
+    fn revoke(
+        &mut self,
+        now: MonotonicInstant,
+        current: &RolloutStep,
+        view: &FleetView,
+    ) -> Option<RolloutStep> {
+        let is_bad = matches!(self.history.judge(now, &view.evidence), Verdict::Bad { .. });
+        let has_old = current.base.as_ref().is_some_and(|base| view.versions.upstreams(base) > 0);
+        let is_other = current.base.as_ref() != Some(&current.order.target);
+        let is_kept = has_old && is_other && now.since(self.stored_at) >= STOP_TIME;
+        (is_bad && is_kept).then(|| self.advance(current, Stage::RolledBack, StepReason::Bad))
     }
 
     /// The number of requests that the target may have got by now: as planned or as told, and what
     /// the statuses don't tell yet. A daemon whose status is older than a step is valid has stopped
     /// sending.
-    fn used(&self, now: MonotonicInstant, current: &RolloutStep, view: &FleetView) -> f64 {
+    fn used(&self, now: MonotonicInstant, view: &FleetView) -> f64 {
         let told = f64::from(view.evidence.target_answers()) + f64::from(view.target_in_flight);
-        let age = view.news_age.min(STEP_VALIDITY);
-        // The rate before a switch was a fraction of the present one.
-        let is_switched = current.stage == Stage::Switch;
-        let age = if is_switched { age.min(now.since(self.stored_at)) } else { age };
-        let untold = trial_rate(current, view) * age.as_secs_f64();
-        self.planned.max(told + untold)
+        let untold = self.planned.within(now, view.news_age.min(STEP_VALIDITY));
+        self.planned.total().max(told + untold)
     }
 
     /// Whether the requests that were in flight at the old version have ended, by statuses that
@@ -399,9 +413,19 @@
         now: MonotonicInstant,
         ahead_s: f64,
         current: &RolloutStep,
-        budget: &Budget,
+        (budget, loaded, used): (&Budget, Option<&Loaded>, f64),
     ) -> TrialPhase {
         let since = now.since(self.stored_at);
+        if let Some(loaded) = loaded {
+            let is_begun = !current.shares.is_empty();
+            return match current.phase {
+                TrialPhase::Spread if is_begun && ahead_s <= loaded.ahead_s => {
+                    TrialPhase::FirstPulse
+                }
+                TrialPhase::FirstPulse if used >= budget.trial => TrialPhase::Rest,
+                phase => phase,
+            };
+        }
         match current.phase {
             TrialPhase::Spread
                 if budget.pulse_share.is_some()
@@ -427,12 +451,21 @@
         view: &FleetView,
         budget: &Budget,
     ) -> Option<RolloutStep> {
-        let used = self.used(now, current, view);
+        let used = self.used(now, view);
         let leads = budget.leads(budget.trial, &view.route_rates);
         let longest = leads.values().copied().fold(DECISION_LEAD.as_secs_f64(), f64::max);
         let news_s = view.news_age.min(STEP_VALIDITY).as_secs_f64();
-        let phase = self.phase(now, left_s - longest - news_s, current, budget);
-        if matches!(phase, TrialPhase::FirstPulse | TrialPhase::SecondPulse) {
+        let ahead_s = left_s - longest - news_s;
+        // A holder that took over late has no time for loaded upstreams.
+        let is_possible = |loaded: &&Loaded| {
+            current.phase != TrialPhase::Spread
+                || !self.planned.is_partial()
+                || ahead_s >= loaded.ahead_s
+        };
+        let loaded = budget.loaded.as_ref().filter(is_possible);
+        let phase = self.phase(now, ahead_s, current, (budget, loaded, used));
+        let is_loaded = phase == TrialPhase::FirstPulse && loaded.is_some();
+        if !is_loaded && matches!(phase, TrialPhase::FirstPulse | TrialPhase::SecondPulse) {
             let step = || RolloutStep {
                 phase,
                 shares: BTreeMap::new(),
@@ -443,8 +476,16 @@
             return (phase != current.phase).then(step);
         }
         // The last requests must have been told when the switch is decided.
-        let time = (left_s - longest - news_s * TOLD_PART).max(1.0);
-        let wanted = ((budget.trial - used - budget.pulses_ahead(phase)) / time).max(0.0);
+        let told_s = left_s - longest - news_s * TOLD_PART;
+        let wanted = match loaded {
+            // A holder that took over has less time, and spreads the rest over more upstreams.
+            Some(loaded) if is_loaded => loaded.rate.max((budget.trial - used) / told_s.max(1.0)),
+            Some(loaded) if phase == TrialPhase::Spread => {
+                (budget.trial - used - loaded.requests) / (told_s - loaded.ahead_s).max(1.0)
+            }
+            _ => (budget.trial - used - budget.pulses_ahead(phase)) / told_s.max(1.0),
+        };
+        let wanted = wanted.max(0.0);
         let shares = equal_shares(wanted, &view.route_rates);
         let sum = |shares: &BTreeMap<String, f64>| -> f64 {
             shares.iter().map(|(route, share)| view.route_rates[route] * share).sum()
@@ -454,7 +495,18 @@
         let is_changed = (new - old).abs() > SHARES_CHANGE * old;
         let old_upstreams = view.versions.others(&current.order.target);
         let is_second_half = used >= budget.trial * SECOND_HALF;
-        let upstreams = trial_size(new.max(old), budget.rate, old_upstreams, is_second_half);
+        let upstreams = match loaded {
+            Some(loaded) if is_loaded => {
+                let size = f64::from(LOADED_UPSTREAMS) * wanted / loaded.rate;
+                (size as u32).max(LOADED_UPSTREAMS)
+            }
+            loaded => trial_size(
+                new.max(old),
+                budget.rate,
+                old_upstreams,
+                is_second_half && loaded.is_none(),
+            ),
+        };
         let is_due = now.since(self.stored_at) >= SHARES_INTERVAL;
         let is_concentrated = is_second_half && upstreams < current.upstreams;
         let is_next = phase != current.phase;
@@ -468,6 +520,54 @@
     }
 }
 
+/// The number of requests that a holder's steps have sent to the target, over time.
+#[derive(Debug, Default)]
+struct Planned {
+    /// The total at each of the last calls.
+    totals: VecDeque<(MonotonicInstant, f64)>,
+    /// The requests per second at the first call, which stand for the time before it.
+    first_rate: f64,
+}
+
+impl Planned {
+    /// Counts what the step in force has sent since the last call at `rate` requests per second.
+    fn count(&mut self, now: MonotonicInstant, rate: f64) {
+        let Some((last, total)) = self.totals.back().copied() else {
+            self.first_rate = rate;
+            self.totals.push_back((now, 0.0));
+            return;
+        };
+        self.totals.push_back((now, total + rate * now.since(last).as_secs_f64()));
+        while self.totals.get(1).is_some_and(|(at, _)| now.since(*at) >= STEP_VALIDITY) {
+            self.totals.pop_front();
+        }
+    }
+
+    /// Whether the trial had begun under another holder, whose requests aren't counted.
+    fn is_partial(&self) -> bool {
+        self.first_rate > 0.0
+    }
+
+    fn total(&self) -> f64 {
+        self.totals.back().map_or(0.0, |(_, total)| *total)
+    }
+
+    /// The number within the last `span`, at most [`STEP_VALIDITY`].
+    fn within(&self, now: MonotonicInstant, span: Duration) -> f64 {
+        let after = self.totals.iter().find(|(at, _)| now.since(*at) <= span);
+        let Some((first, _)) = self.totals.front() else { return 0.0 };
+        let unknown = span.saturating_sub(now.since(*first)).as_secs_f64() * self.first_rate;
+        unknown + self.total() - after.map_or(self.total(), |(_, total)| *total)
+    }
+}
+
+/// The number of requests in flight that an upstream of another version than the target has on average.
+fn in_flight_per_old(target: &SoftwareVersion, view: &FleetView) -> f64 {
+    let routes = view.route_rates.keys();
+    let in_flight: u32 = routes.filter_map(|route| view.old_in_flight.get(route)).sum();
+    f64::from(in_flight) / f64::from(view.versions.others(target).max(1))
+}
+
 /// The number of requests per second that a step sends to the target.
 fn trial_rate(step: &RolloutStep, view: &FleetView) -> f64 {
     if view.versions.upstreams(&step.order.target) == 0 {
--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -44,6 +44,10 @@
 /// Fraction of the allowed exposure that the trial uses at least, up to [`ROUTE_ANSWERS_AIM`].
 const TRIAL_SHARE_MIN: f64 = 0.34;
 
+/// The same for a trial with loaded upstreams. With 0.42, sound versions reached 1.01 to 1.05 of the
+/// allowed exposure in the plays.
+const LOADED_TRIAL_SHARE_MIN: f64 = 0.4;
+
 /// Number of trial requests of a route beyond which more don't improve the verdict: twice the
 /// number for which the error rates are designed.
 const ROUTE_ANSWERS_AIM: f64 = 80.0;
@@ -55,9 +59,8 @@
 /// that fails by itself is told from a bad version.
 const TRIAL_UPSTREAMS_MIN: u32 = 4;
 
-/// Smallest number of target upstreams in the second half of a trial. Fewer upstreams have a load
-/// that is nearer to the old ones', which shows a version that is bad only under load.
-const LOADED_UPSTREAMS_MIN: u32 = 2;
+/// Part of the trial's requests that is kept for the loaded upstreams.
+const LOADED_PART: f64 = 0.5;
 
 /// Number of upstreams whose normal load a trial must reach; otherwise it has pulses.
 const PULSE_UPSTREAMS: f64 = 2.0;
@@ -81,6 +84,61 @@
 /// Longest time for which a route's old requests are waited for, in seconds.
 const NEED_MAX_S: f64 = 4.0;
 
+/// Number of upstreams that are loaded at the same time in a trial without pulses. The verdict leaves
+/// the worst upstream out, so one is too few.
+pub(super) const LOADED_UPSTREAMS: u32 = 2;
+
+/// Number of standard deviations of the requests in flight (Poisson) by which an old upstream at its
+/// busiest exceeds the mean. Three cover all but 1 in 700 moments.
+const PEAK_DEVIATIONS: f64 = 3.0;
+
+/// Multiple of the load of an old upstream at its busiest that loaded upstreams are sent. Requests
+/// that fail end sooner, so a bad upstream keeps fewer in flight than a sound one.
+const LOADED_FACTOR: f64 = 1.5;
+
+/// Time in which steps arrive at all daemons, and in which loaded upstreams show what they do, beyond
+/// the duration of a request, in seconds.
+const LOADED_MIN_S: f64 = 0.8;
+
+/// The part of a trial in which [`LOADED_UPSTREAMS`] have as many requests in flight as an old upstream
+/// has at its busiest.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Loaded {
+    /// Number of trial requests that are kept for it.
+    pub(super) requests: f64,
+    /// Trial requests per second.
+    pub(super) rate: f64,
+    /// How long before the last useful evidence it begins, in seconds.
+    pub(super) ahead_s: f64,
+}
+
+impl Loaded {
+    /// `trial` is the number of trial requests, `per_old` the largest number of requests in flight
+    /// that an old upstream had on average. `slots` are those of a target upstream, and `means` the
+    /// mean durations of the routes' requests.
+    fn new(
+        trial: f64,
+        (per_old, slots): (f64, u32),
+        rates: &BTreeMap<String, f64>,
+        means: &BTreeMap<String, f64>,
+    ) -> Option<Self> {
+        let requests = trial * LOADED_PART;
+        let shares = equal_shares(1.0, rates);
+        let mean: f64 =
+            shares.iter().map(|(route, share)| rates[route] * share * means[route]).sum();
+        if !(mean > 0.0 && per_old > 0.0 && requests > 0.0) {
+            return None;
+        }
+        let longest = means.values().copied().fold(0.0, f64::max).min(NEED_MAX_S);
+        let peak = per_old + PEAK_DEVIATIONS * per_old.sqrt();
+        // Queues beyond those of the old version would make a sound one look slow.
+        let level = (peak * LOADED_FACTOR).min(per_old.max(f64::from(slots)));
+        let rate =
+            (f64::from(LOADED_UPSTREAMS) * level / mean).min(requests / (longest + LOADED_MIN_S));
+        Some(Self { requests, rate, ahead_s: requests / rate + longest / 2.0 + SPREAD })
+    }
+}
+
 /// How a rollout spends the exposure that it is allowed. Rates are requests per second, times are
 /// seconds.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -93,31 +151,48 @@
     pub(super) rate: f64,
     /// The share of a pulse; none if the trial needs no pulses.
     pub(super) pulse_share: Option<f64>,
+    /// The part with loaded upstreams; none if the trial has pulses, or nothing is in flight.
+    pub(super) loaded: Option<Loaded>,
     /// Time from the completion for which each route's old requests last.
     needs: BTreeMap<String, f64>,
 }
 
 impl Budget {
-    pub(super) fn new(bounds: &RolloutBounds, order: &RolloutOrder, view: &FleetView) -> Self {
+    /// `per_old` is the largest number of requests in flight that an old upstream had on average.
+    pub(super) fn new(
+        bounds: &RolloutBounds,
+        order: &RolloutOrder,
+        view: &FleetView,
+        per_old: f64,
+    ) -> Self {
         let (duration, old) = (order.duration, view.versions.others(&order.target));
         let rate: f64 = view.route_rates.values().sum();
         let allowed = bounds.share * rate * duration.as_secs_f64() + bounds.slack;
         let usable = allowed * USABLE_SHARE;
-        let need = |(route, rate): (&String, &f64)| {
+        let mean = |(route, rate): (&String, &f64)| {
             let in_flight = view.old_in_flight.get(route).copied().map_or(0.0, f64::from);
             // The mean duration follows from Little's law.
-            let mean = if *rate > 0.0 { in_flight / rate } else { 0.0 };
+            (route.clone(), if *rate > 0.0 { in_flight / rate } else { 0.0 })
+        };
+        let means: BTreeMap<_, _> = view.route_rates.iter().map(mean).collect();
+        let need = |(route, mean): (&String, &f64)| {
             (route.clone(), (mean * DURATION_FACTOR).min(NEED_MAX_S) + SPREAD)
         };
-        let needs: BTreeMap<_, _> = view.route_rates.iter().map(need).collect();
+        let needs: BTreeMap<_, _> = means.iter().map(need).collect();
         let lead = DECISION_LEAD.as_secs_f64();
         let cost = |(route, need): (&String, &f64)| view.route_rates[route] * (need + lead);
         let switch: f64 = needs.iter().map(cost).sum();
         let aim = ROUTE_ANSWERS_AIM * needs.len() as f64;
         let pulse_share = pulse_share(aim, rate, duration, old);
-        let mut budget = Self { usable, trial: 0.0, rate, needs, pulse_share };
-        let least = (allowed * TRIAL_SHARE_MIN).min(aim + budget.pulses_ahead(TrialPhase::Spread));
+        let mut budget = Self { usable, trial: 0.0, rate, needs, pulse_share, loaded: None };
+        let is_loaded = budget.pulse_share.is_none();
+        let share = if is_loaded { LOADED_TRIAL_SHARE_MIN } else { TRIAL_SHARE_MIN };
+        let least = (allowed * share).min(aim + budget.pulses_ahead(TrialPhase::Spread));
         budget.trial = (usable - switch).max(least).min(allowed * TRIAL_SHARE_MAX);
+        if budget.pulse_share.is_none() {
+            let load = (per_old, view.versions.slots(&order.target));
+            budget.loaded = Loaded::new(budget.trial, load, &view.route_rates, &means);
+        }
         budget
     }
 
@@ -174,6 +249,6 @@
 /// old ones, in the first or the second half of a trial.
 pub(super) fn trial_size(trial: f64, rate: f64, old: u32, is_second_half: bool) -> u32 {
     let size = if rate > 0.0 { (trial / rate * f64::from(old)).ceil() } else { 0.0 };
-    let least = if is_second_half { LOADED_UPSTREAMS_MIN } else { TRIAL_UPSTREAMS_MIN };
+    let least = if is_second_half { LOADED_UPSTREAMS } else { TRIAL_UPSTREAMS_MIN };
     (size as u32).max(least)
 }
--- a/crates/policy/src/rollout/tests.rs
+++ b/crates/policy/src/rollout/tests.rs
@@ -36,7 +36,7 @@
 
 fn seen(name: &str, upstreams: u32, started_s: u64, first_seen: MonotonicInstant) -> VersionSeen {
     let started_at = utc(started_s * 1_000);
-    VersionSeen { version: Some(version(name)), upstreams, started_at, first_seen }
+    VersionSeen { version: Some(version(name)), upstreams, slots: 32, started_at, first_seen }
 }
 
 fn bounds() -> RolloutBounds {
--- a/crates/policy/src/rollout/tests/controller.rs
+++ b/crates/policy/src/rollout/tests/controller.rs
@@ -175,3 +175,44 @@
     assert_eq!(Some((Stage::Completed, StepReason::Recorded)), actual);
     assert_eq!(5, successor.current().unwrap().sequence);
 }
+
+/// A controller whose rollout was completed at 9 s with the deadline near, and evidence that the target
+/// has turned bad since.
+fn completed() -> (RolloutController, FleetView) {
+    let mut controller = in_trial();
+    let step = RolloutStep {
+        stage: Stage::Completed,
+        sequence: 50,
+        ..controller.current().unwrap().clone()
+    };
+    controller.on_stored(at(9_000), step);
+    let mut view = fleet(0, true);
+    for index in 0..120 {
+        let target: Instance = format!("t-{}", index % 4).try_into().unwrap();
+        let first_byte = Some(Duration::from_millis(90));
+        let sound = Response { first_byte, ..Response::default() };
+        view.evidence.record(ROUTES[0], None, &sound);
+        let is_failed = index % 2 == 0 || index % 3 == 0;
+        view.evidence.record(ROUTES[0], Some(&target), &Response { is_failed, ..sound });
+    }
+    (controller, view)
+}
+
+/// Guards against a version that turns bad right after the completion and keeps all requests although
+/// the old upstreams still serve.
+#[test]
+fn a_version_that_turns_bad_after_the_completion_is_rolled_back_while_old_upstreams_are_there() {
+    let (mut controller, view) = completed();
+    assert_eq!(None, take(&mut controller, 11_750, &view), "the platform may be stopping them");
+    let actual = take(&mut controller, 12_000, &view);
+    assert_eq!(Some((Stage::RolledBack, StepReason::Bad)), actual);
+    assert_eq!(None, take(&mut controller, 12_250, &view));
+}
+
+/// Guards against a service without upstreams: a target that is rolled back is stopped.
+#[test]
+fn a_version_that_turns_bad_after_the_old_upstreams_have_stopped_goes_on() {
+    let (mut controller, mut view) = completed();
+    view.versions = VersionsSeen(vec![seen("v2", 60, 900, at(0))]);
+    assert_eq!(None, take(&mut controller, 12_000, &view));
+}
--- a/crates/policy/src/rollout/tests/play.rs
+++ b/crates/policy/src/rollout/tests/play.rs
@@ -12,6 +12,8 @@
 use std::fmt::Write;
 use strum::{Display, EnumIter, IntoEnumIterator};
 
+mod streams;
+
 /// Time between two steps of a play, in milliseconds.
 const TICK: u64 = 50;
 
@@ -24,9 +26,6 @@
 /// Time from the order to the deadline, in seconds.
 const DURATION_S: u64 = 13;
 
-/// Time of the deadline, in milliseconds.
-const DEADLINE: u64 = ORDERED + DURATION_S * 1_000;
-
 /// Age of what the daemons know of each other, in milliseconds.
 const NEWS: u64 = 2_200;
 
@@ -76,6 +75,20 @@
     response: Response,
 }
 
+/// Requests that last as long as the streams of a deployment, at a target that is bad from a number
+/// of requests in flight at one upstream.
+#[derive(Clone, Copy, Debug)]
+struct Streams {
+    /// Requests per second.
+    rate: f64,
+    /// The duration of a request of each route, in milliseconds.
+    millis: [u64; 3],
+    /// The number of other requests in flight at an upstream from which half of its requests fail.
+    limit: usize,
+    /// Whether daemons choose the upstream with the fewest requests, or any.
+    is_balanced: bool,
+}
+
 /// The steps that the store holds, with the time of each append.
 #[derive(Default)]
 struct Store {
@@ -88,6 +101,10 @@
     kind: Kind,
     fault: Fault,
     rate: f64,
+    /// Time from the order to the deadline, in seconds.
+    duration_s: u64,
+    /// How long requests last; none if they end with their first byte.
+    streams: Option<Streams>,
     /// Number of upstreams of each version.
     upstreams: u32,
     daemons: Vec<Daemon>,
@@ -121,6 +138,7 @@
     /// Time from the 50th bad response to the last request to the target, in milliseconds.
     late: u64,
     completed: Option<u64>,
+    deadline: u64,
 }
 
 impl Play {
@@ -135,6 +153,8 @@
             kind,
             fault,
             rate: random.random_range(72.0..540.0),
+            duration_s: DURATION_S,
+            streams: None,
             upstreams,
             daemons: (0..daemons).map(daemon).collect(),
             controller: RolloutController::new(service(), bounds(), Some(at(ORDERED))),
@@ -155,8 +175,13 @@
         }
     }
 
+    /// The time of the deadline, in milliseconds.
+    const fn deadline(&self) -> u64 {
+        ORDERED + self.duration_s * 1_000
+    }
+
     fn run(mut self) -> Outcome {
-        for now in (0..DEADLINE + 6_000).step_by(TICK as usize) {
+        for now in (0..self.deadline() + 6_000).step_by(TICK as usize) {
             self.answer(now);
             self.send(now);
             self.exchange(now);
@@ -174,6 +199,7 @@
             allowed: allowed as u64,
             late,
             completed: self.completed,
+            deadline: self.deadline(),
         }
     }
 
@@ -230,16 +256,21 @@
                 NewWork::Any => !has_old,
                 work => work.permits(Some(&version("v2"))),
             };
-            let is_counted = (ORDERED..DEADLINE).contains(&now);
+            let is_counted = (ORDERED..self.deadline()).contains(&now);
             self.requests += u64::from(is_counted);
             let upstream = is_target.then(|| self.upstream(daemon));
             if is_target {
-                self.exposed += u64::from(now < DEADLINE || self.kind != Kind::Sound);
+                self.exposed += u64::from(now < self.deadline() || self.kind != Kind::Sound);
                 self.last_sent = now;
             }
             let response = self.response(now, route, upstream);
             let time = response.first_byte.unwrap_or(Duration::from_millis(20));
-            let until = now + u64::try_from(time.as_millis()).unwrap();
+            let time = u64::try_from(time.as_millis()).unwrap();
+            let until = now
+                + match self.streams.filter(|_| !response.is_failed) {
+                    Some(streams) => streams.millis[route],
+                    None => time,
+                };
             self.in_flight.push(InFlight { until, daemon, route, upstream, response });
         }
     }
@@ -250,8 +281,20 @@
             Some(step) => trial_upstreams(step, &self.instances),
             None => self.instances.iter().collect(),
         };
-        let chosen = chosen[self.random.random_range(0..chosen.len())];
-        self.instances.iter().position(|instance| instance == chosen).unwrap()
+        let any = chosen[self.random.random_range(0..chosen.len())];
+        let index = |chosen: &Instance| {
+            self.instances.iter().position(|instance| instance == chosen).unwrap()
+        };
+        if self.streams.is_some_and(|streams| streams.is_balanced) {
+            let least = chosen.iter().map(|chosen| index(chosen));
+            return least.min_by_key(|upstream| self.in_flight_at(*upstream)).unwrap();
+        }
+        index(any)
+    }
+
+    /// The number of requests in flight at an upstream of the target.
+    fn in_flight_at(&self, upstream: usize) -> usize {
+        self.in_flight.iter().filter(|one| one.upstream == Some(upstream)).count()
     }
 
     fn response(&mut self, now: u64, route: usize, upstream: Option<usize>) -> Response {
@@ -263,7 +306,17 @@
         let arrivals = self.arrivals.iter().filter(|(_, to)| Some(*to) == upstream).count();
         let is_loaded = is_target && arrivals as f64 >= normal / 2.0;
         let age = now.saturating_sub(REGISTERED);
-        let spoiled = if is_target { self.kind.spoiled(route, age, is_loaded) } else { 0.0 };
+        let spoiled = match (self.streams, upstream) {
+            (_, None) => 0.0,
+            (Some(streams), Some(upstream)) => {
+                if self.in_flight_at(upstream) >= streams.limit {
+                    0.5
+                } else {
+                    0.0
+                }
+            }
+            (None, Some(_)) => self.kind.spoiled(route, age, is_loaded),
+        };
         let background = if route == 1 { 0.14 } else { 0.01 };
         let is_failed = self.random.random_bool(background) || self.random.random_bool(spoiled);
         let millis: u64 = self.random.random_range(60..180);
@@ -328,7 +381,7 @@
             || self.is_on(now, Fault::StoreRestored, 1_000);
         let target = if self.fault == Fault::TwoOrders && now >= FAULT { "v3" } else { "v2" };
         (now >= ORDERED && !is_gone)
-            .then(|| order(target, DURATION_S, self.store.era, self.store.offset))
+            .then(|| order(target, self.duration_s, self.store.era, self.store.offset))
     }
 
     /// The holder lists the orders, decides, stores and sends.
@@ -399,7 +452,7 @@
     if kind == Kind::Sound && !must_end {
         if !is_completed {
             found.push("sound, not completed");
-        } else if outcome.completed.is_none_or(|at| at > DEADLINE) {
+        } else if outcome.completed.is_none_or(|at| at > outcome.deadline) {
             found.push("completed late");
         }
     }
@@ -474,7 +527,6 @@
 
 /// Guards against a switch so early that a version that turns bad then exceeds the exposure.
 #[test]
-#[ignore = "KNOWN-RED"]
 fn sound_versions_of_four_upstreams_stay_within_the_bounds() {
     let kinds = Kind::iter().filter(|kind| *kind == Kind::Sound);
     assert_eq!(Vec::<String>::new(), faults_at_four_upstreams(kinds));
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -467,8 +467,8 @@
                 listed.registration.service == *service && listed.usable(now)
             });
             let version = |listed: &RegisteredUpstream| {
-                let Registration { version, id, .. } = &listed.registration;
-                (version.clone(), id.started_at_ms)
+                let Registration { version, id, slots, .. } = &listed.registration;
+                (version.clone(), id.started_at_ms, *slots)
             };
             usable.map(|(_, listed)| version(listed)).collect()
         };
--- a/crates/relay/src/rollout_watch.rs
+++ b/crates/relay/src/rollout_watch.rs
@@ -125,13 +125,13 @@
         Eligible { trial: step.cloned().map(Arc::new), versions }
     }
 
-    /// Sets the usable upstreams of a service: the version of each, if it states one, and when it
-    /// started, in milliseconds since 1970.
+    /// Sets the usable upstreams of a service: the version of each, if it states one, when it
+    /// started, in milliseconds since 1970, and its number of slots.
     pub(crate) fn on_upstreams(
         &self,
         now: MonotonicInstant,
         service: &Service,
-        upstreams: &[(Option<SoftwareVersion>, u64)],
+        upstreams: &[(Option<SoftwareVersion>, u64, u32)],
     ) {
         let Some(mut state) = self.state() else { return };
         let State { view, services } = &mut *state;
@@ -144,12 +144,13 @@
         };
         let versions = &mut known.versions.0;
         versions.iter_mut().for_each(|seen| seen.upstreams = 0);
-        for (version, started_at_ms) in upstreams {
+        for (version, started_at_ms, slots) in upstreams {
             let started_at = UtcInstant(*started_at_ms);
             match versions.iter_mut().find(|seen| seen.version == *version) {
                 Some(seen) => {
                     let is_first = seen.upstreams == 0 || started_at < seen.started_at;
                     seen.started_at = if is_first { started_at } else { seen.started_at };
+                    seen.slots = if seen.upstreams == 0 { *slots } else { seen.slots.min(*slots) };
                     seen.upstreams += 1;
                 }
                 None => {
@@ -161,6 +162,7 @@
                     versions.push(VersionSeen {
                         version,
                         upstreams: 1,
+                        slots: *slots,
                         started_at,
                         first_seen: now,
                     });
--- a/src/node/rollouts/tests.rs
+++ b/src/node/rollouts/tests.rs
@@ -64,6 +64,7 @@
         let seen = |name: &str, upstreams| VersionSeen {
             version: Some(name.try_into().unwrap()),
             upstreams,
+            slots: 32,
             started_at: UtcInstant(1),
             first_seen: clock.now(),
         };
