--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -1,8 +1,6 @@
 //! The lease holder's decisions on one rollout.
 
-use super::share::{
-    Budget, LOADED_UPSTREAMS, Loaded, PULSE, PULSE_PAUSE, equal_shares, trial_size,
-};
+use super::share::{Budget, Loaded, PULSE, PULSE_PAUSE, equal_shares, trial_size};
 use super::{
     DECISION_LEAD, EvidenceHistory, FleetView, RESTORE_GRACE, RolloutBounds, RolloutOrder,
     RolloutStep, STEP_VALIDITY, Stage, StepReason, TrialPhase, Verdict,
@@ -442,6 +440,17 @@
         }
     }
 
+    /// A step that gives one upstream its normal load.
+    fn pulse(&self, current: &RolloutStep, phase: TrialPhase, budget: &Budget) -> RolloutStep {
+        RolloutStep {
+            phase,
+            shares: BTreeMap::new(),
+            default_share: budget.pulse_share.unwrap_or_default(),
+            upstreams: 1,
+            ..self.advance(current, Stage::Trial, StepReason::Pulse)
+        }
+    }
+
     /// New shares of the trial, if those in force differ much from what is left to spend.
     fn share(
         &self,
@@ -466,13 +475,7 @@
         let phase = self.phase(now, ahead_s, current, (budget, loaded, used));
         let is_loaded = phase == TrialPhase::FirstPulse && loaded.is_some();
         if !is_loaded && matches!(phase, TrialPhase::FirstPulse | TrialPhase::SecondPulse) {
-            let step = || RolloutStep {
-                phase,
-                shares: BTreeMap::new(),
-                default_share: budget.pulse_share.unwrap_or_default(),
-                upstreams: 1,
-                ..self.advance(current, Stage::Trial, StepReason::Pulse)
-            };
+            let step = || self.pulse(current, phase, budget);
             return (phase != current.phase).then(step);
         }
         // The last requests must have been told when the switch is decided.
@@ -496,16 +499,11 @@
         let old_upstreams = view.versions.others(&current.order.target);
         let is_second_half = used >= budget.trial * SECOND_HALF;
         let upstreams = match loaded {
-            Some(loaded) if is_loaded => {
-                let size = f64::from(LOADED_UPSTREAMS) * wanted / loaded.rate;
-                (size as u32).max(LOADED_UPSTREAMS)
+            Some(loaded) if is_loaded => loaded.upstreams(wanted),
+            loaded => {
+                let is_concentrated = is_second_half && loaded.is_none();
+                trial_size(new.max(old), budget.rate, old_upstreams, is_concentrated)
             }
-            loaded => trial_size(
-                new.max(old),
-                budget.rate,
-                old_upstreams,
-                is_second_half && loaded.is_none(),
-            ),
         };
         let is_due = now.since(self.stored_at) >= SHARES_INTERVAL;
         let is_concentrated = is_second_half && upstreams < current.upstreams;
--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -86,7 +86,7 @@
 
 /// Number of upstreams that are loaded at the same time in a trial without pulses. The verdict leaves
 /// the worst upstream out, so one is too few.
-pub(super) const LOADED_UPSTREAMS: u32 = 2;
+const LOADED_UPSTREAMS: u32 = 2;
 
 /// Number of standard deviations of the requests in flight (Poisson) by which an old upstream at its
 /// busiest exceeds the mean. Three cover all but 1 in 700 moments.
@@ -113,6 +113,12 @@
 }
 
 impl Loaded {
+    /// The number of upstreams for `rate` requests per second at the same load.
+    pub(super) fn upstreams(&self, rate: f64) -> u32 {
+        let size = f64::from(LOADED_UPSTREAMS) * rate / self.rate;
+        (size as u32).max(LOADED_UPSTREAMS)
+    }
+
     /// `trial` is the number of trial requests, `per_old` the largest number of requests in flight
     /// that an old upstream had on average. `slots` are those of a target upstream, and `means` the
     /// mean durations of the routes' requests.
