fix(policy): all engines found at the start are needed until the load is known, where the list is slow to fill

Cause: before the first request 0.7 of the engines found were needed.

Those that the planner ordered itself don't count. The new test fails before.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -169,6 +169,10 @@
     found: u32,
     /// When the largest number of instances found last rose, while the load was unknown.
     grown_at: MonotonicInstant,
+    /// Whether the list of instances was slow to fill before the first request. In such a deployment
+    /// the load of the many daemons is known late too, so all engines found at the start are needed
+    /// until then.
+    is_slow_start: bool,
     /// When the first rate was recorded.
     rate_known_since: Option<MonotonicInstant>,
     /// Rates that no later rate exceeds, in descending order.
@@ -234,9 +238,10 @@
     }
 
     /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
-    /// at least `START_SHARE` of the most engines found so far is needed.
+    /// at least `START_SHARE` of the most engines found so far is needed, or all after a slow start.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
-        let start = share_of(self.found, START_SHARE);
+        let share = if self.is_slow_start { 1.0 } else { START_SHARE };
+        let start = share_of(self.found, share);
         let need = self.peaks.front().map_or(0.0, |(_, rate)| rate / self.tokens_per_engine())
             + self.missing;
         let need = need.ceil() as u32;
@@ -244,6 +249,26 @@
         need.max(if early { start } else { 1 }).max(1)
     }
 
+    /// Counts the instances found. Before the first request, those that this planner has ordered don't
+    /// count where the list is slow to fill; they are reclaimable.
+    fn on_stock(
+        &mut self,
+        now: MonotonicInstant,
+        spec: &FleetSpec,
+        stock: &BTreeMap<DataCentre, InstanceCounts>,
+    ) {
+        // Without a rate, there are orders only before the first request.
+        self.is_slow_start |= self.rate_known_since.is_none() && !spec.registration_time.is_zero();
+        let is_own = self.is_slow_start && !self.ordered.is_empty();
+        let count = |counts: &InstanceCounts| {
+            if is_own { counts.on_demand } else { counts.total() }
+        };
+        let found = stock.values().map(count).sum();
+        if found > self.found {
+            (self.found, self.grown_at) = (found, now);
+        }
+    }
+
     /// Whether instances that exist may not have registered yet. An order names the number of all
     /// instances of a kind, so one that counts only those that are known would stop the others.
     fn is_registering(&self, now: MonotonicInstant, spec: &FleetSpec) -> bool {
@@ -257,10 +282,7 @@
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, InstanceCounts>,
     ) -> Vec<CapacityOrder> {
-        let found = stock.values().map(InstanceCounts::total).sum();
-        if found > self.found {
-            (self.found, self.grown_at) = (found, now);
-        }
+        self.on_stock(now, spec, stock);
         let need = self.engines_needed(now);
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -97,12 +97,37 @@
         let orders = fleet.orders(at(millis), &spec, &found);
         assert!(orders.iter().all(|order| order.reclaimable), "{millis}: {orders:?}");
         assert!(millis > 8_000 || !orders.is_empty(), "{millis}");
+        orders.iter().for_each(|order| fleet.on_ordered(at(millis), order));
     }
-    let found = stock([(6, 0), (3, 0), (6, 0), (6, 0)]);
+    // Replacements serve, and no further instance has been found for five seconds.
+    let found = stock([(6, 5), (3, 5), (6, 5), (6, 5)]);
     let orders = fleet.orders(at(13_000), &spec, &found);
     assert!(orders.iter().any(|order| !order.reclaimable), "{orders:?}");
 }
 
+/// Guards against a first load of many daemons that meets too few engines: the planner learns of it late, and new
+/// engines take as long again.
+#[test]
+fn all_engines_found_are_needed_until_the_load_is_known_where_the_list_is_slow_to_fill() {
+    let spec = FleetSpec { registration_time: Duration::from_secs(5), ..spec() };
+    let mut fleet = FleetPlanner::default();
+    let orders = fleet.orders(at(0), &spec, &stock([(2, 0), (2, 0), (2, 0), (2, 0)]));
+    orders.iter().for_each(|order| fleet.on_ordered(at(0), order));
+    fleet.orders(at(4_000), &spec, &stock([(3, 0), (3, 0), (3, 0), (3, 0)]));
+    assert_eq!(fleet.engines_needed(at(4_000)), 12);
+    // Those that were ordered meanwhile are not needed in addition.
+    fleet.orders(at(8_000), &spec, &stock([(3, 3), (3, 3), (3, 3), (3, 3)]));
+    assert_eq!(fleet.engines_needed(at(8_000)), 12);
+    fleet.on_rate(at(10_000), TOKENS_PER_ENGINE);
+    assert_eq!(fleet.engines_needed(at(17_000)), 12);
+    assert_eq!(fleet.engines_needed(at(19_000)), 1);
+    // A daemon that takes the lease over under load knows the rate before its first order.
+    let mut successor = FleetPlanner::default();
+    successor.on_rate(at(20_000), TOKENS_PER_ENGINE);
+    successor.orders(at(20_000), &spec, &stock([(3, 3), (3, 3), (3, 3), (3, 3)]));
+    assert_eq!(successor.engines_needed(at(20_000)), 17);
+}
+
 #[test]
 fn a_load_of_many_requests_is_known_after_a_second() {
     let mut arrivals = Arrivals::default();
