--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -183,22 +183,9 @@
     refused: BTreeMap<InstanceKey, MonotonicInstant>,
     /// Engines whose capacity is missing because of limits.
     missing: f64,
-    /// The pace of the engines; none until it is set.
-    pace: Option<f64>,
 }
 
 impl FleetPlanner {
-    /// Sets the pace of the engines: how many times as long prompt work takes as `TOKENS_PER_ENGINE`
-    /// assumes.
-    pub fn on_pace(&mut self, pace: f64) {
-        self.pace = Some(pace).filter(|pace| pace.is_finite() && *pace > 0.0);
-    }
-
-    /// The prompt tokens per second that an engine is expected to take.
-    fn tokens_per_engine(&self) -> f64 {
-        TOKENS_PER_ENGINE / self.pace.unwrap_or(1.0)
-    }
-
     /// Records the arrival rate, in prompt tokens per second.
     pub fn on_rate(&mut self, now: MonotonicInstant, rate: f64) {
         self.rate_known_since.get_or_insert(now);
@@ -214,8 +201,7 @@
     /// Sets the requests per second that the engines with a limit take, and the mean number of prompt
     /// tokens of a request. What they leave unused has to be replaced.
     pub fn on_limits(&mut self, rates: &[f64], prompt_tokens: f64) {
-        let tokens = self.tokens_per_engine();
-        let unused = |rate: &f64| (1.0 - rate * prompt_tokens / tokens).max(0.0);
+        let unused = |rate: &f64| (1.0 - rate * prompt_tokens / TOKENS_PER_ENGINE).max(0.0);
         self.missing = rates.iter().map(unused).sum();
     }
 
@@ -242,8 +228,8 @@
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
         let share = if self.is_slow_start { 1.0 } else { START_SHARE };
         let start = share_of(self.found, share);
-        let need = self.peaks.front().map_or(0.0, |(_, rate)| rate / self.tokens_per_engine())
-            + self.missing;
+        let need =
+            self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
         let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
         need.max(if early { start } else { 1 }).max(1)
--- a/crates/relay/src/service_paces.rs
+++ b/crates/relay/src/service_paces.rs
@@ -8,12 +8,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 impl Balancer {
-    /// How many times as long prompt work takes at the engines of a service as the constants of
-    /// `spindle_policy::upstream_selection` say; from 0.1 to 10.
-    pub fn service_pace(&self, now: MonotonicInstant, service: &Service) -> f64 {
-        self.state().pace(now, service)
-    }
-
     /// What this daemon reports to the others of the paces, from its own responses.
     pub fn own_paces(&self, now: MonotonicInstant) -> BTreeMap<Service, PaceReport> {
         let state = self.state();
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -30,7 +30,7 @@
 
 /// Interval between two reads of the registered instances from which the first list may be the only
 /// one before the first order.
-const RARE_READ_INTERVAL: Duration = Duration::from_secs(4);
+const RARE_READ_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Interval at which the leader checks for due work.
 const LEADER_INTERVAL: Duration = Duration::from_millis(250);
@@ -433,7 +433,6 @@
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
-            planner.on_pace(self.parts.balancer.service_pace(now, service));
             let limited_rates = self.parts.balancer.limited_rates(now, service);
             let mean_tokens = self.parts.statuses.mean_prompt_tokens(service);
             planner.on_limits(&limited_rates, mean_tokens);
@@ -458,8 +457,8 @@
         }
     }
 
-    /// How long the list of instances may be incomplete at the start. Above 16 daemons, each reads it
-    /// only every 4 s; fewer have read it again before the first order.
+    /// How long the list of instances may be incomplete at the start. From 16 daemons on, each reads it
+    /// only every 4 to 5 s; fewer have read it again before the first order.
     fn registration_time(&self) -> Duration {
         let interval = ReadSchedule::interval_max(self.parts.statuses.daemon_count());
         if interval >= RARE_READ_INTERVAL { interval } else { Duration::ZERO }
