--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -24,12 +24,6 @@
 /// the first seconds of load are not extrapolated.
 const RATE_WINDOW_MIN: Duration = Duration::from_millis(3_500);
 
-/// The number of requests, and the minimum time since the first arrival, from which a rate is
-/// reported before [`RATE_WINDOW_MIN`]. Sizes differ by about twice their mean, so the mean of 400
-/// requests is within a tenth.
-const EARLY_REQUESTS: f64 = 400.0;
-const EARLY_WINDOW_MIN: Duration = Duration::from_secs(1);
-
 /// How long a peak of the load determines the number of engines. A wave of the users' load lasts
 /// 40 s; scaling down and up again within a wave costs more in late answers than it saves.
 const PEAK_MEMORY: Duration = Duration::from_secs(8);
@@ -66,8 +60,6 @@
     pub max: u32,
     /// The time from an order until the instance serves requests.
     pub startup_time: Duration,
-    /// How long the list of instances may be incomplete after the last one was found at the start.
-    pub registration_time: Duration,
     /// Whether reclaimable instances may be ordered.
     pub reclaimable: bool,
     /// The price of an instance in each data centre. Only the order of the prices matters.
@@ -146,18 +138,13 @@
     }
 
     /// The arrival rate in tokens per second; `None` until `RATE_WINDOW_MIN` after the first
-    /// arrival, or until enough requests of `mean_tokens` have arrived.
-    pub fn rate(&self, mean_tokens: f64) -> Option<f64> {
+    /// arrival.
+    pub fn rate(&self) -> Option<f64> {
         let ((first, before), (last, total)) = (self.samples.front()?, self.samples.back()?);
-        let elapsed = last.since(self.first?);
-        let is_enough = self.total as f64 >= EARLY_REQUESTS * mean_tokens && mean_tokens > 0.0;
-        let span = if elapsed >= RATE_WINDOW_MIN {
-            last.since(*first)
-        } else if is_enough && elapsed >= EARLY_WINDOW_MIN {
-            elapsed
-        } else {
+        if last.since(self.first?) < RATE_WINDOW_MIN {
             return None;
-        };
+        }
+        let span = last.since(*first);
         Some((total - before) as f64 / span.as_secs_f64())
     }
 }
@@ -167,12 +154,6 @@
 pub struct FleetPlanner {
     /// The largest number of instances found so far.
     found: u32,
-    /// When the largest number of instances found last rose, while the load was unknown.
-    grown_at: MonotonicInstant,
-    /// Whether the list of instances was slow to fill before the first request. In such a deployment
-    /// the load of the many daemons is known late too, so all engines found at the start are needed
-    /// until then.
-    is_slow_start: bool,
     /// When the first rate was recorded.
     rate_known_since: Option<MonotonicInstant>,
     /// Rates that no later rate exceeds, in descending order.
@@ -224,10 +205,9 @@
     }
 
     /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
-    /// at least `START_SHARE` of the most engines found so far is needed, or all after a slow start.
+    /// at least `START_SHARE` of the most engines found so far is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
-        let share = if self.is_slow_start { 1.0 } else { START_SHARE };
-        let start = share_of(self.found, share);
+        let start = share_of(self.found, START_SHARE);
         let need =
             self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
         let need = need.ceil() as u32;
@@ -235,32 +215,6 @@
         need.max(if early { start } else { 1 }).max(1)
     }
 
-    /// Counts the instances found. Before the first request, those that this planner has ordered don't
-    /// count where the list is slow to fill; they are reclaimable.
-    fn on_stock(
-        &mut self,
-        now: MonotonicInstant,
-        spec: &FleetSpec,
-        stock: &BTreeMap<DataCentre, InstanceCounts>,
-    ) {
-        // Without a rate, there are orders only before the first request.
-        self.is_slow_start |= self.rate_known_since.is_none() && !spec.registration_time.is_zero();
-        let is_own = self.is_slow_start && !self.ordered.is_empty();
-        let count = |counts: &InstanceCounts| {
-            if is_own { counts.on_demand } else { counts.total() }
-        };
-        let found = stock.values().map(count).sum();
-        if found > self.found {
-            (self.found, self.grown_at) = (found, now);
-        }
-    }
-
-    /// Whether instances that exist may not have registered yet. An order names the number of all
-    /// instances of a kind, so one that counts only those that are known would stop the others.
-    fn is_registering(&self, now: MonotonicInstant, spec: &FleetSpec) -> bool {
-        self.rate_known_since.is_none() && now.since(self.grown_at) < spec.registration_time
-    }
-
     /// Orders that are due, given the instances that exist now.
     pub fn orders(
         &mut self,
@@ -268,7 +222,7 @@
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, InstanceCounts>,
     ) -> Vec<CapacityOrder> {
-        self.on_stock(now, spec, stock);
+        self.found = self.found.max(stock.values().map(InstanceCounts::total).sum());
         let need = self.engines_needed(now);
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
@@ -278,9 +232,6 @@
             for reclaimable in [true, false] {
                 let (count, found) = (wanted.of(reclaimable), present.of(reclaimable));
                 let key = (data_centre.clone(), reclaimable);
-                if !reclaimable && self.is_registering(now, spec) {
-                    continue;
-                }
                 if self.is_due(now, spec, &key, count, found) {
                     let data_centre = data_centre.clone();
                     orders.push(CapacityOrder { data_centre, reclaimable, count });
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -13,7 +13,6 @@
 use spindle_policy::lease::{
     Grant, LeaseAction, LeaseRecord, LeaseState, LeaseStep, Permission, PermissionCheck,
 };
-use spindle_policy::read_schedule::ReadSchedule;
 use spindle_policy::store_era::EraChange;
 use spindle_policy::usage_windows::{due_windows, window_at};
 use spindle_relay::backends::{
@@ -28,10 +27,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// Interval between two reads of the registered instances from which the first list may be the only
-/// one before the first order.
-const RARE_READ_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Interval at which the leader checks for due work.
 const LEADER_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -428,16 +423,15 @@
         for (service, spec) in &config.services {
             let Some(scale) = &spec.scale else { continue };
             let now = self.parts.clock.now();
-            let spec = fleet_spec(scale, self.registration_time());
+            let spec = fleet_spec(scale);
             let stock = ServiceStock::new(&self.parts, now, service);
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
             let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
             let limited_rates = self.parts.balancer.limited_rates(now, service);
-            let mean_tokens = self.parts.statuses.mean_prompt_tokens(service);
-            planner.on_limits(&limited_rates, mean_tokens);
+            planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
             arrivals.on_totals(now, prompt_tokens.into_iter());
-            let rate = arrivals.has_arrivals().then(|| arrivals.rate(mean_tokens)).flatten();
+            let rate = if arrivals.has_arrivals() { arrivals.rate() } else { None };
             if let Some(rate) = rate {
                 planner.on_rate(now, rate);
             }
@@ -457,13 +451,6 @@
         }
     }
 
-    /// How long the list of instances may be incomplete at the start. From 16 daemons on, each reads it
-    /// only every 4 to 5 s; fewer have read it again before the first order.
-    fn registration_time(&self) -> Duration {
-        let interval = ReadSchedule::interval_max(self.parts.statuses.daemon_count());
-        if interval >= RARE_READ_INTERVAL { interval } else { Duration::ZERO }
-    }
-
     /// Sends an order with the number `count`, which includes instances that the planner doesn't
     /// count.
     async fn send_order(
@@ -514,9 +501,8 @@
     }
 }
 
-fn fleet_spec(scale: &ScaleSpec, registration_time: Duration) -> FleetSpec {
+fn fleet_spec(scale: &ScaleSpec) -> FleetSpec {
     FleetSpec {
-        registration_time,
         min: scale.instances_min,
         max: scale.instances_max,
         startup_time: scale.startup_time,
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -263,11 +263,6 @@
         reported.chain([(self.parts.incarnation, own)]).collect()
     }
 
-    /// The number of live daemons, this one included.
-    pub fn daemon_count(&self) -> u32 {
-        self.parts.daemon_count.load(Ordering::Relaxed)
-    }
-
     /// The mean number of prompt tokens of this daemon's requests for a service.
     pub fn mean_prompt_tokens(&self, service: &Service) -> f64 {
         self.parts.usage.mean_prompt_tokens(service)
