test(platform): wait for all daemons when some start beside others

Cause: odd_entries starts two daemons while three run and waited for exactly two listed addresses. The new ones learn of the running ones from the store. An observation of all lists every 200 ms showed two addresses at each new daemon at first, and five from the next observation on. A poll that comes later than that never sees two. Both new daemons also had the names of running ones.

Change: such daemons have names of their own, and the test waits until each lists exactly the addresses of all five. start_all compares the addresses too, in place of their number. The test is no longer ignored.

The failure itself was not reproduced.

--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -96,11 +96,35 @@
         Self::start_all_with(platform, count, &json!({})).await
     }
 
-    /// The same with further settings.
+    /// Starts daemons while others run, and waits until each lists the addresses of all of these
+    /// and no others. They learn of the running ones from the store.
+    pub(crate) async fn start_all_beside(
+        platform: &Platform,
+        running: &[Self],
+        count: usize,
+    ) -> Vec<Self> {
+        let mut started = Self::spawn_all(platform, running.len(), count, &json!({}));
+        Self::wait_until_listed(&mut started, running).await;
+        started
+    }
+
+    /// The same as [`Self::start_all`] with further settings.
     pub(crate) async fn start_all_with(
         platform: &Platform,
         count: usize,
         further: &serde_json::Value,
+    ) -> Vec<Self> {
+        let mut daemons = Self::spawn_all(platform, 0, count, further);
+        Self::wait_until_listed(&mut daemons, &[]).await;
+        daemons
+    }
+
+    /// Starts daemons that know a common seed. `first` is the number in the first one's name.
+    fn spawn_all(
+        platform: &Platform,
+        first: usize,
+        count: usize,
+        further: &serde_json::Value,
     ) -> Vec<Self> {
         let ports: Vec<_> = (0..count).map(|_| addresses()).collect();
         let seed = ports[0][2];
@@ -113,25 +137,43 @@
             }
             Self::start_with(&name, ports, &settings.to_string())
         };
-        let mut daemons: Vec<Self> = ports.into_iter().enumerate().map(start).collect();
-        for daemon in &mut daemons {
+        (first..).zip(ports).map(start).collect()
+    }
+
+    /// Waits until each of the started daemons lists exactly these and the running ones.
+    async fn wait_until_listed(started: &mut [Self], running: &[Self]) {
+        let mut expected: Vec<SocketAddr> =
+            started.iter().chain(running).map(|daemon| daemon.caller).collect();
+        expected.sort();
+        for daemon in started {
             let exited = daemon.child.try_wait().unwrap();
             assert_eq!(exited, None, "the daemon exited unexpectedly");
-            daemon.wait_for_addresses(count).await;
+            let is_expected = |addresses: &[SocketAddr]| addresses == expected;
+            daemon.wait_for_list(is_expected, &format!("{expected:?}")).await;
         }
-        daemons
     }
 
     pub(crate) async fn wait_for_addresses(&self, count: usize) {
+        let is_expected = |addresses: &[SocketAddr]| addresses.len() == count;
+        self.wait_for_list(is_expected, &format!("{count} addresses")).await;
+    }
+
+    /// Waits until the sorted list of the daemons' addresses is as expected.
+    async fn wait_for_list(&self, is_expected: impl Fn(&[SocketAddr]) -> bool, text: &str) {
         let path = "/resolve?name=h.example&region=r&zone=a-1";
+        let mut addresses = Vec::new();
         for _ in 0..POLLS_MAX {
             let reply: Result<serde_json::Value, _> = client().get(self.directory, path).await;
-            if reply.is_ok_and(|reply| reply["addresses"].as_array().unwrap().len() == count) {
-                return;
+            if let Ok(reply) = reply {
+                addresses = serde_json::from_value(reply["addresses"].clone()).unwrap();
+                addresses.sort();
+                if is_expected(&addresses) {
+                    return;
+                }
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        panic!("the daemon does not list {count} addresses");
+        panic!("the daemon does not list {text} but {addresses:?}");
     }
 
     /// Waits until the daemon accepts connections from callers.
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -59,7 +59,6 @@
 }
 
 #[tokio::test]
-#[ignore = "KNOWN-RED"]
 async fn odd_entries_end_no_daemon_and_hide_no_later_upstream_or_configuration() {
     let (platform, upstreams, mut daemons) = start_deployment(3).await;
     put_odd_entries(&platform);
@@ -73,7 +72,7 @@
     check_served(&platform, &daemons, "running").await;
     let reports = platform.usage_reports().len();
     // One that starts now reads all entries.
-    let started = Daemon::start_all(&platform, 2).await;
+    let started = Daemon::start_all_beside(&platform, &daemons, 2).await;
     for daemon in &started {
         daemon.wait_for("/read/x", 200).await;
     }
