--- a/src/crash_causes/tests.rs
+++ b/src/crash_causes/tests.rs
@@ -12,7 +12,7 @@
     let demand = Demand { blocks: blocks.hashes, ..Demand::default() };
     let pool = Pool::try_from("cellar").unwrap();
     let accepted = AcceptedRequest { team: Team::try_from(team).unwrap(), pool, completion };
-    Work::generation(RequestId::new(1, 1), &accepted, &demand)
+    Work::generation(RequestId(1), &accepted, &demand)
 }
 
 /// Guards against a shared start of prompts that isn't blamed, or an own end that is blamed as if
