test(policy): play random faults while daemons can't read the store

Cause: the random schedules of cuts, kills and restarts ran only with the list of daemons read from the store.

Change: the same schedules without it, half of them with three seeds in the settings of all daemons.

--- a/crates/policy/src/shared_limits/tests/start.rs
+++ b/crates/policy/src/shared_limits/tests/start.rs
@@ -173,3 +173,14 @@
 fn daemons_that_have_read_the_list_divide_the_slack_before_they_hear_each_other() {
     assert_eq!(4, retries(counts(200, 1, Some(8)), 1));
 }
+
+/// Guards against any schedule of cuts, kills and restarts of daemons that can't read the store.
+#[test]
+fn no_schedule_of_faults_lets_a_team_exceed_its_quota_without_the_store() {
+    bolero::check!().with_iterations(40).with_type::<Schedule>().for_each(|schedule| {
+        let mut schedule = schedule.clone();
+        (schedule.has_list, schedule.seeds) = (false, if schedule.seed % 2 == 0 { 0 } else { 3 });
+        let most = most_in_window(&schedule.play());
+        assert!(most <= ALLOWANCE, "{most}: {schedule:?}");
+    });
+}
