fix(policy): refused reclaimable instances leave their room to on-demand ones

Cause: reclaimable instances that are wanted but refused counted towards the limit of their data centre. Change: within the limit, only the reclaimable instances that are expected to start count.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -277,7 +277,7 @@
         let mut wanted: BTreeMap<DataCentre, InstanceCounts> =
             cheapest.iter().map(|centre| (centre.clone(), InstanceCounts::default())).collect();
         let on_demand = if spec.reclaimable { share_of(need, ON_DEMAND_SHARE) } else { need };
-        add_on_demand(&mut wanted, &cheapest, on_demand, spec.max);
+        add_on_demand(&mut wanted, &cheapest, on_demand, &BTreeMap::new(), spec.max);
         if spec.reclaimable {
             // If one data centre loses all its reclaimable instances, the rest must carry the load.
             let remaining = u32::try_from(cheapest.len().saturating_sub(1)).unwrap_or(u32::MAX);
@@ -291,35 +291,46 @@
             *(if spec.reclaimable { &mut counts.reclaimable } else { &mut counts.on_demand }) +=
                 missing;
         }
-        let missing = need.saturating_sub(self.expected_instances(now, stock, &wanted));
+        let expected = self.expected_reclaimable(now, stock, &wanted);
+        let missing = need.saturating_sub(self.expected_instances(now, &wanted, &expected));
         let missing = missing.min(need.saturating_sub(on_demand));
-        add_on_demand(&mut wanted, &cheapest, missing, spec.max);
+        add_on_demand(&mut wanted, &cheapest, missing, &expected, spec.max);
         wanted
     }
 
-    /// The number of wanted instances that can be counted on. Reclaimable instances that are
-    /// refused will not start, and during a wave of reclaims one more data centre is expected to
-    /// lose its own.
-    fn expected_instances(
+    /// The reclaimable instances that will be there in each data centre. Those that are refused will
+    /// not start, so they take nothing of the data centre's limit either.
+    fn expected_reclaimable(
         &self,
         now: MonotonicInstant,
         stock: &BTreeMap<DataCentre, InstanceCounts>,
         wanted: &BTreeMap<DataCentre, InstanceCounts>,
-    ) -> u32 {
-        let reclaimable = wanted.iter().map(|(centre, wanted)| {
+    ) -> BTreeMap<DataCentre, u32> {
+        let expected = wanted.iter().map(|(centre, wanted)| {
             let present = stock.get(centre).map_or(0, |stock| stock.reclaimable);
             let refused = self.refused_within(now, &(centre.clone(), true), REFUSAL_MEMORY);
-            if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable }
+            let count = if refused { present.min(wanted.reclaimable) } else { wanted.reclaimable };
+            (centre.clone(), count)
         });
-        let reclaimable: Vec<u32> = reclaimable.collect();
+        expected.collect()
+    }
+
+    /// The number of wanted instances that can be counted on. During a wave of reclaims one more
+    /// data centre is expected to lose its reclaimable ones.
+    fn expected_instances(
+        &self,
+        now: MonotonicInstant,
+        wanted: &BTreeMap<DataCentre, InstanceCounts>,
+        reclaimable: &BTreeMap<DataCentre, u32>,
+    ) -> u32 {
         let wave = self
             .refused
             .iter()
             .any(|((_, reclaimable), at)| *reclaimable && now.since(*at) < WAVE_LENGTH);
-        let largest = reclaimable.iter().max().copied().unwrap_or_default();
+        let largest = reclaimable.values().max().copied().unwrap_or_default();
         let next_loss = if wave { largest } else { 0 };
         let on_demand: u32 = wanted.values().map(|counts| counts.on_demand).sum();
-        on_demand + reclaimable.iter().sum::<u32>() - next_loss
+        on_demand + reclaimable.values().sum::<u32>() - next_loss
     }
 }
 
@@ -335,17 +346,20 @@
     centres.into_iter().map(|(centre, _)| centre.clone()).collect()
 }
 
-/// Adds `count` on-demand instances, one in each data centre in turn, up to `max` in each.
+/// Adds `count` on-demand instances, one in each data centre in turn, up to `max` in each together
+/// with the reclaimable ones that are expected there.
 fn add_on_demand(
     wanted: &mut BTreeMap<DataCentre, InstanceCounts>,
     order: &[DataCentre],
     mut count: u32,
+    reclaimable: &BTreeMap<DataCentre, u32>,
     max: u32,
 ) {
     while count > 0 {
         let before = count;
         for centre in order {
-            let room = wanted.get_mut(centre).filter(|counts| counts.total() < max);
+            let taken = reclaimable.get(centre).copied().unwrap_or_default();
+            let room = wanted.get_mut(centre).filter(|counts| counts.on_demand + taken < max);
             if let Some(counts) = room.filter(|_| count > 0) {
                 counts.on_demand += 1;
                 count -= 1;
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -216,3 +216,31 @@
     fleet.on_limits(&[], tokens);
     assert_eq!(fleet.engines_needed(at(START)), 8);
 }
+
+/// Orders of a fleet in which every reclaimable instance is refused, each data centre having `max`
+/// places. Returns the on-demand instances wanted at each step of `rates`, in engines.
+fn on_demand_while_refused(max: u32, rates: &[u32]) -> Vec<u32> {
+    let spec = FleetSpec { max, ..spec() };
+    let mut fleet = loaded(rates[0]);
+    let mut wanted = Vec::new();
+    for (step, engines) in rates.iter().enumerate() {
+        let now = at(START + 1_000 * step as u64);
+        fleet.on_rate(now, f64::from(*engines) * TOKENS_PER_ENGINE);
+        for centre in spec.prices.keys().cloned() {
+            let order = CapacityOrder { data_centre: centre, reclaimable: true, count: 1 };
+            fleet.on_refused(now, &order);
+        }
+        let need = fleet.engines_needed(now);
+        let counts = fleet.wanted(now, &spec, &stock([(0, 0); 4]), need);
+        wanted.push(counts.values().map(|counts| counts.on_demand).sum());
+    }
+    wanted
+}
+
+/// Seen in scenario quiet-1 of trapeza-langar-grown: while the load grew from 1.3 to 2.6 million
+/// tokens per second, the orders of on-demand instances fell from 60 to 30, as the reclaimable
+/// instances wanted for that load, all refused, took up the limit of each data centre.
+#[test]
+fn refused_reclaimable_instances_leave_their_room_to_on_demand_ones() {
+    assert_eq!(on_demand_while_refused(10, &[20, 30, 40, 50]), [20, 30, 40, 40]);
+}
