feat(policy): the fleet plan learns what an engine serves in time and waits for a complete list

Cause: the plan assumed 26,000 prompt tokens per engine and second at every deployment, and ordered two times what two customers need. The first orders were decided when the holder knew 24 of 60 engines; an order names all instances of a kind, so it stopped the others. Instances ordered in place of others counted as found, so up to twice the engines found were kept until the load was known.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -7,15 +7,11 @@
 //! are ordered while reclaimable ones are refused. The load is measured as the rate of arriving
 //! tokens, not as the requests in flight, which grow by themselves when there are too few engines.
 
+use crate::engine_capacity::{EngineCapacity, ResponseCounts};
 use spindle_types::{DataCentre, Incarnation, MonotonicInstant};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// The target rate of prompt tokens per engine and second. The engines of both deployments prefill
-/// 64,200 tokens per second; at two fifths of that, prompts wait little and running streams keep
-/// their token interval.
-const TOKENS_PER_ENGINE: f64 = 26_000.0;
-
 /// The window over which the arrival rate is averaged. It covers a few dozen requests, whose sizes
 /// differ widely.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
@@ -36,6 +32,12 @@
 /// would affect the first ten seconds.
 const START_SHARE: f64 = 0.7;
 
+/// How long the number of instances found must not have grown before the first order of on-demand
+/// instances. An order names the number of all instances of a kind in a data centre, so it stops
+/// those that aren't known yet.
+/// Engines that start together register within a heartbeat of 1.2 s.
+const LIST_SETTLED_AFTER: Duration = Duration::from_millis(1_200);
+
 /// The delay after a refusal before the same kind of instance is ordered in the data centre again.
 const REFUSAL_DELAY: Duration = Duration::from_secs(3);
 
@@ -80,7 +82,8 @@
         if reclaimable { self.reclaimable } else { self.on_demand }
     }
 
-    const fn total(&self) -> u32 {
+    /// The number of instances of both kinds.
+    pub const fn total(&self) -> u32 {
         self.on_demand + self.reclaimable
     }
 }
@@ -152,8 +155,10 @@
 /// Plans the instances of one service; used by the daemon that holds the lease.
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
-    /// The largest number of instances found so far.
+    /// The largest number of instances found before the first order.
     found: u32,
+    /// When that number last rose.
+    grown_at: Option<MonotonicInstant>,
     /// When the first rate was recorded.
     rate_known_since: Option<MonotonicInstant>,
     /// Rates that no later rate exceeds, in descending order.
@@ -164,6 +169,8 @@
     refused: BTreeMap<InstanceKey, MonotonicInstant>,
     /// Engines whose capacity is missing because of limits.
     missing: f64,
+    /// What one engine serves in time.
+    capacity: EngineCapacity,
 }
 
 impl FleetPlanner {
@@ -179,10 +186,27 @@
         self.peaks.push_back((now, rate));
     }
 
+    /// Records the responses of all daemons while `engines` served the arrival rate.
+    pub fn on_responses(
+        &mut self,
+        now: MonotonicInstant,
+        rate: f64,
+        engines: u32,
+        responses: ResponseCounts,
+    ) {
+        self.capacity.on_load(now, rate, engines, responses);
+    }
+
+    /// Prompt tokens per second that one engine serves in time, as far as it is known.
+    pub const fn tokens_per_engine(&self) -> f64 {
+        self.capacity.tokens_per_s()
+    }
+
     /// Sets the requests per second that the engines with a limit take, and the mean number of prompt
     /// tokens of a request. What they leave unused has to be replaced.
     pub fn on_limits(&mut self, rates: &[f64], prompt_tokens: f64) {
-        let unused = |rate: &f64| (1.0 - rate * prompt_tokens / TOKENS_PER_ENGINE).max(0.0);
+        let capacity = self.tokens_per_engine();
+        let unused = |rate: &f64| (1.0 - rate * prompt_tokens / capacity).max(0.0);
         self.missing = rates.iter().map(unused).sum();
     }
 
@@ -204,17 +228,37 @@
         self.refused.insert((order.data_centre.clone(), order.reclaimable), now);
     }
 
-    /// The number of engines that the load needs, including those that only make up for limits. Until the rate has been known for `PEAK_MEMORY`,
-    /// at least `START_SHARE` of the most engines found so far is needed.
+    /// The number of engines that the load needs, including those that only make up for limits. Until
+    /// the rate has been known for `PEAK_MEMORY`, at least `START_SHARE` of the engines found at the
+    /// start is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
         let start = share_of(self.found, START_SHARE);
-        let need =
-            self.peaks.front().map_or(0.0, |(_, rate)| rate / TOKENS_PER_ENGINE) + self.missing;
+        let need = self.peaks.front().map_or(0.0, |(_, rate)| rate / self.tokens_per_engine())
+            + self.missing;
         let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
         need.max(if early { start } else { 1 }).max(1)
     }
 
+    /// Whether the list of instances may still be growing because they have just started. Once the
+    /// load is known, instances that are missing have to be ordered whatever the list does.
+    pub fn awaits_list(&self, now: MonotonicInstant) -> bool {
+        self.rate_known_since.is_none() && !self.is_settled(now)
+    }
+
+    fn is_settled(&self, now: MonotonicInstant) -> bool {
+        self.grown_at.is_some_and(|at| now.since(at) >= LIST_SETTLED_AFTER)
+    }
+
+    /// Records the number of instances that exist now. Once the list has settled, those that were
+    /// ordered would count in addition to those that they replace.
+    fn on_found(&mut self, now: MonotonicInstant, count: u32) {
+        if count > self.found && !self.is_settled(now) {
+            self.found = count;
+            self.grown_at = Some(now);
+        }
+    }
+
     /// Orders that are due, given the instances that exist now.
     pub fn orders(
         &mut self,
@@ -222,16 +266,21 @@
         spec: &FleetSpec,
         stock: &BTreeMap<DataCentre, InstanceCounts>,
     ) -> Vec<CapacityOrder> {
-        self.found = self.found.max(stock.values().map(InstanceCounts::total).sum());
+        self.on_found(now, stock.values().map(InstanceCounts::total).sum());
         let need = self.engines_needed(now);
         let wanted = self.wanted(now, spec, stock, need);
         let kept = keep_needed(&wanted, stock, need);
+        let awaits_list = self.awaits_list(now);
         let mut orders = Vec::new();
         for (data_centre, wanted) in &kept {
             let present = stock.get(data_centre).copied().unwrap_or_default();
             for reclaimable in [true, false] {
                 let (count, found) = (wanted.of(reclaimable), present.of(reclaimable));
                 let key = (data_centre.clone(), reclaimable);
+                // Instances that aren't listed yet were not ordered, so they are on-demand ones.
+                if awaits_list && (!reclaimable || count < found) {
+                    continue;
+                }
                 if self.is_due(now, spec, &key, count, found) {
                     let data_centre = data_centre.clone();
                     orders.push(CapacityOrder { data_centre, reclaimable, count });
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::engine_capacity::TOKENS_PER_ENGINE;
 
 fn at(millis: u64) -> MonotonicInstant {
     MonotonicInstant::from_millis(millis)
@@ -85,6 +86,18 @@
     assert_eq!(sum(&orders, true), 8, "{orders:?}");
 }
 
+/// Seen in scenario quiet-1 of trapeza-langar: 9 engines were found, 18 while those ordered in their
+/// place had started and they had not left yet, and 18 were kept until the load was known.
+#[test]
+fn instances_that_the_first_orders_start_do_not_raise_the_number_that_is_kept() {
+    let mut fleet = FleetPlanner::default();
+    for order in fleet.orders(at(0), &spec(), &stock([(2, 0); 4])) {
+        fleet.on_ordered(at(0), &order);
+    }
+    fleet.orders(at(5_000), &spec(), &stock([(2, 2); 4]));
+    assert_eq!(fleet.engines_needed(at(5_000)), 6);
+}
+
 #[test]
 fn the_time_before_the_first_request_does_not_lower_the_rate() {
     let mut arrivals = Arrivals::default();
@@ -244,3 +257,27 @@
 fn refused_reclaimable_instances_leave_their_room_to_on_demand_ones() {
     assert_eq!(on_demand_while_refused(10, &[20, 30, 40, 50]), [20, 30, 40, 40]);
 }
+
+/// Seen in scenario scale-1 of aurelia-cobro-grown: the lease holder knew 24 of 60 engines when it
+/// ordered by these, which stopped those that it didn't know.
+#[test]
+fn no_on_demand_instances_are_ordered_while_the_list_of_instances_grows() {
+    let mut fleet = FleetPlanner::default();
+    assert!(fleet.awaits_list(at(0)));
+    for (millis, known) in [(500, 1), (1_600, 3), (2_700, 3)] {
+        let orders = fleet.orders(at(millis), &spec(), &stock([(known, 0); 4]));
+        assert!(orders.iter().all(|order| order.reclaimable), "{millis}: {orders:?}");
+        assert!(fleet.awaits_list(at(millis)));
+    }
+    fleet.orders(at(2_800), &spec(), &stock([(3, 3); 4]));
+    assert!(!fleet.awaits_list(at(2_800)));
+    assert_eq!(fleet.engines_needed(at(2_800)), 9);
+}
+
+#[test]
+fn a_growing_list_does_not_delay_orders_once_the_load_is_known() {
+    let mut fleet = FleetPlanner::default();
+    fleet.orders(at(500), &spec(), &stock([(1, 0); 4]));
+    fleet.on_rate(at(600), TOKENS_PER_ENGINE);
+    assert!(!fleet.awaits_list(at(600)));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config_state;
 pub mod config_update;
 pub mod crash_ledger;
+pub mod engine_capacity;
 pub mod evacuation;
 pub mod exchange;
 pub mod fleet;
--- a/crates/policy/src/presence/status.rs
+++ b/crates/policy/src/presence/status.rs
@@ -1,6 +1,7 @@
 //! What a daemon tells the others of itself.
 
 use super::{LEAVING_MAX, LIMITS_MAX, TEAMS_MAX};
+use crate::engine_capacity::ResponseCounts;
 use crate::rank_admission::RankLoad;
 use crate::rollout_status::RolloutStatus;
 use crate::service_pace::PaceReport;
@@ -100,6 +101,9 @@
     /// Load by rank of each service that has requests of several.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub ranks: BTreeMap<Service, RankLoad>,
+    /// Its responses by service since its start, for services whose instances can be ordered.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub first_bytes: BTreeMap<Service, ResponseCounts>,
     /// The pace of the engines of each service, by its own responses.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub paces: BTreeMap<Service, PaceReport>,
@@ -127,6 +131,7 @@
             lost: BTreeSet::new(),
             rollouts: RolloutStatus::default(),
             ranks: BTreeMap::new(),
+            first_bytes: BTreeMap::new(),
             paces: BTreeMap::new(),
         }
     }
@@ -149,6 +154,7 @@
             arrived: self.arrived.clone(),
             lost: self.lost.clone(),
             ranks: self.ranks.clone(),
+            first_bytes: self.first_bytes.clone(),
             paces: self.paces.clone(),
             identity: self.identity.clone().filter(|_| beat == 0),
             ..*self
@@ -173,6 +179,7 @@
             arrived: newer.arrived.clone(),
             lost: newer.lost.clone(),
             ranks: newer.ranks.clone(),
+            first_bytes: newer.first_bytes.clone(),
             paces: newer.paces.clone(),
             ..*newer
         };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -307,6 +307,9 @@
             }
             Err(refusal) => Err(refusal),
         };
+        if matches!(result, Err(Refusal::Overloaded { .. })) && has_scale(&admitted) {
+            self.0.usage.on_first_byte(&admitted.service, true);
+        }
         if !past.may_have_run
             && let (Err(_), Some(team)) = (&result, &admitted.team)
         {
@@ -531,16 +534,27 @@
         if let Some(ranked) = &admitted.ranked {
             ranked.on_first_byte(self.0.clock.now());
         }
-        if request_log.on_first_byte(self.0.clock.now())
-            && source.assignment().is_some()
-            && !admitted.is_counted
+        let now = self.0.clock.now();
+        if !request_log.on_first_byte(now) || source.assignment().is_none() {
+            return;
+        }
+        if has_scale(admitted) {
+            let is_late = request_log.time_to_first_byte() > admitted.route.target_latency;
+            self.0.usage.on_first_byte(&admitted.service, is_late);
+        }
+        if !admitted.is_counted
             && let Some(team) = &admitted.team
         {
-            self.0.usage.on_response_start(self.0.clock.now(), team);
+            self.0.usage.on_response_start(now, team);
         }
     }
 }
 
+/// Whether instances of a request's service can be ordered.
+fn has_scale(admitted: &AdmittedRequest) -> bool {
+    admitted.config.services.get(&admitted.service).is_some_and(|spec| spec.scale.is_some())
+}
+
 /// Result of forwarding a request: a complete response, or a stream of which only the head has been
 /// read.
 enum ForwardResult {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -142,6 +142,11 @@
         self.first_byte_at.is_some()
     }
 
+    /// The time from the request to the first byte of its response; zero before it.
+    pub(crate) fn time_to_first_byte(&self) -> Duration {
+        self.first_byte_at.map_or(Duration::ZERO, |at| at.since(self.received_at))
+    }
+
     /// Records the time of the first byte of the response. Returns whether this was the first call.
     pub(crate) fn on_first_byte(&mut self, now: MonotonicInstant) -> bool {
         let first = self.first_byte_at.is_none();
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -3,6 +3,7 @@
 
 use crate::config::{ActiveConfig, TeamSpec};
 use spindle_policy::cluster_clock::ClusterClock;
+use spindle_policy::engine_capacity::ResponseCounts;
 use spindle_policy::shared_limits::{
     DaemonVisibility, KEEPERS, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaTolerance,
     RetryBudgetShare, RetryBudgetSpec, SharedQuota, SharedQuotaDecision,
@@ -49,6 +50,8 @@
     prompt_tokens: BTreeMap<Service, u64>,
     /// Requests received since the start.
     requests: BTreeMap<Service, u64>,
+    /// Responses since the start.
+    first_bytes: BTreeMap<Service, ResponseCounts>,
     /// Requests counted by usage window and team.
     windows: UsageWindows,
     cluster_clock: ClusterClock,
@@ -84,6 +87,7 @@
             retries: HashMap::new(),
             prompt_tokens: BTreeMap::new(),
             requests: BTreeMap::new(),
+            first_bytes: BTreeMap::new(),
             windows: UsageWindows::default(),
             cluster_clock,
         };
@@ -256,6 +260,20 @@
         state.windows.on_request_start(utc, self.rules.window, team);
     }
 
+    /// Counts a request with a prompt whose response has begun, or that was refused for lack of
+    /// capacity, which counts as late.
+    pub fn on_first_byte(&self, service: &Service, is_late: bool) {
+        let mut state = self.state();
+        let one = ResponseCounts { all: 1, late: u64::from(is_late) };
+        let counts = state.first_bytes.entry(service.clone()).or_default();
+        *counts = counts.plus(one);
+    }
+
+    /// The responses counted by [`UsageTracker::on_first_byte`] since the daemon started.
+    pub fn first_bytes(&self) -> BTreeMap<Service, ResponseCounts> {
+        self.state().first_bytes.clone()
+    }
+
     /// Corrects the agreed UTC time from the clocks of all live daemons, each given as the UTC time
     /// at which the monotonic clock of this daemon read zero.
     pub fn on_clocks(&self, clock_origins: Vec<UtcInstant>) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -456,6 +456,7 @@
         store: components.store.clone(),
         cloud,
         balancer: components.balancer.clone(),
+        registrations: components.registrations.clone(),
         config: components.config.clone(),
         statuses: components.statuses.clone(),
         rollouts: components.balancer.rollouts().clone(),
--- a/src/node/leader.rs
+++ b/src/node/leader.rs
@@ -2,6 +2,7 @@
 //! instances.
 
 use super::boot_clock::BootClock;
+use super::registrations::RegistrationFollower;
 use super::service_stock::ServiceStock;
 use super::status_exchange::PeerStatuses;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -9,7 +10,8 @@
 use spindle_platform::cloud::PlatformCloud;
 use spindle_platform::settings::Bounds;
 use spindle_platform::store::PlatformStore;
-use spindle_policy::fleet::{Arrivals, CapacityOrder, FleetPlanner, FleetSpec};
+use spindle_policy::engine_capacity::ResponseTotals;
+use spindle_policy::fleet::{Arrivals, CapacityOrder, FleetPlanner, FleetSpec, InstanceCounts};
 use spindle_policy::lease::{
     Grant, LeaseAction, LeaseRecord, LeaseState, LeaseStep, Permission, PermissionCheck,
 };
@@ -48,6 +50,9 @@
 /// requests. Upstreams have registered by then.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(2_000);
 
+/// Maximum age of the list of upstreams while it decides the first orders.
+const LIST_AGE_MAX: Duration = Duration::from_millis(500);
+
 /// Delay after a call to the cloud was refused or not answered, before the next call.
 const CLOUD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -66,6 +71,8 @@
     pub cloud: PlatformCloud,
     /// Known upstreams, from which the instances of each service are counted.
     pub balancer: Balancer,
+    /// Reads the list of upstreams.
+    pub registrations: RegistrationFollower<PlatformStore, BootClock>,
     /// Configuration in force.
     pub config: watch::Receiver<Arc<ActiveConfig>>,
     /// Statuses of all daemons.
@@ -102,7 +109,7 @@
     /// When the newest record that granted the lease was sent.
     renewed_at: MonotonicInstant,
     reports: UsageReports,
-    planners: HashMap<Service, (Arrivals, FleetPlanner)>,
+    planners: HashMap<Service, (Arrivals, ResponseTotals, FleetPlanner)>,
     /// No call is made to the cloud before this time.
     cloud_retry_at: MonotonicInstant,
     /// When the cloud last refused the fencing token of this daemon.
@@ -427,18 +434,25 @@
             let stock = ServiceStock::new(&self.parts, now, service);
             let instances = &stock.serving;
             let prompt_tokens = self.parts.statuses.prompt_tokens(service);
-            let (arrivals, planner) = self.planners.entry(service.clone()).or_default();
+            let (arrivals, responses, planner) = self.planners.entry(service.clone()).or_default();
             let limited_rates = self.parts.balancer.limited_rates(now, service);
             planner.on_limits(&limited_rates, self.parts.statuses.mean_prompt_tokens(service));
             arrivals.on_totals(now, prompt_tokens.into_iter());
             let rate = if arrivals.has_arrivals() { arrivals.rate() } else { None };
+            let counts = self.parts.statuses.first_bytes(service);
+            let responses = responses.on_counts(counts.into_iter());
+            let found = instances.values().map(InstanceCounts::total).sum();
             if let Some(rate) = rate {
                 planner.on_rate(now, rate);
+                planner.on_responses(now, rate, found, responses);
             }
             // A daemon that has just taken the lease waits until it knows the load. Before the
             // first request there is no load to know.
             let no_load = !arrivals.has_arrivals() && now.since(self.taken_at) >= TAKEOVER_DELAY;
             let load_known = rate.is_some() || no_load;
+            if planner.awaits_list(now) {
+                self.parts.registrations.request_read(now, LIST_AGE_MAX);
+            }
             if now < self.cloud_retry_at || instances.is_empty() || !load_known {
                 continue;
             }
@@ -469,15 +483,16 @@
         let result = self.parts.cloud.order_instances(fencing, &call).await;
         log::info!(
             "event=scale service={service} data_centre={} reclaimable={} count={count} \
-             tokens_per_s={:.0} fencing={} result={result:?}",
+             tokens_per_s={:.0} tokens_per_engine={:.0} fencing={} result={result:?}",
             order.data_centre,
             order.reclaimable,
             rate.unwrap_or_default(),
+            self.planners.get(service).map_or(0.0, |(_, _, planner)| planner.tokens_per_engine()),
             fencing.0,
         );
         self.on_cloud_result(&result);
         let now = self.parts.clock.now();
-        let (_, planner) = self.planners.entry(service.clone()).or_default();
+        let (_, _, planner) = self.planners.entry(service.clone()).or_default();
         match result {
             Ok(()) => planner.on_ordered(now, &order),
             Err(CloudError::Lost(_)) => planner.on_unanswered(now, &order),
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -105,6 +105,13 @@
         tokio::time::timeout(timeout, reads.wait_for(|_| is_read())).await.is_ok()
     }
 
+    /// Has the store read soon if the last read is older than `age_max`.
+    pub fn request_read(&self, now: MonotonicInstant, age_max: Duration) {
+        if self.last_success().is_none_or(|sent| now.since(sent) >= age_max) {
+            self.questions.notify_one();
+        }
+    }
+
     /// The time for which this daemon may have missed that an upstream is leaving; none before its
     /// first read.
     pub fn age(&self, now: MonotonicInstant) -> Option<Duration> {
--- a/src/node/status_exchange.rs
+++ b/src/node/status_exchange.rs
@@ -18,6 +18,7 @@
 use spindle_platform::settings::NodeSettings;
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::clock_origin;
+use spindle_policy::engine_capacity::ResponseCounts;
 use spindle_policy::presence::{
     Coverage, DaemonIdentity, LEAVING_MAX, LIMITS_MAX, Message, Phase, Presence, PublishedLimit,
     ROUND_INTERVAL, Status,
@@ -263,6 +264,16 @@
         reported.chain([(self.parts.incarnation, own)]).collect()
     }
 
+    /// The responses for a service that each daemon has counted since its start.
+    pub fn first_bytes(&self, service: &Service) -> Vec<(Incarnation, ResponseCounts)> {
+        let own = self.parts.usage.first_bytes().get(service).copied().unwrap_or_default();
+        let state = self.state();
+        let others = state.presence.iter().map(|daemon| &daemon.status);
+        let reported = others
+            .filter_map(|status| Some((status.incarnation, *status.first_bytes.get(service)?)));
+        reported.chain([(self.parts.incarnation, own)]).collect()
+    }
+
     /// The mean number of prompt tokens of this daemon's requests for a service.
     pub fn mean_prompt_tokens(&self, service: &Service) -> f64 {
         self.parts.usage.mean_prompt_tokens(service)
@@ -333,6 +344,7 @@
         own.age = last_success.map(|at| millis(now.since(at)));
         (own.running, own.arrived) = (parts.balancer.own_load(), parts.usage.prompt_tokens());
         own.ranks = parts.ranks.own_loads(now);
+        own.first_bytes = parts.usage.first_bytes();
         own.paces = parts.balancer.own_paces(now);
         let beat = own.beat;
         own.charged.set(beat, parts.usage.own_charges());
