feat(policy): limit the load of an engine by the rank of a request

Cause: engines queue requests of all ranks, up to twice their slots and more, and then refuse any. Under overload the queues are full of the last rank, and the first rank is refused as often as it.

Change: for a service with two or more ranks that runs on engines, a request is sent only to engines below the limit of its rank: 2.0 requests per slot for the first rank, 1.0 for the last, evenly spaced in between; a tenth of the attempts of each rank has the limit of the first. If no engine is below, the request is refused with cause=rank_limit, counted in relay_rank_refusals. An engine that has refused a request as full counts as full for 250 ms or until its next response; a request of the last rank that was refused as full is not sent to another engine.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod proposal;
 pub mod quota;
 pub mod rank_admission;
+pub mod rank_limit;
 pub mod rate_share;
 pub mod read_schedule;
 pub mod reconcile;
--- a/crates/policy/src/service_pace/tests/simulation.rs
+++ b/crates/policy/src/service_pace/tests/simulation.rs
@@ -228,6 +228,7 @@
             queued_prefill_ms: (own + daemon.status[engine]).max(0.0),
             slowdown: daemon.pace.pace(at(now)),
             slots: 16,
+            is_full: false,
             breaker: BreakerState::Closed,
             limit: LimitState::Unlimited,
             is_local: true,
--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -34,7 +34,7 @@
 
 /// The wait for each request beyond the slots of an upstream, in milliseconds. A stream takes one
 /// to two seconds and dozens run at once, so a slot becomes free about this often.
-const SLOT_WAIT_MS: f64 = 30.0;
+pub(crate) const SLOT_WAIT_MS: f64 = 30.0;
 
 /// The delay that each running stream adds to a new request, in milliseconds.
 const STREAM_DELAY_MS: f64 = 0.5;
@@ -57,6 +57,10 @@
 /// an engine holds about twice its slots; at this ratio half of the queue is filled.
 pub const LOAD_LIMIT_MAX: f64 = 2.0;
 
+/// The highest ratio of requests to slots that is believed when a delay is derived from it. The queue
+/// of an engine is full below it; a false report of more must not keep callers away.
+const RELIABLE_LOAD_MAX: f64 = 4.0;
+
 /// The size and shared prefix of a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Prompt {
@@ -126,6 +130,9 @@
     pub slowdown: f64,
     /// The number of requests that the upstream processes concurrently.
     pub slots: u32,
+    /// Whether it has refused a request as full within the last [`plain::REPORTED_LOAD_MAX_AGE`] and
+    /// has accepted none since.
+    pub is_full: bool,
     /// The state of the circuit breaker.
     pub breaker: BreakerState,
     /// Whether the limit of the upstream permits a request.
@@ -156,6 +163,12 @@
         f64::from(self.requests) / f64::from(self.slots.max(1))
     }
 
+    /// The ratio of requests to slots that is compared with the limit of a request.
+    fn limited_load(&self, criteria: &Criteria<'_>) -> f64 {
+        let refuses = criteria.has_ranks && self.is_full;
+        self.load().max(if refuses { LOAD_LIMIT_MAX } else { 0.0 })
+    }
+
     /// The expected time until a request receives its first byte, in milliseconds. `cached` tells
     /// whether the upstream has the shared prefix in its cache.
     pub fn first_byte_ms(&self, prompt: Option<&Prompt>, cached: bool) -> f64 {
@@ -189,6 +202,9 @@
     pub max_wait: Duration,
     /// The ratio of requests to slots from which an upstream is too busy for the request.
     pub load_limit: f64,
+    /// Whether requests of the service differ in their ranks: an upstream that has refused a request
+    /// as full then counts as full for all of them.
+    pub has_ranks: bool,
     /// Evenly distributed between 0 and 1; differs between requests and between daemons.
     pub draw: f64,
 }
@@ -200,6 +216,9 @@
     Upstream(UpstreamKey, f64),
     /// No upstream can serve the request in time; one is expected to after the delay.
     Overloaded(Duration),
+    /// All upstreams are at or above the limit of the request's rank, by this number of requests on
+    /// average.
+    RankLimited(f64),
     /// The rate limits of the upstreams permit no request now; one is expected to be permitted after
     /// the delay.
     Limited(Duration),
@@ -234,17 +253,31 @@
         |candidate: &Candidate| candidate.sent_prefix || preferred_upstream == Some(candidate.key);
     let cost = |candidate: &Candidate| candidate.cost(prompt, is_cached(candidate));
     let cheaper = |a: &&&Candidate, b: &&&Candidate| cost(a).total_cmp(&cost(b));
-    let below = usable.iter().filter(|candidate| candidate.load() < load_limit).min_by(cheaper);
+    let is_below = |candidate: &&&Candidate| candidate.limited_load(criteria) < load_limit;
+    let below = usable.iter().filter(is_below).min_by(cheaper);
     let Some(best) = below.or_else(|| usable.iter().min_by(cheaper)) else {
         return limit_wait(candidates).map_or(Choice::None, Choice::Limited);
     };
+    if below.is_none() && load_limit < LOAD_LIMIT_MAX {
+        return Choice::RankLimited(mean_excess(&usable, criteria));
+    }
     let wait = Duration::from_secs_f64(best.first_byte_ms(prompt, is_cached(best)) / 1e3);
-    if best.load() >= load_limit || wait > max_wait {
+    if below.is_none() || wait > max_wait {
         return Choice::Overloaded(wait.saturating_sub(max_wait));
     }
     Choice::Upstream(best.key, prompt.map_or(0.0, |prompt| prompt.prefill_ms(is_cached(best))))
 }
 
+/// How many requests more than its limit permits are at an upstream, on average. One at the limit
+/// counts one, as a request has to end there before the next one may be sent.
+fn mean_excess(usable: &[&Candidate], criteria: &Criteria<'_>) -> f64 {
+    let excess = |candidate: &&Candidate| {
+        let load = candidate.limited_load(criteria).min(RELIABLE_LOAD_MAX) - criteria.load_limit;
+        load.max(0.0) * f64::from(candidate.slots.max(1)) + 1.0
+    };
+    usable.iter().map(excess).sum::<f64>() / usable.len().max(1) as f64
+}
+
 /// The upstream that ranks highest for a prefix by rendezvous hashing. One with a limit could serve
 /// only a part of the prefix's requests.
 fn preferred_upstream(usable: &[&Candidate], prefix_id: u64) -> Option<UpstreamKey> {
--- a/crates/policy/src/upstream_selection/plain/tests.rs
+++ b/crates/policy/src/upstream_selection/plain/tests.rs
@@ -21,6 +21,7 @@
         queued_prefill_ms: 0.0,
         slowdown: 1.0,
         slots: 6,
+        is_full: false,
         breaker: BreakerState::Closed,
         limit: LimitState::Unlimited,
         is_local: true,
@@ -35,7 +36,13 @@
 }
 
 fn criteria(draw: f64) -> Criteria<'static> {
-    Criteria { prompt: None, max_wait: MAX_WAIT, load_limit: LOAD_LIMIT_MAX, draw }
+    Criteria {
+        prompt: None,
+        max_wait: MAX_WAIT,
+        load_limit: LOAD_LIMIT_MAX,
+        has_ranks: false,
+        draw,
+    }
 }
 
 /// The share of evenly spaced draws that each candidate gets.
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -18,6 +18,7 @@
         queued_prefill_ms: *queued_prefill_ms,
         slowdown: 1.0,
         slots: 10,
+        is_full: false,
         breaker: BreakerState::Closed,
         limit: LimitState::Unlimited,
         is_local: true,
@@ -32,7 +33,13 @@
 }
 
 fn plain_call() -> Criteria<'static> {
-    Criteria { prompt: None, max_wait: PATIENCE, load_limit: LOAD_LIMIT_MAX, draw: 0.5 }
+    Criteria {
+        prompt: None,
+        max_wait: PATIENCE,
+        load_limit: LOAD_LIMIT_MAX,
+        has_ranks: false,
+        draw: 0.5,
+    }
 }
 
 fn stream(prompt: &Prompt) -> Criteria<'_> {
@@ -198,3 +205,45 @@
     candidates[0].breaker = BreakerState::Open { until: MonotonicInstant::from_millis(1_000) };
     assert_eq!(drawn(&candidates), [0, 1_000]);
 }
+
+/// Guards against requests of a lower rank that wait in the queue of an engine, which more urgent ones
+/// then find full, and against their refusal while an engine has free slots.
+#[test]
+fn a_request_below_the_first_rank_is_refused_for_its_rank_while_all_engines_are_at_its_limit() {
+    let mut candidates = engines(&[0.0, 500.0]);
+    candidates[0].requests = 10;
+    candidates[1].requests = 9;
+    let prompt = Prompt { prefix_id: None, ..prompt(3) };
+    let ranked = |load_limit| Criteria { load_limit, has_ranks: true, ..stream(&prompt) };
+    assert_eq!(chosen(choose(&candidates, &ranked(1.0))), Some(candidates[1].key));
+    candidates[1].requests = 15;
+    // One request has to end at the first engine, and six at the second one.
+    assert_eq!(choose(&candidates, &ranked(1.0)), Choice::RankLimited(3.5));
+    assert!(chosen(choose(&candidates, &ranked(1.5))).is_some());
+}
+
+/// Guards against requests that are sent to an engine that has just refused one, and against a change
+/// for services without ranks.
+#[test]
+fn an_engine_that_has_refused_a_request_as_full_counts_as_full_for_services_with_ranks() {
+    let mut candidates = engines(&[0.0, 500.0]);
+    candidates[0].is_full = true;
+    let prompt = Prompt { prefix_id: None, ..prompt(3) };
+    let select = |candidates: &[Candidate], has_ranks| {
+        choose(candidates, &Criteria { has_ranks, ..stream(&prompt) })
+    };
+    assert_eq!(chosen(select(&candidates, true)), Some(candidates[1].key));
+    assert_eq!(chosen(select(&candidates, false)), Some(candidates[0].key));
+    candidates[1].is_full = true;
+    assert!(matches!(select(&candidates, true), Choice::Overloaded(_)));
+}
+
+/// Guards against a delay of minutes after an upstream has reported an impossible load.
+#[test]
+fn a_reported_load_bounds_the_excess() {
+    let mut candidates = engines(&[0.0]);
+    candidates[0].requests = u32::MAX;
+    let prompt = prompt(3);
+    let criteria = Criteria { load_limit: 1.0, has_ranks: true, ..stream(&prompt) };
+    assert_eq!(choose(&candidates, &criteria), Choice::RankLimited(31.0));
+}
--- a/crates/relay/src/assignment.rs
+++ b/crates/relay/src/assignment.rs
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Records whether the upstream has refused a request as full or accepted it.
+    pub(crate) fn on_capacity(&self, now: MonotonicInstant, is_full: bool) {
+        if let Some(upstream) = self.balancer.state().upstreams.get_mut(self.key) {
+            upstream.refused_at = is_full.then_some(now);
+        }
+    }
+
     /// Whether the upstream is known to be shutting down or gone.
     pub(crate) fn is_leaving(&self) -> bool {
         let state = self.balancer.state();
--- a/crates/relay/src/assignment/tests.rs
+++ b/crates/relay/src/assignment/tests.rs
@@ -41,7 +41,8 @@
 
 fn assign(balancer: &Balancer, now: MonotonicInstant, draw: f64) -> Assignment {
     let max_wait = Duration::from_secs(9);
-    let criteria = Criteria { prompt: None, max_wait, load_limit: LOAD_LIMIT_MAX, draw };
+    let criteria =
+        Criteria { prompt: None, max_wait, load_limit: LOAD_LIMIT_MAX, has_ranks: false, draw };
     let (versions, eligible) = (&PermittedVersions::Any, &Eligible::default());
     let restrictions = Restrictions { tried: &[], versions, eligible };
     balancer.assign(now, &service(), &criteria, restrictions).unwrap()
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -360,6 +360,7 @@
         match class {
             ResponseClass::Executed(executed) => {
                 assignment.on_load(now, executed.load);
+                assignment.on_capacity(now, false);
                 self.0.ranks.on_load(now, &attempt.admitted.service, executed.load, false);
                 let reusable = !executed.close
                     && framing != Framing::Close
@@ -376,6 +377,7 @@
             }
             ResponseClass::Refused { load } => {
                 assignment.on_load(now, load);
+                assignment.on_capacity(now, true);
                 self.0.ranks.on_load(now, &attempt.admitted.service, load, true);
                 assignment.on_result(now, UpstreamResult::Refused);
                 AttemptOutcome::Refused
--- a/crates/relay/src/balancer.rs
+++ b/crates/relay/src/balancer.rs
@@ -528,6 +528,7 @@
                 sent_prefix: prefix_id
                     .is_some_and(|prefix_id| upstream.has_recent_prefix(now, prefix_id)),
                 slots: listed.registration.slots,
+                is_full: upstream.is_full(now),
                 breaker: upstream.breaker_state(now),
                 limit: match upstream.wait(now, upstream.running, listed.registration.slots) {
                     Some(left) => LimitState::Exhausted(left),
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -165,6 +165,11 @@
         (targets.len() >= 2).then_some(Self { shortest_target, targets })
     }
 
+    /// The ranks, the most urgent one first.
+    pub fn ranks(&self) -> Vec<Rank> {
+        self.targets.keys().copied().collect()
+    }
+
     /// The shortest target latency of requests that are at least as urgent as `rank`.
     pub fn target_up_to(&self, rank: Rank) -> Option<Duration> {
         self.targets.range(..=rank).map(|(_, target)| *target).min()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod notices;
 pub mod pool;
 pub mod protocol;
+mod rank_limits;
 pub mod rank_room;
 pub mod relay;
 pub mod request;
--- a/crates/relay/src/next_attempt.rs
+++ b/crates/relay/src/next_attempt.rs
@@ -7,8 +7,9 @@
 use crate::connection::CONNECT_TIMEOUT;
 use crate::handoff::HandoffError;
 use crate::protocol::UpstreamProtocol;
+use crate::rank_limits::RANK_LIMIT;
 use crate::relay::{AttemptHistory, Relay, TIME_LEFT_MIN, backoff, refuse};
-use crate::request::{BufferedRequest, Refusal};
+use crate::request::Refusal;
 use crate::request_log::RequestLog;
 use crate::rollout_watch::Eligible;
 use crate::upstream_response::UpstreamResponse;
@@ -59,7 +60,7 @@
             Err(HandoffError::Refused(refusal)) => return Err(refusal),
             Err(HandoffError::Unavailable) => past.helpers_exhausted = true,
         }
-        let assignment = self.assign(admitted, buffered, past, request_log)?;
+        let assignment = self.assign(attempt, past, request_log)?;
         Ok(NextAttempt::Upstream(Box::new(assignment)))
     }
 
@@ -71,11 +72,12 @@
         past: &AttemptHistory,
         request_log: &mut RequestLog<K>,
     ) -> Result<Assignment, Refusal> {
-        let Attempt { admitted, buffered, .. } = attempt;
+        let admitted = attempt.admitted;
         let until = self.0.clock.now() + admitted.route.target_latency;
         loop {
-            let result = self.assign(admitted, buffered, past, request_log);
+            let result = self.assign(attempt, past, request_log);
             let may_wait = matches!(result, Err(Refusal::Overloaded { .. }))
+                && request_log.cause != RANK_LIMIT
                 && self.0.clock.now() < until
                 && self.0.balancer.has_brittle(&admitted.service);
             if !may_wait {
@@ -111,11 +113,11 @@
 
     fn assign(
         &self,
-        admitted: &AdmittedRequest,
-        buffered: &BufferedRequest,
+        attempt: Attempt<'_>,
         past: &AttemptHistory,
         request_log: &mut RequestLog<K>,
     ) -> Result<Assignment, Refusal> {
+        let Attempt { admitted, buffered, .. } = attempt;
         let now = self.0.clock.now();
         if admitted.deadline.since(now) <= TIME_LEFT_MIN {
             return Err(refuse(past, Refusal::Expired));
@@ -131,10 +133,12 @@
             return Err(refuse(past, Refusal::NoUpstream { retry_after: backoff() }));
         }
         let prompt = buffered.inbound.prompt();
+        let rank_limit = self.rank_limit(attempt, past);
         let criteria = Criteria {
             prompt: prompt.as_ref(),
             max_wait: max_wait(admitted).min(admitted.deadline.since(now)),
-            load_limit: LOAD_LIMIT_MAX,
+            load_limit: rank_limit.as_ref().map_or(LOAD_LIMIT_MAX, |limit| limit.load),
+            has_ranks: rank_limit.is_some(),
             draw: rand::random(),
         };
         let balancer = &self.0.balancer;
@@ -163,6 +167,12 @@
                     request_log.cause = "upstreams_limited".to_owned();
                     Refusal::Overloaded { retry_after: after + backoff() }
                 }
+                Choice::RankLimited(excess) => {
+                    request_log.cause = RANK_LIMIT.to_owned();
+                    rank_limit.map_or(Refusal::Overloaded { retry_after: backoff() }, |limit| {
+                        limit.refusal(admitted, excess)
+                    })
+                }
                 _ => Refusal::NoUpstream { retry_after: backoff() },
             };
             refuse(past, refusal)
--- a/crates/relay/src/rank_room.rs
+++ b/crates/relay/src/rank_room.rs
@@ -21,6 +21,8 @@
 pub struct RankRoom {
     /// Whether requests are refused by rank at all.
     enabled: bool,
+    /// Whether the load of upstreams is limited by rank.
+    limits_load: bool,
     services: Arc<Mutex<HashMap<Service, RankAdmission>>>,
 }
 
@@ -37,9 +39,15 @@
 }
 
 impl RankRoom {
-    /// Creates the admission of a daemon; unless it is enabled, it admits everything.
-    pub fn new(enabled: bool) -> Self {
-        Self { enabled, services: Arc::default() }
+    /// Creates the admission of a daemon; unless it is enabled, it admits everything. `limits_load`
+    /// tells whether the load of upstreams is limited by rank.
+    pub fn new(enabled: bool, limits_load: bool) -> Self {
+        Self { enabled, limits_load, services: Arc::default() }
+    }
+
+    /// Whether the load of upstreams is limited by rank.
+    pub(crate) const fn limits_load(&self) -> bool {
+        self.limits_load
     }
 
     /// Takes the reports of the other live daemons, each with its age, and the number of usable
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -402,7 +402,7 @@
                 }
                 AttemptOutcome::Refused => {
                     request_log.cause = "upstream_full".to_owned();
-                    if !self.may_retry(admitted, past) {
+                    if !self.may_try_another(attempt, past) || !self.may_retry(admitted, past) {
                         return Err(refuse(past, Refusal::Overloaded { retry_after: backoff() }));
                     }
                 }
--- a/crates/relay/src/rollout_watch/tests.rs
+++ b/crates/relay/src/rollout_watch/tests.rs
@@ -87,6 +87,7 @@
     prompt: None,
     max_wait: Duration::from_secs(9),
     load_limit: LOAD_LIMIT_MAX,
+    has_ranks: false,
     draw: 0.5,
 };
 
--- a/crates/relay/src/tracked_upstream.rs
+++ b/crates/relay/src/tracked_upstream.rs
@@ -4,7 +4,7 @@
 use spindle_policy::breaker::{BreakerState, CircuitBreaker};
 use spindle_policy::upstream_brittleness::Brittleness;
 use spindle_policy::upstream_pause::UpstreamPause;
-use spindle_policy::upstream_selection::plain::UpstreamReport;
+use spindle_policy::upstream_selection::plain::{REPORTED_LOAD_MAX_AGE, UpstreamReport};
 use spindle_types::MonotonicInstant;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -51,6 +51,8 @@
     pub(crate) peer_load: (u32, u32),
     /// Load that the upstream reported last, and when.
     pub(crate) reported_load: Option<(MonotonicInstant, ReportedLoad)>,
+    /// When it last refused a request as full, if it has accepted none since.
+    pub(crate) refused_at: Option<MonotonicInstant>,
     /// Prompt prefixes sent there, and when last.
     pub(crate) recent_prefixes: HashMap<u64, MonotonicInstant>,
     /// Smoothed ratio of measured to estimated latency, and when it was updated.
@@ -85,6 +87,11 @@
         Some(UpstreamReport { age: now.since(at), requests, waiting, slots, pace })
     }
 
+    /// Whether it has refused a request as full lately.
+    pub(crate) fn is_full(&self, now: MonotonicInstant) -> bool {
+        self.refused_at.is_some_and(|at| now.since(at) <= REPORTED_LOAD_MAX_AGE)
+    }
+
     /// Recent ratio of measured to estimated latency of the first byte; 1 means as estimated. `pace`
     /// is the ratio at the engines of the service.
     pub(crate) fn slowdown(&self, now: MonotonicInstant, pace: f64) -> f64 {
--- a/src/node.rs
+++ b/src/node.rs
@@ -218,7 +218,7 @@
     let (limits_sender, limits) = watch::channel(Limits::default());
     let daemon_count = Arc::new(AtomicU32::new(1));
     let helpers = Helpers::default();
-    let ranks = RankRoom::new(settings.priority_shedding);
+    let ranks = RankRoom::new(settings.priority_shedding, settings.rank_limits);
     let config_is_current: Arc<AtomicBool> = Arc::default();
     let registrations = build_registrations(settings, &store, &balancer, &daemon_count);
     let follower = ConfigurationFollower::new(
