feat(policy): draw the engine of a ranked request among those below the limit

Cause: all daemons chose the engine that looks best in statuses that are one to two seconds old, so the requests of a second went to the same engines and filled their queues; and a daemon among 74 has a fresh report of few engines.

Change: where ranks limit the load, one engine is drawn among those below the limit and compared with those that have the prefix in their caches. If two or more engines reported their load in the last 500 ms (refusals as full included), the lower median of these counts for engines without a fresh report once it is above 1.25 requests per slot, and for ranks below the first; with fewer reports the median of the counted requests does. A drawn engine that would answer too late is replaced.

--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -9,14 +9,19 @@
 //!
 //! Plain calls go to an upstream drawn at random, see [`plain`].
 //!
+//! A request of a service with ranks goes to one drawn from the engines that are less busy than its rank
+//! permits, see [`ranked`].
+//!
 //! An upstream with a rate limit gets requests up to it, but no prefix is assigned to it. The other
 //! upstreams get the rest.
 
 pub mod plain;
+mod ranked;
 
 use crate::breaker::BreakerState;
 use crate::upstream_registry::UpstreamKey;
 use plain::UpstreamReport;
+use ranked::RankedLoads;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -163,12 +168,6 @@
         f64::from(self.requests) / f64::from(self.slots.max(1))
     }
 
-    /// The ratio of requests to slots that is compared with the limit of a request.
-    fn limited_load(&self, criteria: &Criteria<'_>) -> f64 {
-        let refuses = criteria.has_ranks && self.is_full;
-        self.load().max(if refuses { LOAD_LIMIT_MAX } else { 0.0 })
-    }
-
     /// The expected time until a request receives its first byte, in milliseconds. `cached` tells
     /// whether the upstream has the shared prefix in its cache.
     pub fn first_byte_ms(&self, prompt: Option<&Prompt>, cached: bool) -> f64 {
@@ -202,8 +201,7 @@
     pub max_wait: Duration,
     /// The ratio of requests to slots from which an upstream is too busy for the request.
     pub load_limit: f64,
-    /// Whether requests of the service differ in their ranks: an upstream that has refused a request
-    /// as full then counts as full for all of them.
+    /// Whether the load of upstreams is limited by the rank of the request.
     pub has_ranks: bool,
     /// Evenly distributed between 0 and 1; differs between requests and between daemons.
     pub draw: f64,
@@ -252,27 +250,39 @@
     let is_cached =
         |candidate: &Candidate| candidate.sent_prefix || preferred_upstream == Some(candidate.key);
     let cost = |candidate: &Candidate| candidate.cost(prompt, is_cached(candidate));
-    let cheaper = |a: &&&Candidate, b: &&&Candidate| cost(a).total_cmp(&cost(b));
-    let is_below = |candidate: &&&Candidate| candidate.limited_load(criteria) < load_limit;
-    let below = usable.iter().filter(is_below).min_by(cheaper);
-    let Some(best) = below.or_else(|| usable.iter().min_by(cheaper)) else {
+    let wait = |candidate: &Candidate| {
+        Duration::from_secs_f64(candidate.first_byte_ms(prompt, is_cached(candidate)) / 1e3)
+    };
+    let cheapest = |found: &[&Candidate]| {
+        found.iter().copied().min_by(|a, b| cost(a).total_cmp(&cost(b))).copied()
+    };
+    let loads = RankedLoads::new(&usable, criteria);
+    let is_below = |candidate: &&Candidate| loads.of(candidate, criteria) < load_limit;
+    let below: Vec<&Candidate> = usable.iter().copied().filter(is_below).collect();
+    let compared = if criteria.has_ranks {
+        ranked::compared(&below, criteria.draw, is_cached)
+    } else {
+        Vec::new()
+    };
+    let in_time = cheapest(&compared).filter(|best| wait(best) <= max_wait);
+    let Some(best) = in_time.or_else(|| cheapest(&below)).or_else(|| cheapest(&usable)) else {
         return limit_wait(candidates).map_or(Choice::None, Choice::Limited);
     };
-    if below.is_none() && load_limit < LOAD_LIMIT_MAX {
-        return Choice::RankLimited(mean_excess(&usable, criteria));
+    if below.is_empty() && load_limit < LOAD_LIMIT_MAX {
+        return Choice::RankLimited(mean_excess(&usable, &loads, criteria));
     }
-    let wait = Duration::from_secs_f64(best.first_byte_ms(prompt, is_cached(best)) / 1e3);
-    if below.is_none() || wait > max_wait {
+    let wait = wait(&best);
+    if below.is_empty() || wait > max_wait {
         return Choice::Overloaded(wait.saturating_sub(max_wait));
     }
-    Choice::Upstream(best.key, prompt.map_or(0.0, |prompt| prompt.prefill_ms(is_cached(best))))
+    Choice::Upstream(best.key, prompt.map_or(0.0, |prompt| prompt.prefill_ms(is_cached(&best))))
 }
 
 /// How many requests more than its limit permits are at an upstream, on average. One at the limit
 /// counts one, as a request has to end there before the next one may be sent.
-fn mean_excess(usable: &[&Candidate], criteria: &Criteria<'_>) -> f64 {
+fn mean_excess(usable: &[&Candidate], loads: &RankedLoads, criteria: &Criteria<'_>) -> f64 {
     let excess = |candidate: &&Candidate| {
-        let load = candidate.limited_load(criteria).min(RELIABLE_LOAD_MAX) - criteria.load_limit;
+        let load = loads.of(candidate, criteria).min(RELIABLE_LOAD_MAX) - criteria.load_limit;
         load.max(0.0) * f64::from(candidate.slots.max(1)) + 1.0
     };
     usable.iter().map(excess).sum::<f64>() / usable.len().max(1) as f64
--- a/crates/policy/src/upstream_selection/tests.rs
+++ b/crates/policy/src/upstream_selection/tests.rs
@@ -6,7 +6,7 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// Idle engines with the given queued prefill times, in milliseconds.
-fn engines(queued_prefill_ms: &[f64]) -> Vec<Candidate> {
+pub(super) fn engines(queued_prefill_ms: &[f64]) -> Vec<Candidate> {
     let mut keys = SlotMap::<UpstreamKey, ()>::with_key();
     let one = |(identity, queued_prefill_ms): (usize, &f64)| Candidate {
         key: keys.insert(()),
@@ -46,6 +46,12 @@
     Criteria { prompt: Some(prompt), ..plain_call() }
 }
 
+/// A stream without a shared prefix, whose rank limits the load of engines.
+pub(super) fn ranked_stream(load_limit: f64) -> Criteria<'static> {
+    const PROMPT: Prompt = Prompt { tokens: 600, shared_tokens: 0, prefix_id: None };
+    Criteria { load_limit, has_ranks: true, ..stream(&PROMPT) }
+}
+
 fn chosen(choice: Choice) -> Option<UpstreamKey> {
     match choice {
         Choice::Upstream(key, _) => Some(key),
