fix(policy): a version that fails many times as often as the old one is not sound

Cause: the ratio test takes the old version to fail in at least 1 of 50 responses, so a target that failed 3 of 53 where the old one failed 4 of 3,266 scored as sound.

Change: a target is sound only if its failures on each route have a probability of 1 in 2,000 or more at the old version's rate (Poisson). An upstream with most of the failures, at least 2.5 beyond that rate, is left out where three were used, as in the ratio test.

--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -8,6 +8,7 @@
 use serde_with::serde_as;
 use spindle_policy::crash_ledger::CrashNews;
 use spindle_policy::presence::Message;
+use spindle_policy::rollout_status::StepNotice;
 use spindle_policy::shared_limits::{QuotaGrant, QuotaQuestion};
 use spindle_policy::store_era::FeedMark;
 use spindle_policy::stream_versions::{
@@ -134,6 +135,11 @@
     #[method(name = "crash_records")]
     async fn crash_records(&self, digest: u64) -> RpcResult<Option<CrashNews>>;
 
+    /// Records steps of rollouts that the caller has stored as the holder of the lease. Returns whether
+    /// this daemon knows the caller.
+    #[method(name = "step_notice")]
+    async fn step_notice(&self, notice: StepNotice) -> RpcResult<bool>;
+
     /// Returns what is known of the version of a stream.
     #[method(name = "stream_version")]
     async fn stream_version(&self, question: StreamQuestion) -> RpcResult<StreamAnswer>;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -90,8 +90,8 @@
 /// A gossip message: a call to another daemon, or the reply to one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
-    /// The newest heartbeat number of each daemon that the sender knows; empty in replies in a
-    /// large deployment.
+    /// The newest heartbeat number of each daemon that the sender knows; in replies in a large
+    /// deployment only that of the caller.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub known: BTreeMap<Incarnation, u64>,
     /// Statuses that the receiver may lack, each with the milliseconds since its owner was last
@@ -118,7 +118,12 @@
 impl KnownDaemon {
     /// When its latest status was made, by this daemon's clock, as far as that can be told.
     pub fn made_at(&self) -> MonotonicInstant {
-        self.beats.made_at(self.status.age()).min(self.at)
+        self.made_at_uptime(self.status.age()).min(self.at)
+    }
+
+    /// When it had been running for `uptime`, by this daemon's clock, as far as that can be told.
+    pub fn made_at_uptime(&self, uptime: Duration) -> MonotonicInstant {
+        self.beats.made_at(uptime)
     }
 }
 
@@ -206,7 +211,9 @@
     /// same ones.
     pub fn reply(&self, now: MonotonicInstant, own: &Status, message: &Message) -> Message {
         let is_large = self.live >= PULL_ONLY_MIN;
-        let known = if is_large { BTreeMap::new() } else { self.heartbeats(own) };
+        // The caller sends its next status as the changes since the heartbeat that is known here.
+        let known =
+            if is_large { self.heartbeats_of(&message.statuses) } else { self.heartbeats(own) };
         let mut statuses = self.newer_statuses(now, &message.known);
         if statuses.len() > FORWARDED_MAX {
             // Starts at a different daemon each time, so that none is always left out.
@@ -228,6 +235,12 @@
         others.chain([(own.incarnation, own.beat)]).collect()
     }
 
+    /// The newest heartbeat number of each known daemon that has a status in `statuses`.
+    fn heartbeats_of(&self, statuses: &[(u64, Status)]) -> BTreeMap<Incarnation, u64> {
+        let senders = statuses.iter().filter_map(|(_, status)| self.known.get(&status.incarnation));
+        senders.map(|known| (known.status.incarnation, known.status.beat)).collect()
+    }
+
     /// The statuses of other daemons that a daemon with the heartbeats in `known` lacks.
     fn newer_statuses(
         &self,
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -227,6 +227,30 @@
         self.shares.get(route).copied().unwrap_or(self.default_share)
     }
 
+    /// Whether daemons that follow this step route requests in another way than under `before`. The
+    /// others learn of the rest, such as a new record of the same order, with the next statuses.
+    pub fn changes_routing(&self, before: &Self) -> bool {
+        let is_second = |step: &Self| step.phase == TrialPhase::SecondPulse;
+        self.first_sequence != before.first_sequence
+            || self.order.target != before.order.target
+            || self.stage != before.stage
+            || self.shares != before.shares
+            || self.default_share.to_bits() != before.default_share.to_bits()
+            || self.upstreams != before.upstreams
+            || self.base != before.base
+            || is_second(self) != is_second(before)
+    }
+
+    /// Whether this decision takes the place of an earlier one that isn't stored yet. Shares follow the
+    /// evidence all the time, so a difference in them alone is no other decision.
+    pub fn replaces(&self, unstored: &Self) -> bool {
+        let kind = |step: &Self| (step.order.revision, step.stage, step.phase, step.upstreams);
+        kind(self) != kind(unstored)
+            || self.order.service != unstored.order.service
+            || self.sequence != unstored.sequence
+            || self.shares.len() != unstored.shares.len()
+    }
+
     /// Whether this step takes precedence over another of the same service: its order is later, or
     /// the order is the same and the stage is further, or both are the same and the sequence is
     /// higher. The order goes first, since sequences can repeat after a restore of the store.
--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -175,6 +175,15 @@
         self.stored_at = now;
     }
 
+    /// The first sequence of the order in force, if its target is found bad. The target is to get no more
+    /// requests then, also while the step that says so can't be stored.
+    pub fn bad_order(&mut self, now: MonotonicInstant, view: &FleetView) -> Option<u64> {
+        let current = self.current.as_ref().filter(|current| !current.stage.is_final())?;
+        let is_bad = view.is_convicted
+            || matches!(self.history.judge(now, &view.evidence), Verdict::Bad { .. });
+        is_bad.then_some(current.first_sequence)
+    }
+
     /// The next step, to be stored and then sent; none if the step in force remains.
     pub fn next_step(
         &mut self,
--- a/crates/policy/src/rollout/tests.rs
+++ b/crates/policy/src/rollout/tests.rs
@@ -114,3 +114,27 @@
     assert_eq!(expected, actual);
     assert_eq!(4, actual.len());
 }
+
+/// Guards against a version that is bad only under load and completes its rollout, because its failures
+/// are few beside the rate that the ratio test takes for normal.
+#[test]
+fn a_version_that_fails_many_times_as_often_as_the_old_one_is_not_sound() {
+    let counts = |answers, failed| Evidence {
+        answers,
+        failed,
+        first_byte: std::array::from_fn(|class| if class == 7 { answers as u16 } else { 0 }),
+        ..Evidence::default()
+    };
+    let verdict = |targets: &[(u32, u32)]| {
+        let target = targets.iter().enumerate().map(|(index, (answers, failed))| {
+            let instance = Instance::try_from(format!("t-{index}").as_str()).unwrap();
+            ((ROUTES[0].to_owned(), Some(instance)), counts(*answers, *failed))
+        });
+        let old = ((ROUTES[0].to_owned(), None), counts(3_266, 4));
+        judge(&EvidenceMap(target.chain([old]).collect()))
+    };
+    assert_eq!(Verdict::Undecided, verdict(&[(27, 2), (26, 1)]));
+    assert_eq!(Verdict::Undecided, verdict(&[(27, 3), (26, 0)]));
+    assert_eq!(Verdict::Undecided, verdict(&[(13, 1), (13, 1), (13, 1), (14, 0)]));
+    assert_eq!(Verdict::Sound, verdict(&[(27, 0), (26, 1)]));
+}
--- a/crates/policy/src/rollout/verdict.rs
+++ b/crates/policy/src/rollout/verdict.rs
@@ -58,6 +58,14 @@
 /// Score up to which a route is sound.
 const SOUND_SCORE: f64 = -0.5;
 
+/// Probability of as many failures by chance from which a version isn't found sound. Beside it, two
+/// failures in 53 responses pass where the old version fails 4 in 3,266, and three don't.
+const CHANCE_MIN: f64 = 1.0 / 2_000.0;
+
+/// Number of failures beyond the old version's rate from which an upstream counts as failing by itself,
+/// if the others together have fewer. Two failures are no sign of that.
+const FAILING_MIN: f64 = 2.5;
+
 /// Number of the target's responses on a route below which a score under zero is sound: even
 /// without a failure, fewer don't reach [`SOUND_SCORE`] where the old version often fails.
 const ROUTE_ANSWERS_MIN: u32 = 4;
@@ -164,6 +172,8 @@
             result.is_sound = false;
         }
     }
+    let failing = failing_upstream(&sides).filter(|_| used.spares_worst());
+    result.is_sound &= sides.values().all(|side| side.failures_are_chance(failing));
     result
 }
 
@@ -234,6 +244,63 @@
     }
 }
 
+impl Sides<'_> {
+    /// The rate at which the old version's responses fail.
+    fn old_rate(&self) -> f64 {
+        let old = self.old.map(|old| (old.failed.min(old.answers), old.answers));
+        let (failed, answers) = old.unwrap_or_default();
+        raised_rate(f64::from(failed), f64::from(answers))
+    }
+
+    /// Whether the target's failures, those of the upstream `failing` left out, are no more than the old
+    /// version's rate explains. The ratio test takes the old version to fail in 1 of 50 responses at
+    /// least, so it doesn't see a rate that is many times higher than the old one and still low.
+    fn failures_are_chance(&self, failing: Option<&Instance>) -> bool {
+        if self.old.is_none() {
+            return true;
+        }
+        let counted = self.target.iter().filter(|(upstream, _)| Some(*upstream) != failing);
+        let sum = |sum: (u32, u32), one: &Evidence| {
+            (sum.0.saturating_add(one.answers), sum.1.saturating_add(one.failed))
+        };
+        let (answers, failed) = counted.fold((0, 0), |total, (_, one)| sum(total, one));
+        chance_of(failed, f64::from(answers) * self.old_rate()) >= CHANCE_MIN
+    }
+}
+
+/// The upstream that fails by itself: of all failures beyond the old version's rate, it has most.
+fn failing_upstream<'a>(sides: &BTreeMap<&str, Sides<'a>>) -> Option<&'a Instance> {
+    let mut excess: BTreeMap<&Instance, f64> = BTreeMap::new();
+    for side in sides.values() {
+        let rate = side.old_rate();
+        for (upstream, evidence) in &side.target {
+            let expected = f64::from(evidence.answers) * rate;
+            *excess.entry(upstream).or_default() += f64::from(evidence.failed) - expected;
+        }
+    }
+    let (worst, most) = excess.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
+    let others: f64 = excess.iter().filter(|one| one.0 != worst).map(|one| one.1.max(0.0)).sum();
+    (*most >= FAILING_MIN && *most > others).then_some(*worst)
+}
+
+/// The rate at which responses fail, raised by its standard error. Half a response more keeps that
+/// above zero where none failed.
+fn raised_rate(bad: f64, all: f64) -> f64 {
+    let bad = bad + 0.5;
+    (bad + bad.sqrt()) / (all + 1.0)
+}
+
+/// The probability of at least `count` events where `expected` are (Poisson), which is an upper bound
+/// on the binomial one above the mean.
+fn chance_of(count: u32, expected: f64) -> f64 {
+    let (mut term, mut below) = ((-expected).exp(), 0.0);
+    for index in 0..count {
+        below += term;
+        term *= expected / f64::from(index + 1);
+    }
+    1.0 - below
+}
+
 /// Responses, and those of them that failed or were slow.
 #[derive(Clone, Copy, Debug, Default)]
 struct Count {
@@ -269,9 +336,7 @@
 impl Test {
     /// The test against the responses of the old version.
     fn against(old: Count) -> Self {
-        // Half a response more keeps the standard error above zero where none failed.
-        let bad = f64::from(old.bad) + 0.5;
-        let rate = (bad + bad.sqrt()) / (f64::from(old.all) + 1.0);
+        let rate = raised_rate(f64::from(old.bad), f64::from(old.all));
         let null = rate.clamp(BASE_RATE_MIN, BASE_RATE_MAX);
         let alternative = null + SPOILED_SHARE * (1.0 - null);
         Self { bad: (alternative / null).ln(), good: ((1.0 - alternative) / (1.0 - null)).ln() }
--- a/crates/policy/src/rollout/view.rs
+++ b/crates/policy/src/rollout/view.rs
@@ -142,6 +142,18 @@
         verdict
     }
 
+    /// Records that the holder stopped the order of first sequence `order`: its target gets no more
+    /// new work from this daemon, whether or not the holder could store that. Returns whether that is
+    /// news.
+    pub fn on_stop(&mut self, service: &Service, order: u64) -> bool {
+        let Some(known) = self.services.get_mut(service) else { return false };
+        let is_news = known.step.first_sequence == order
+            && !known.step.stage.is_final()
+            && !known.is_convicted;
+        known.is_convicted |= is_news;
+        is_news
+    }
+
     /// The newest step of a service.
     pub fn step(&self, service: &Service) -> Option<&RolloutStep> {
         self.services.get(service).map(|known| &known.step)
--- a/crates/policy/src/rollout_status.rs
+++ b/crates/policy/src/rollout_status.rs
@@ -67,6 +67,24 @@
     pub evidence: VersionedMap<EvidenceKey, Evidence>,
 }
 
+/// What the holder of the lease tells the other daemons of rollouts at once, before its status says it.
+/// Carries no evidence, so that it stays small whatever the rollout has counted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StepNotice {
+    /// The incarnation of the holder.
+    pub holder: Incarnation,
+    /// Milliseconds that the holder had been running when it made the notice.
+    pub uptime: u64,
+    /// Milliseconds, at that time, since it listed the orders that the steps follow from.
+    pub listed: u64,
+    /// Stored steps that change what daemons do.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<RolloutStep>,
+    /// The services whose target is to get no more requests, with the first sequence of the order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stopped: Vec<(Service, u64)>,
+}
+
 impl RolloutStatus {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
--- a/crates/policy/src/rollout_status/tests.rs
+++ b/crates/policy/src/rollout_status/tests.rs
@@ -1,3 +1,5 @@
+mod traffic;
+
 use super::*;
 use crate::presence::Status;
 use crate::rollout::{OrderRevision, RolloutOrder, StepReason, TrialPhase};
--- a/crates/relay/src/rollout_watch.rs
+++ b/crates/relay/src/rollout_watch.rs
@@ -247,6 +247,14 @@
         }
     }
 
+    /// Records that the holder of the lease stopped the order of first sequence `order`.
+    pub fn on_stop(&self, service: &Service, order: u64) {
+        let Some(mut state) = self.state() else { return };
+        if state.view.on_stop(service, order) {
+            log::warn!("event=rollout_stopped service={service} order={order}");
+        }
+    }
+
     /// What the other daemons are told of this one's requests: a report of each service with a
     /// rollout, and the evidence.
     pub fn reports(&self, now: MonotonicInstant) -> (ServiceReports, Vec<(EvidenceKey, Evidence)>) {
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -79,13 +79,15 @@
     Refused,
     /// The record is appended, and the answer lost.
     AnswerLost,
+    /// Nothing is appended, and the call doesn't end by itself.
+    NoAnswer,
 }
 
 impl FakeRollouts {
     /// Appends if nothing fails.
     fn append(&mut self, append: impl FnOnce(&mut Self)) -> Result<(), StoreError> {
         self.tried += 1;
-        if self.failure == Some(AppendFailure::Refused) {
+        if matches!(self.failure, Some(AppendFailure::Refused | AppendFailure::NoAnswer)) {
             return Err(StoreError::Refused("unavailable".to_owned()));
         }
         append(self);
@@ -210,6 +212,10 @@
         if topic != Topic::Rollouts {
             return Err(StoreError::Refused("not supported by the fake store".to_owned()));
         }
+        let failure = self.rollouts.lock().unwrap().failure;
+        if failure == Some(AppendFailure::NoAnswer) {
+            std::future::pending::<()>().await;
+        }
         let mut rollouts = self.rollouts.lock().unwrap();
         let (end, era) = (rollouts.records.len() as u64, rollouts.orders.era);
         if at != end {
--- a/src/node/rollouts.rs
+++ b/src/node/rollouts.rs
@@ -6,6 +6,9 @@
 //! appended at the offset up to which this daemon has read. A new holder appends the steps in force
 //! again under its own fencing token, so that a late append of the previous holder conflicts.
 
+mod states;
+
+use self::states::WrittenStates;
 use super::status_exchange::PeerStatuses;
 use super::status_exchange::rollouts::LedSteps;
 use serde::{Deserialize, Serialize};
@@ -33,12 +36,13 @@
 /// enough that another rollout isn't held up for long.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long an append or a read is waited for before the next decision, which is then made from newer
+/// evidence.
+const ANSWER_WAIT: Duration = Duration::from_millis(150);
+
 /// How long a listing is waited for before the next steps. One that takes longer is applied later.
 const LIST_WAIT: Duration = Duration::from_millis(100);
 
-/// The delay after which the state of a rollout that could not be written is written again.
-const STATE_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// What the holder knows of the other daemons, and tells them.
 pub trait RolloutFleet: Send + Sync + 'static {
     /// The wall-clock time on which most daemons agree.
@@ -55,6 +59,9 @@
     /// Tells the other daemons of the steps in force, with the next heartbeats; at once if they are
     /// `news`. None if this daemon doesn't hold the lease.
     fn tell(&self, now: MonotonicInstant, led: Option<LedSteps>, news: bool);
+    /// Has all daemons stop sending to the target of the order of first sequence `order`, at once.
+    /// Unlike a step, that needs no record: a daemon that stopped reports it to the next holder.
+    fn stop(&self, service: &Service, order: u64);
 }
 
 impl RolloutFleet for (PeerStatuses, RolloutWatch) {
@@ -79,9 +86,14 @@
         self.0.set_led_steps(now, led);
         if news {
             let statuses = self.0.clone();
-            tokio::spawn(async move { statuses.announce().await });
+            tokio::spawn(async move { statuses.announce_steps().await });
         }
     }
+
+    fn stop(&self, service: &Service, order: u64) {
+        let (statuses, service) = (self.0.clone(), service.clone());
+        tokio::spawn(async move { statuses.announce_stop(service, order).await });
+    }
 }
 
 /// A record of the topic: steps that the holder of a lease has stored.
@@ -115,17 +127,26 @@
     listed_at: Option<MonotonicInstant>,
     /// When the listing began from which all steps that follow are stored.
     stored_for: Option<MonotonicInstant>,
+    /// An append that isn't answered yet.
+    appending: Option<Appending>,
+    /// A read that isn't answered yet.
+    reading: Option<Pending<TopicRecords>>,
 }
 
-/// A call that writes the state of a rollout. Returns the era of the store.
-type WriteCall = JoinHandle<Result<Option<u64>, StoreError>>;
+/// A call to the store that goes on beyond [`ANSWER_WAIT`].
+#[derive(Debug)]
+struct Pending<T> {
+    call: JoinHandle<Result<T, StoreError>>,
+    began: MonotonicInstant,
+    /// The offset that it appends at or reads from.
+    offset: u64,
+}
 
-/// The states that were written for the operators.
-#[derive(Debug, Default)]
-struct WrittenStates {
-    acknowledged: BTreeMap<Service, RolloutStep>,
-    retry_at: MonotonicInstant,
-    call: Option<(RolloutStep, WriteCall)>,
+/// An append of steps.
+#[derive(Debug)]
+struct Appending {
+    steps: Vec<RolloutStep>,
+    pending: Pending<Appended>,
 }
 
 /// Runs the rollouts of all services while this daemon holds the lease.
@@ -183,6 +204,7 @@
         if self.term.as_ref().is_none_or(|term| term.fencing != permission.fencing) {
             self.begin_term(permission.fencing);
         }
+        self.stop_bad();
         if !self.read_steps().await {
             return;
         }
@@ -209,7 +231,15 @@
     fn begin_term(&mut self, fencing: Fencing) {
         let stored = StoredSteps { is_repeat_due: true, ..StoredSteps::default() };
         let controllers = BTreeMap::new();
-        let mut term = Term { fencing, stored, controllers, listed_at: None, stored_for: None };
+        let mut term = Term {
+            fencing,
+            stored,
+            controllers,
+            listed_at: None,
+            stored_for: None,
+            appending: None,
+            reading: None,
+        };
         // The store may have been restored from a copy that lacks steps which daemons follow.
         let now = self.clock.now();
         for step in self.fleet.known_steps() {
@@ -247,7 +277,7 @@
                 return true;
             }
             let from = term.stored.next;
-            let read = bounded(self.store.read_topic(Topic::Rollouts, from)).await;
+            let Some(read) = self.read_from(from).await else { return false };
             let TopicRecords { end, records, era, .. } = match read {
                 Ok(found) => found,
                 Err(error) => {
@@ -279,6 +309,23 @@
         }
     }
 
+    /// Reads the topic from an offset; none while the store hasn't answered.
+    async fn read_from(&mut self, from: u64) -> Option<Result<TopicRecords, StoreError>> {
+        let began = self.clock.now();
+        let term = self.term.as_mut()?;
+        let reading = term.reading.take().filter(|reading| reading.offset == from);
+        let mut reading = reading.unwrap_or_else(|| {
+            let store = self.store.clone();
+            let read = async move { bounded(store.read_topic(Topic::Rollouts, from)).await };
+            Pending { call: tokio::spawn(read), began, offset: from }
+        });
+        let answer = reading.answer().await;
+        if answer.is_none() {
+            term.reading = Some(reading);
+        }
+        answer
+    }
+
     /// Appends the steps in force again, if that is due.
     async fn repeat_steps(&mut self) {
         let Some(term) = &self.term else { return };
@@ -286,38 +333,63 @@
             return;
         }
         let steps = term.steps();
-        if (steps.is_empty() || self.append(steps).await)
+        if (steps.is_empty() || self.append(steps).await.is_some())
             && let Some(term) = &mut self.term
         {
             term.stored.is_repeat_due = false;
         }
     }
 
-    /// Appends steps, and returns whether the store has acknowledged them.
-    async fn append(&mut self, steps: Vec<RolloutStep>) -> bool {
-        if self.valid_permission().is_none() {
-            return false;
-        }
-        let Some(term) = &self.term else { return false };
-        let (next, record) = (term.stored.next, StepRecord { fencing: term.fencing, steps });
-        let content = match serde_json::to_vec(&record) {
-            Ok(content) => content,
-            Err(error) => {
-                log::error!("event=encode_failed error={error:?}");
-                return false;
+    /// Appends steps, and returns those that the store has acknowledged. While it hasn't answered, an
+    /// append of the same steps goes on, and other steps take its place at the same offset, so that only
+    /// one of them is stored.
+    async fn append(&mut self, steps: Vec<RolloutStep>) -> Option<Vec<RolloutStep>> {
+        self.valid_permission()?;
+        let term = self.term.as_mut()?;
+        let next = term.stored.next;
+        let is_same = |appending: &Appending| {
+            appending.pending.offset == next
+                && appending.steps.len() == steps.len()
+                && appending.steps.iter().zip(&steps).all(|(old, new)| !new.replaces(old))
+        };
+        let mut appending = match term.appending.take() {
+            Some(appending) if is_same(&appending) => appending,
+            _ => {
+                let record = StepRecord { fencing: term.fencing, steps };
+                let content = match serde_json::to_vec(&record) {
+                    Ok(content) => content,
+                    Err(error) => {
+                        log::error!("event=encode_failed error={error:?}");
+                        return None;
+                    }
+                };
+                let store = self.store.clone();
+                let append = async move {
+                    bounded(store.append(Topic::Rollouts, next, content.into())).await
+                };
+                let began = self.clock.now();
+                let pending = Pending { call: tokio::spawn(append), began, offset: next };
+                Appending { steps: record.steps, pending }
             }
         };
-        let result = bounded(self.store.append(Topic::Rollouts, next, content.into())).await;
+        let Some(result) = appending.pending.answer().await else {
+            log::info!(
+                "event=rollout_append_pending at={next} age_ms={}",
+                self.clock.now().since(appending.pending.began).as_millis()
+            );
+            term.appending = Some(appending);
+            return None;
+        };
         if let Ok(Appended { era, .. }) = result
             && !self.is_current(era)
         {
-            return false;
+            return None;
         }
-        let Some(term) = &mut self.term else { return false };
+        let term = self.term.as_mut()?;
         match result.map(|appended| appended.outcome) {
             Ok(AppendOutcome::At(offset)) => {
                 term.stored.next = offset + 1;
-                return true;
+                return Some(appending.steps);
             }
             // Another daemon has appended: its steps are read before anything else is stored.
             Ok(AppendOutcome::Conflict { end }) => {
@@ -328,7 +400,20 @@
             Err(error) => log::warn!("event=rollout_append_failed at={next} error={error:?}"),
         }
         term.stored.is_read = false;
-        false
+        None
+    }
+
+    /// Has the daemons stop sending to targets that are found bad, before the store is asked for
+    /// anything.
+    fn stop_bad(&mut self) {
+        let now = self.clock.now();
+        let Some(term) = &mut self.term else { return };
+        for (service, controller) in &mut term.controllers {
+            let view = self.fleet.view(now, service, controller.current());
+            if let Some(order) = controller.bad_order(now, &view) {
+                self.fleet.stop(service, order);
+            }
+        }
     }
 
     /// Begins to list the orders if that is due, and applies those that have been listed.
@@ -400,13 +485,13 @@
             let Some(controller) = term.controllers.get_mut(&service) else { continue };
             let view = self.fleet.view(now, &service, controller.current());
             let Some(step) = controller.next_step(now, utc, &view) else { continue };
-            if !self.append(vec![step.clone()]).await {
-                return false;
-            }
-            log_step(&step, &view);
+            let Some(stored) = self.append(vec![step]).await else { return false };
             let now = self.clock.now();
-            if let Some(term) = &mut self.term {
-                term.on_stored(now, self.bounds, step);
+            for step in stored {
+                log_step(&step, &view);
+                if let Some(term) = &mut self.term {
+                    term.on_stored(now, self.bounds, step);
+                }
             }
             if is_first {
                 untold = true;
@@ -431,52 +516,19 @@
         let led = LedSteps { steps: term.steps(), listed_at, until: permission.until };
         self.fleet.tell(self.clock.now(), Some(led), news);
     }
+}
 
-    /// Writes for the operators the state of a rollout that has changed, until the store acknowledges
-    /// it. Repeats what the newest stored step says.
-    async fn write_states(&mut self) {
-        let now = self.clock.now();
-        if let Some((step, call)) = self.written.call.take_if(|(_, call)| call.is_finished()) {
-            match call.await {
-                Ok(Ok(era)) => {
-                    if self.is_current(era) {
-                        log::info!(
-                            "event=rollout_state_written service={} target={} stage={}",
-                            step.order.service,
-                            step.order.target,
-                            step.stage
-                        );
-                        self.written.acknowledged.insert(step.order.service.clone(), step);
-                    }
-                }
-                Ok(Err(error)) => {
-                    log::warn!(
-                        "event=rollout_state_unwritten service={} error={error:?}",
-                        step.order.service
-                    );
-                    self.written.retry_at = now + STATE_RETRY_DELAY;
-                }
-                // The task panicked, which the runtime logs.
-                Err(_) => self.written.retry_at = now + STATE_RETRY_DELAY,
-            }
-        }
-        let Some(term) = &self.term else { return };
-        if self.written.call.is_some() || now < self.written.retry_at || !term.stored.is_ready() {
-            return;
-        }
-        let is_written = |step: &RolloutStep| {
-            self.written.acknowledged.get(&step.order.service).is_some_and(|written| {
-                written.order.target == step.order.target
-                    && written.first_sequence == step.first_sequence
-                    && (written.stage == step.stage
-                        || !written.stage.is_final() && !step.stage.is_final())
-            })
-        };
-        if let Some(step) = term.steps().into_iter().find(|step| !is_written(step)) {
-            let (store, written) = (self.store.clone(), step.clone());
-            let call = tokio::spawn(async move { store.publish_rollout(&written).await });
-            self.written.call = Some((step, call));
-        }
+impl<T> Pending<T> {
+    /// The answer, if it comes within [`ANSWER_WAIT`].
+    async fn answer(&mut self) -> Option<Result<T, StoreError>> {
+        let answer = tokio::time::timeout(ANSWER_WAIT, &mut self.call).await.ok()?;
+        Some(answer.unwrap_or_else(|error| Err(StoreError::Lost(error.to_string()))))
+    }
+}
+
+impl<T> Drop for Pending<T> {
+    fn drop(&mut self) {
+        self.call.abort();
     }
 }
 
--- a/src/node/rollouts/tests.rs
+++ b/src/node/rollouts/tests.rs
@@ -15,6 +15,7 @@
     view: Arc<Mutex<FleetView>>,
     known: Arc<Mutex<Vec<RolloutStep>>>,
     told: Arc<Mutex<Vec<Told>>>,
+    stopped: Arc<Mutex<Vec<(Service, u64)>>>,
 }
 
 impl RolloutFleet for FakeFleet {
@@ -37,6 +38,10 @@
         }
         self.told.lock().unwrap().push((led, news));
     }
+
+    fn stop(&self, service: &Service, order: u64) {
+        self.stopped.lock().unwrap().push((service.clone(), order));
+    }
 }
 
 impl FakeFleet {
@@ -268,3 +273,61 @@
     holder.advance_times(4).await;
     assert_eq!(holder.fleet.stages(), Some(vec![Stage::RolledBack]));
 }
+
+/// Guards against a decision that waits for the answer to an earlier one: a version that turns bad in
+/// the meantime would get requests for as long.
+#[tokio::test(start_paused = true)]
+async fn a_step_whose_append_is_unanswered_is_decided_again_and_a_bad_version_is_stopped_at_once() {
+    let store = ordered_store();
+    let mut holder = Holder::new(&store, 3);
+    holder.advance_times(3).await;
+    {
+        let mut view = holder.fleet.view.lock().unwrap();
+        let of_target = VersionSeen {
+            version: Some("v2".try_into().unwrap()),
+            started_at: UtcInstant(2),
+            ..view.versions.0[0].clone()
+        };
+        view.versions.0.push(of_target);
+        view.route_rates = BTreeMap::from([("/chat".to_owned(), 300.0)]);
+    }
+    fail(&store, Some(AppendFailure::NoAnswer));
+    holder.advance().await;
+    let pending = holder.leader.term.as_ref().unwrap().appending.as_ref();
+    assert_eq!(Some(StepReason::Shares), pending.map(|pending| pending.steps[0].reason));
+    holder.fleet.view.lock().unwrap().is_convicted = true;
+    holder.advance().await;
+    let stopped: Vec<(Service, u64)> = vec![("desk".try_into().unwrap(), 1)];
+    assert_eq!(stopped, *holder.fleet.stopped.lock().unwrap());
+    let pending = holder.leader.term.as_ref().unwrap().appending.as_ref();
+    assert_eq!(Some(StepReason::Bad), pending.map(|pending| pending.steps[0].reason));
+    assert_eq!(stored(&store), [(3, vec![Stage::Trial])]);
+    fail(&store, None);
+    holder.advance_times(6).await;
+    assert_eq!(stored(&store).last(), Some(&(3, vec![Stage::RolledBack])));
+    assert_eq!(holder.fleet.stages(), Some(vec![Stage::RolledBack]));
+}
+
+/// Guards against an append that is given up after it took effect: the replacing one must not be stored
+/// as well without its steps having been read.
+#[tokio::test(start_paused = true)]
+async fn a_lost_append_that_took_effect_is_read_before_another_step_is_stored() {
+    let store = ordered_store();
+    let mut holder = Holder::new(&store, 3);
+    holder.advance_times(3).await;
+    fail(&store, Some(AppendFailure::NoAnswer));
+    store.rollouts.lock().unwrap().orders.orders.clear();
+    holder.advance_times(3).await;
+    assert_eq!(stored(&store).len(), 1);
+    // What the holder has appended arrives, and the answer doesn't.
+    let pending = holder.leader.term.as_ref().unwrap().appending.as_ref().unwrap();
+    let record = StepRecord { fencing: Fencing(3), steps: pending.steps.clone() };
+    let record = serde_json::to_vec(&record).unwrap();
+    store.rollouts.lock().unwrap().records.push(record.into());
+    fail(&store, None);
+    holder.advance_times(8).await;
+    assert_eq!(holder.fleet.stages(), Some(vec![Stage::RolledBack]));
+    let finals = stored(&store).into_iter().filter(|(_, stages)| stages[0] == Stage::RolledBack);
+    // The steps in force are appended again after a conflict or a lost answer.
+    assert!((1..=2).contains(&finals.count()));
+}
--- a/src/node/status_exchange/rollouts.rs
+++ b/src/node/status_exchange/rollouts.rs
@@ -1,11 +1,14 @@
 //! What daemons tell each other of rollouts: the leader's steps, and what each daemon has observed.
 
 use super::{PeerStatuses, State, millis};
+use jsonrpsee::core::ClientError;
+use spindle_daemon::StatusExchangeClient;
 use spindle_policy::presence::{DEAD_AFTER, KnownDaemon, Presence};
 use spindle_policy::rollout::{ALL_ROUTES, EvidenceMap, FleetView, RolloutStep};
-use spindle_policy::rollout_status::{RolloutReport, RolloutStatus, RouteRates};
-use spindle_types::{Incarnation, Instance, MonotonicInstant, Service};
+use spindle_policy::rollout_status::{RolloutReport, RolloutStatus, RouteRates, StepNotice};
+use spindle_types::{Clock, Incarnation, Instance, MonotonicInstant, Service};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The interval at which a daemon judges what all daemons have observed: some heartbeats in a small
@@ -28,6 +31,10 @@
 pub(super) struct RolloutState {
     led: Option<LedSteps>,
     judged_at: MonotonicInstant,
+    /// The steps of which the other daemons were told last by a notice.
+    noticed: BTreeMap<Service, RolloutStep>,
+    /// The orders of which the other daemons were told that they are stopped.
+    stopped: BTreeMap<Service, u64>,
     /// Request rates of the services with a rollout, kept while this daemon leads.
     rates: BTreeMap<Service, RouteRates>,
 }
@@ -53,6 +60,8 @@
         let mut state = self.state();
         if led.is_none() {
             state.rollouts.rates.clear();
+            state.rollouts.noticed.clear();
+            state.rollouts.stopped.clear();
         }
         state.rollouts.led = led;
         if let Some(led) = state.rollouts.led(now) {
@@ -60,6 +69,89 @@
         }
     }
 
+    /// Tells all live daemons at once of the steps that change what they do, in place of a whole status:
+    /// the replies to that would carry the statuses of all daemons, once for each of them.
+    pub(in crate::node) async fn announce_steps(&self) {
+        let Some((notice, peers)) = self.step_notice(Vec::new()) else { return };
+        self.send_notice(notice, peers).await;
+    }
+
+    /// Stops sending to the target of an order, and tells all live daemons to do the same.
+    pub(in crate::node) async fn announce_stop(&self, service: Service, order: u64) {
+        if self.state().rollouts.stopped.insert(service.clone(), order) == Some(order) {
+            return;
+        }
+        self.parts.rollouts.on_stop(&service, order);
+        let Some((notice, peers)) = self.step_notice(vec![(service, order)]) else { return };
+        self.send_notice(notice, peers).await;
+    }
+
+    /// A notice of what is new, and the live daemons; none unless this daemon leads and has news.
+    fn step_notice(&self, stopped: Vec<(Service, u64)>) -> Option<(StepNotice, Vec<SocketAddr>)> {
+        let now = self.parts.clock.now();
+        let mut state = self.state();
+        let led = state.rollouts.led(now)?.clone();
+        let noticed = &state.rollouts.noticed;
+        let is_news = |step: &RolloutStep| {
+            let before = noticed.get(&step.order.service);
+            before.is_none_or(|before| step.changes_routing(before))
+        };
+        let steps: Vec<_> = led.steps.into_iter().filter(is_news).collect();
+        if steps.is_empty() && stopped.is_empty() {
+            return None;
+        }
+        let told = steps.iter().map(|step| (step.order.service.clone(), step.clone()));
+        state.rollouts.noticed.extend(told);
+        let notice = StepNotice {
+            holder: self.parts.incarnation,
+            uptime: millis(now.since(state.started_at)),
+            listed: millis(now.since(led.listed_at)),
+            steps,
+            stopped,
+        };
+        Some((notice, state.presence.live(now).map(|daemon| daemon.identity.peer).collect()))
+    }
+
+    async fn send_notice(&self, notice: StepNotice, peers: Vec<SocketAddr>) {
+        let calls: Vec<_> = peers
+            .into_iter()
+            .map(|peer| tokio::spawn(self.clone().send_notice_to(peer, notice.clone())))
+            .collect();
+        for call in calls {
+            // An error means that the task panicked, which the runtime logs.
+            let _ = call.await;
+        }
+    }
+
+    async fn send_notice_to(self, peer: SocketAddr, notice: StepNotice) {
+        let told = match self.connection(peer) {
+            Ok(connection) => connection.step_notice(notice).await,
+            Err(error) => Err(error),
+        };
+        match told {
+            Ok(true) => {}
+            // An earlier daemon has no such method, and one that has just started doesn't know this one.
+            Ok(false) | Err(ClientError::Call(_)) => self.exchange_with(peer).await,
+            Err(error) => log::debug!("event=step_notice_failed peer={peer} error={error:?}"),
+        }
+    }
+
+    /// Applies a notice of the lease holder. Returns whether that daemon is known.
+    pub(in crate::node) fn on_step_notice(&self, notice: &StepNotice) -> bool {
+        let now = self.parts.clock.now();
+        let made_at = {
+            let state = self.state();
+            let Some(holder) = state.presence.get(notice.holder) else { return false };
+            holder.made_at_uptime(Duration::from_millis(notice.uptime)).min(now)
+        };
+        let listed_at = made_at - Duration::from_millis(notice.listed);
+        self.parts.rollouts.on_holder(now, (made_at, listed_at), notice.steps.iter());
+        for (service, order) in &notice.stopped {
+            self.parts.rollouts.on_stop(service, *order);
+        }
+        true
+    }
+
     /// Updates the part of the own status that concerns rollouts, for heartbeat `beat`.
     pub(super) fn update_own_rollouts(
         &self,
--- a/src/node/status_service.rs
+++ b/src/node/status_service.rs
@@ -8,6 +8,7 @@
 };
 use spindle_policy::crash_ledger::CrashNews;
 use spindle_policy::presence::Message;
+use spindle_policy::rollout_status::StepNotice;
 use spindle_policy::shared_limits::{QuotaGrant, QuotaQuestion};
 use spindle_policy::stream_versions::{
     StreamAnswer, StreamQuestion, StreamRecords, VersionHistory,
@@ -95,6 +96,10 @@
         Ok(self.crashes.records(BootClock.now(), digest))
     }
 
+    async fn step_notice(&self, notice: StepNotice) -> RpcResult<bool> {
+        Ok(self.statuses.on_step_notice(&notice))
+    }
+
     async fn stream_version(&self, question: StreamQuestion) -> RpcResult<StreamAnswer> {
         let now = BootClock.now();
         let version = self.keeper.version(now, question.stream);
