fix(policy): the loaded part of a trial fills the slots of two upstreams

Cause: the loaded part was bounded by half of the trial and by the busiest old upstream, so a version that fails near its slots' limit was not seen under that load, and no verdict required it.

Change: where at most 0.9 of the trial's requests fill the slots of two upstreams for the longest mean stream and 0.8 s, they are sent that many, and a version is sound only if 0.6 of them were seen in flight.

--- a/crates/policy/src/rollout/controller.rs
+++ b/crates/policy/src/rollout/controller.rs
@@ -30,6 +30,10 @@
 /// pause between them, and the time in which steps arrive.
 const PULSES_S: f64 = 2.2;
 
+/// Part of the planned requests in flight at loaded upstreams that a trial has to reach. Statuses show
+/// them some heartbeats apart, and requests arrive unevenly.
+const LOADED_MIN: f64 = 0.6;
+
 /// Part of the trial's requests after which its second half begins.
 const SECOND_HALF: f64 = 0.5;
 
@@ -83,6 +87,8 @@
     planned: Planned,
     /// The largest number of requests in flight that an old upstream had on average.
     per_old: f64,
+    /// The largest number of requests in flight at the target while its upstreams were loaded.
+    loaded_peak: u32,
 }
 
 impl RolloutController {
@@ -106,6 +112,7 @@
             history: EvidenceHistory::default(),
             planned: Planned::default(),
             per_old: 0.0,
+            loaded_peak: 0,
         }
     }
 
@@ -170,6 +177,7 @@
             self.history = EvidenceHistory::default();
             self.planned = Planned::default();
             self.per_old = 0.0;
+            self.loaded_peak = 0;
         }
         self.current = Some(step);
         self.stored_at = now;
@@ -338,6 +346,13 @@
         }
         self.per_old = self.per_old.max(in_flight_per_old(target, view));
         let budget = Budget::new(&self.bounds, &current.order, view, self.per_old);
+        if current.phase == TrialPhase::FirstPulse {
+            self.loaded_peak = self.loaded_peak.max(view.target_in_flight);
+        }
+        let verdict = match verdict {
+            Verdict::Sound if !self.was_loaded(&budget) => Verdict::Undecided,
+            verdict => verdict,
+        };
         let left_s = left.as_secs_f64();
         let used = self.used(now, view);
         let leads = budget.leads(used, &view.route_rates);
@@ -364,6 +379,13 @@
         }
     }
 
+    /// Whether the trial has shown the target under the load that is planned for it. A holder that took
+    /// over may not have seen it, or has no time for it.
+    fn was_loaded(&self, budget: &Budget) -> bool {
+        let Some(loaded) = &budget.loaded else { return true };
+        self.planned.is_partial() || f64::from(self.loaded_peak) >= loaded.in_flight * LOADED_MIN
+    }
+
     /// The number of requests that the target may have got by now: as planned or as told, and what
     /// the statuses don't tell yet. A daemon whose status is older than a step is valid has stopped
     /// sending.
--- a/crates/policy/src/rollout/share.rs
+++ b/crates/policy/src/rollout/share.rs
@@ -62,6 +62,10 @@
 /// Part of the trial's requests that is kept for the loaded upstreams.
 const LOADED_PART: f64 = 0.5;
 
+/// The same where the loaded upstreams can be brought to as many requests as their slots hold. The rest is
+/// enough to find a version that is bad without load.
+const FULL_PART_MAX: f64 = 0.9;
+
 /// Number of upstreams whose normal load a trial must reach; otherwise it has pulses.
 const PULSE_UPSTREAMS: f64 = 2.0;
 
@@ -110,6 +114,9 @@
     pub(super) rate: f64,
     /// How long before the last useful evidence it begins, in seconds.
     pub(super) ahead_s: f64,
+    /// Requests in flight at the loaded upstreams that a sound version has to show; 0 if the trial has too
+    /// few requests to fill their slots.
+    pub(super) in_flight: f64,
 }
 
 impl Loaded {
@@ -138,10 +145,18 @@
         let longest = means.values().copied().fold(0.0, f64::max).min(NEED_MAX_S);
         let peak = per_old + PEAK_DEVIATIONS * per_old.sqrt();
         // Queues beyond those of the old version would make a sound one look slow.
-        let level = (peak * LOADED_FACTOR).min(per_old.max(f64::from(slots)));
-        let rate =
-            (f64::from(LOADED_UPSTREAMS) * level / mean).min(requests / (longest + LOADED_MIN_S));
-        Some(Self { requests, rate, ahead_s: requests / rate + longest / 2.0 + SPREAD })
+        let full = per_old.max(f64::from(slots));
+        let span = longest + LOADED_MIN_S;
+        let full_rate = f64::from(LOADED_UPSTREAMS) * full / mean;
+        if slots > 0 && full_rate * span <= trial * FULL_PART_MAX {
+            let requests = (full_rate * span).max(requests);
+            let ahead_s = requests / full_rate + longest / 2.0 + SPREAD;
+            return Some(Self { requests, rate: full_rate, ahead_s, in_flight: full_rate * mean });
+        }
+        let level = (peak * LOADED_FACTOR).min(full);
+        let rate = (f64::from(LOADED_UPSTREAMS) * level / mean).min(requests / span);
+        let ahead_s = requests / rate + longest / 2.0 + SPREAD;
+        Some(Self { requests, rate, ahead_s, in_flight: 0.0 })
     }
 }
 
--- a/crates/policy/src/rollout/tests/play/streams.rs
+++ b/crates/policy/src/rollout/tests/play/streams.rs
@@ -52,3 +52,19 @@
     insta::assert_snapshot!(table);
     assert_eq!(Vec::<String>::new(), faults);
 }
+
+/// Guards against a trial that leaves the target's slots half empty: a version that fails only with most
+/// of its 32 slots in use then completes, and fails once it has the whole load.
+#[test]
+fn versions_that_are_bad_with_most_slots_in_use_are_rolled_back() {
+    let mut faults = Vec::new();
+    for limit in [16, 20] {
+        for (daemons, seed) in [(1, 0), (8, 1), (8, 2), (74, 0), (400, 0)] {
+            let outcome = play(Kind::Load, Streams { limit, ..STREAMS }, daemons, seed);
+            for found in faults_of(Kind::Load, Fault::None, &outcome) {
+                faults.push(format!("{limit} {daemons} {seed}: {found}"));
+            }
+        }
+    }
+    assert_eq!(Vec::<String>::new(), faults);
+}
