fix(policy): on-demand instances replace half of the engines needed; engines are drawn under load or among many daemons

Change: room of refused instances is used until half of the engines needed are there; below 0.75 requests per slot, an engine is drawn only where other daemons send more than 15 of 16 known requests.

--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -32,6 +32,11 @@
 /// would affect the first ten seconds.
 const START_SHARE: f64 = 0.7;
 
+/// The fraction of the needed engines that there are at least while reclaimable ones are refused.
+/// Engines are then busy with prompts for four fifths of the time instead of two: on-demand
+/// instances cost several times as much, and with fewer engines all would be full within seconds.
+const REPLACED_SHARE: f64 = 0.5;
+
 /// How long the number of instances found must not have grown before the first order of on-demand
 /// instances. An order names the number of all instances of a kind in a data centre, so it stops
 /// those that aren't known yet.
@@ -341,14 +346,20 @@
                 missing;
         }
         let expected = self.expected_reclaimable(now, stock, &wanted);
-        let missing = need.saturating_sub(self.expected_instances(now, &wanted, &expected));
-        let missing = missing.min(need.saturating_sub(on_demand));
-        add_on_demand(&mut wanted, &cheapest, missing, &expected, spec.max);
+        let missing = |wanted: &_, need: u32| {
+            need.saturating_sub(self.expected_instances(now, wanted, &expected))
+                .min(need.saturating_sub(on_demand))
+        };
+        let (replaced, all) = (missing(&wanted, need), reclaimable_counts(&wanted));
+        add_on_demand(&mut wanted, &cheapest, replaced, &all, spec.max);
+        // Refused reclaimable instances leave their room to those without which engines would be full.
+        let urgent = missing(&wanted, share_of(need, REPLACED_SHARE));
+        add_on_demand(&mut wanted, &cheapest, urgent, &expected, spec.max);
         wanted
     }
 
     /// The reclaimable instances that will be there in each data centre. Those that are refused will
-    /// not start, so they take nothing of the data centre's limit either.
+    /// not start.
     fn expected_reclaimable(
         &self,
         now: MonotonicInstant,
@@ -383,6 +394,10 @@
     }
 }
 
+fn reclaimable_counts(wanted: &BTreeMap<DataCentre, InstanceCounts>) -> BTreeMap<DataCentre, u32> {
+    wanted.iter().map(|(centre, counts)| (centre.clone(), counts.reclaimable)).collect()
+}
+
 /// A fraction of a count, rounded up.
 fn share_of(count: u32, share: f64) -> u32 {
     (f64::from(count) * share).ceil() as u32
--- a/crates/policy/src/upstream_selection.rs
+++ b/crates/policy/src/upstream_selection.rs
@@ -259,7 +259,7 @@
     let loads = RankedLoads::new(&usable, criteria);
     let is_below = |candidate: &&Candidate| loads.of(candidate, criteria) < load_limit;
     let below: Vec<&Candidate> = usable.iter().copied().filter(is_below).collect();
-    let compared = if criteria.has_ranks && ranked::is_mostly_stale(&usable) {
+    let compared = if criteria.has_ranks && ranked::is_drawn(&usable) {
         ranked::compared(&below, criteria.draw, is_cached)
     } else {
         Vec::new()
--- a/crates/policy/src/upstream_selection/ranked.rs
+++ b/crates/policy/src/upstream_selection/ranked.rs
@@ -22,6 +22,14 @@
 /// 1.25 in place of 1.5, 74 daemons refuse 0.13 in place of 0.05 of the last rank at exactly the capacity.
 const SERVICE_LOAD_MIN: f64 = 1.5;
 
+/// The requests of other daemons for each own one from which an engine is always drawn. Where fewer
+/// daemons share a light load, the engine that looks best has the prefixes of streams cached more often.
+const PEER_REQUESTS_MIN: u64 = 15;
+
+/// The load of a service from which an engine is drawn whatever the number of daemons, in requests per
+/// slot. The engines that look best are then soon full.
+const BUSY_LOAD: f64 = 0.75;
+
 /// The loads of the engines of a service, as they are compared with the limit of a rank.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RankedLoads {
@@ -78,13 +86,15 @@
     loads.get(loads.len().saturating_sub(1) / 2).copied().unwrap_or_default()
 }
 
-/// Whether most of the known requests are those of other daemons. A daemon that sends most of them itself,
-/// as a single one does, knows the loads well enough to choose the best engine.
-pub(super) fn is_mostly_stale(usable: &[&Candidate]) -> bool {
+/// Whether an engine is drawn, as most of the known requests are those of other daemons. A daemon that
+/// sends most of them itself, as a single one does, knows the loads well enough to choose the best engine.
+pub(super) fn is_drawn(usable: &[&Candidate]) -> bool {
     let sum = |requests: fn(&Candidate) -> u32| -> u64 {
         usable.iter().map(|candidate| u64::from(requests(candidate))).sum()
     };
-    sum(|candidate| candidate.peer_requests) > sum(|candidate| candidate.own_requests)
+    let own = sum(|candidate| candidate.own_requests);
+    let others = sum(|candidate| candidate.peer_requests);
+    others > PEER_REQUESTS_MIN * own || (others > own && service_load(usable) >= BUSY_LOAD)
 }
 
 /// The engines that are compared: one that is drawn, and those that have the prefix of the request in
