--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -7,7 +7,7 @@
 //! are ordered while reclaimable ones are refused. The load is measured as the rate of arriving
 //! tokens, not as the requests in flight, which grow by themselves when there are too few engines.
 
-use crate::engine_capacity::{EngineCapacity, ResponseCounts};
+use crate::engine_capacity::{EngineCapacity, ResponseCounts, TOKENS_PER_ENGINE};
 use spindle_types::{DataCentre, Incarnation, MonotonicInstant};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -237,9 +237,14 @@
     /// the rate has been known for `PEAK_MEMORY`, at least `START_SHARE` of the engines found at the
     /// start is needed.
     pub fn engines_needed(&self, now: MonotonicInstant) -> u32 {
+        self.engines_for(now, self.tokens_per_engine())
+    }
+
+    /// The number of engines that the load needs if each serves `tokens_per_engine`.
+    fn engines_for(&self, now: MonotonicInstant, tokens_per_engine: f64) -> u32 {
         let start = share_of(self.found, START_SHARE);
-        let need = self.peaks.front().map_or(0.0, |(_, rate)| rate / self.tokens_per_engine())
-            + self.missing;
+        let need =
+            self.peaks.front().map_or(0.0, |(_, rate)| rate / tokens_per_engine) + self.missing;
         let need = need.ceil() as u32;
         let early = self.rate_known_since.is_none_or(|since| now.since(since) < PEAK_MEMORY);
         need.max(if early { start } else { 1 }).max(1)
@@ -335,7 +340,9 @@
         if spec.reclaimable {
             // If one data centre loses all its reclaimable instances, the rest must carry the load.
             let remaining = u32::try_from(cheapest.len().saturating_sub(1)).unwrap_or(u32::MAX);
-            let per_data_centre = need.saturating_sub(on_demand).div_ceil(remaining.max(1));
+            // They are cheap enough to be ordered by the prior, whatever has been learnt.
+            let reserve = need.max(self.engines_for(now, TOKENS_PER_ENGINE));
+            let per_data_centre = reserve.saturating_sub(on_demand).div_ceil(remaining.max(1));
             for counts in wanted.values_mut() {
                 counts.reclaimable = per_data_centre.min(spec.max - counts.on_demand);
             }
--- a/crates/policy/src/fleet/tests.rs
+++ b/crates/policy/src/fleet/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crate::engine_capacity::TOKENS_PER_ENGINE;
 
 fn at(millis: u64) -> MonotonicInstant {
     MonotonicInstant::from_millis(millis)
