--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -39,8 +39,7 @@
 
 /// How long the number of instances found must not have grown before the first order of on-demand
 /// instances. An order names the number of all instances of a kind in a data centre, so it stops
-/// those that aren't known yet.
-/// Engines that start together register within a heartbeat of 1.2 s.
+/// those that aren't known yet. Engines that start together register within a heartbeat of 1.2 s.
 const LIST_SETTLED_AFTER: Duration = Duration::from_millis(1_200);
 
 /// The delay after a refusal before the same kind of instance is ordered in the data centre again.
@@ -160,7 +159,7 @@
 /// Plans the instances of one service; used by the daemon that holds the lease.
 #[derive(Debug, Default)]
 pub struct FleetPlanner {
-    /// The largest number of instances found before the first order.
+    /// The largest number of instances found until their list settled.
     found: u32,
     /// When that number last rose.
     grown_at: Option<MonotonicInstant>,
@@ -418,7 +417,7 @@
 }
 
 /// Adds `count` on-demand instances, one in each data centre in turn, up to `max` in each together
-/// with the reclaimable ones that are expected there.
+/// with the reclaimable ones given.
 fn add_on_demand(
     wanted: &mut BTreeMap<DataCentre, InstanceCounts>,
     order: &[DataCentre],
