--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -59,7 +59,7 @@
                              Content_Length=0))
         say("end", request_id, OPTIONS.fail_status)
         return True
-    if path.startswith("/draft"):
+    if path.startswith(("/draft", "/once")):
         return await stream(writer, request_id, headers)
     body = body_of(request_id)
     if not OPTIONS.unframed:
