--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -26,8 +26,15 @@
 PARSER.add_argument("--fail-status", type=int, default=500)
 PARSER.add_argument("--fail-every", type=int, default=0)
 PARSER.add_argument("--unsigned", action="store_true")
+# How many requests run at once; the rest is rejected as by a runner that is full (0: no limit).
+PARSER.add_argument("--slots", type=int, default=0)
+# The newest stream of a full runner pauses after its event of this number: it is preempted and read
+# in again.
+PARSER.add_argument("--preempt-after", type=int, default=0)
+PARSER.add_argument("--preempt-ms", type=float, default=0)
 OPTIONS = PARSER.parse_args()
 COUNT = 0
+RUNNING = 0
 
 
 def say(*words):
@@ -50,6 +57,19 @@
 
 async def answer(writer, request_id, path, headers):
     """Writes the answer. Returns whether the connection stays open."""
+    global RUNNING
+    if OPTIONS.slots and RUNNING >= OPTIONS.slots:
+        writer.write(head_of(503, request_id, signed=False, X_Not_Executed=1, Content_Length=0))
+        say("full", request_id)
+        return True
+    RUNNING += 1
+    try:
+        return await run(writer, request_id, path, headers)
+    finally:
+        RUNNING -= 1
+
+
+async def run(writer, request_id, path, headers):
     global COUNT
     COUNT += 1
     say("run", request_id, path)
@@ -76,7 +96,17 @@
     return False
 
 
+async def pause(writer, milliseconds):
+    """Waits, and stops the request if its connection closes meanwhile."""
+    until = asyncio.get_running_loop().time() + milliseconds / 1e3
+    while (left := until - asyncio.get_running_loop().time()) > 0:
+        await asyncio.sleep(min(left, 0.02))
+        if writer.transport.is_closing() or writer.caller.at_eof():
+            raise ConnectionResetError("the caller has closed the connection")
+
+
 async def stream(writer, request_id, headers):
+    is_newest = OPTIONS.slots and RUNNING == OPTIONS.slots
     after = int(headers.get("last-event-id", "0"))
     if OPTIONS.unframed:
         more = {"Connection": "close"}
@@ -88,8 +118,12 @@
         event = b"id: %d\ndata: piece %d of %d\n\n" % (number, number, OPTIONS.events)
         writer.write(event if OPTIONS.unframed else b"%x\r\n%s\r\n" % (len(event), event))
         await writer.drain()
-        if number < OPTIONS.events:
-            await asyncio.sleep(OPTIONS.event_ms / 1e3)
+        if number == OPTIONS.preempt_after and is_newest:
+            say("preempted", request_id)
+            await pause(writer, OPTIONS.preempt_ms)
+            say("resumed", request_id)
+        elif number < OPTIONS.events:
+            await pause(writer, OPTIONS.event_ms)
     if not OPTIONS.unframed:
         writer.write(b"0\r\n\r\n")
     say("end", request_id, 200)
@@ -97,6 +131,8 @@
 
 
 async def serve(reader, writer):
+    writer.caller = reader
+    request_id = ""
     try:
         while True:
             head = await read_head(reader)
@@ -121,7 +157,7 @@
                 break
             await writer.drain()
     except (ConnectionError, asyncio.IncompleteReadError):
-        pass
+        say("dropped", request_id)
     finally:
         writer.close()
 
