--- a/crates/policy/src/shared_limits.rs
+++ b/crates/policy/src/shared_limits.rs
@@ -232,6 +232,17 @@
     until: MonotonicInstant,
 }
 
+/// The part of a quota that a daemon keeps, for the logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KeptPart {
+    /// The part of the quota, from 0 to 1.
+    pub part: f64,
+    /// Units available. Negative while excess usage is paid back.
+    pub level: f64,
+    /// The most units available at once.
+    pub capacity: f64,
+}
+
 /// One daemon's view of the quota of one team.
 ///
 /// A few daemons keep the quota, each a part of it as a token bucket. The others ask them for units.
@@ -283,6 +294,17 @@
         }
     }
 
+    /// The specification that applies.
+    pub const fn spec(&self) -> QuotaSpec {
+        self.spec
+    }
+
+    /// What this daemon keeps.
+    pub fn kept(&self) -> KeptPart {
+        let level = self.kept.map_or(0.0, |kept| kept.level);
+        KeptPart { part: self.part, level, capacity: self.capacity() }
+    }
+
     /// Applies a changed specification. Usage so far stays charged.
     pub fn set_spec(&mut self, spec: QuotaSpec) {
         self.spec = spec;
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -102,6 +102,15 @@
         let specs = config.teams();
         state.quotas.retain(|team, _| specs.iter().any(|spec| spec.team == *team));
         for spec in specs {
+            let before = state.quotas.get(&spec.team).map(|known| known.quota.spec());
+            if before != spec.quota {
+                log::info!(
+                    "event=quota_changed team={} version={} quota={:?} before={before:?}",
+                    spec.team,
+                    config.version,
+                    spec.quota,
+                );
+            }
             match (spec.quota, state.quotas.get_mut(&spec.team)) {
                 (Some(quota), Some(known)) => known.quota.set_spec(quota),
                 (None, _) => drop(state.quotas.remove(&spec.team)),
@@ -141,7 +150,11 @@
     ) -> Option<QuotaGrant> {
         let mut state = self.state();
         let TeamQuota { quota, keepers } = state.quotas.get_mut(team)?;
-        Some(quota.grant(now, question, keepers.part))
+        let grant = quota.grant(now, question, keepers.part);
+        if grant.units > 0.0 {
+            log_overdraft(team, question.needed, quota);
+        }
+        Some(grant)
     }
 
     /// Charges a request to the quota of its team and returns its cost in units of the quota. Asks the
@@ -196,10 +209,15 @@
             // A newer configuration than that of the request has no such team, or no quota for it.
             return SharedQuotaDecision::Admitted;
         };
-        match asked {
+        let has_grant = asked.is_some();
+        let decision = match asked {
             None => quota.admit(now, cost, keepers),
             Some(asked) => quota.on_grant(now, cost, asked, keepers),
+        };
+        if decision == SharedQuotaDecision::Admitted && !has_grant {
+            log_overdraft(&spec.team, cost, quota);
         }
+        decision
     }
 
     async fn ask(
@@ -317,6 +335,15 @@
     }
 }
 
+/// Logs that a request has been admitted out of what this daemon keeps of a quota, though it is larger
+/// than that may be.
+fn log_overdraft(team: &Team, units: f64, quota: &SharedQuota<SocketAddr>) {
+    let kept = quota.kept();
+    if kept.level < 0.0 && units > kept.capacity {
+        log::info!("event=quota_overdrawn team={team} units={units:.0} kept={kept:?}");
+    }
+}
+
 fn add(counts: &mut BTreeMap<Service, u64>, service: &Service, amount: u64) {
     match counts.get_mut(service) {
         Some(count) => *count += amount,
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -284,7 +284,14 @@
         );
         self.usage.on_configuration(now, &config);
         self.archive.add(Document { version: config.version, content, mark });
-        limits_sender.send_replace(config.limits);
+        let limits = config.limits;
+        let limits_before = limits_sender.send_replace(limits);
+        if limits_before != limits {
+            log::info!(
+                "event=limits_changed version={} limits={limits:?} before={limits_before:?}",
+                config.version
+            );
+        }
         let version = config.version;
         config_sender.send_replace(config);
         self.versions.on_in_force(now, version, source);
