--- a/crates/policy/src/shared_limits.rs
+++ b/crates/policy/src/shared_limits.rs
@@ -148,6 +148,25 @@
     }
 }
 
+/// The daemons among which one selects the keepers of every quota.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QuotaFleet<A> {
+    /// The daemon that selects; `None` if others may not know it yet.
+    pub own: Option<Instance>,
+    /// The daemons heard that have been running for long enough to be known by all.
+    pub others: Vec<(Instance, A)>,
+    /// How many of the daemons are heard.
+    pub visibility: DaemonVisibility,
+}
+
+impl<A: Copy> QuotaFleet<A> {
+    /// The keepers of the quota of a team.
+    pub fn keepers(&self, team: &Team) -> QuotaKeepers<A> {
+        let others = self.others.iter().map(|(instance, address)| (instance, *address));
+        QuotaKeepers::select(team, self.own.as_ref(), others, self.visibility)
+    }
+}
+
 /// What a daemon asks a keeper for.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QuotaQuestion {
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -5,7 +5,7 @@
 use spindle_policy::cluster_clock::ClusterClock;
 use spindle_policy::engine_capacity::ResponseCounts;
 use spindle_policy::shared_limits::{
-    DaemonVisibility, KEEPERS, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaTolerance,
+    DaemonVisibility, KEEPERS, QuotaFleet, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaTolerance,
     RetryBudgetShare, RetryBudgetSpec, SharedQuota, SharedQuotaDecision,
 };
 use spindle_policy::usage_windows::UsageWindows;
@@ -129,14 +129,10 @@
         self.state().visibility = visibility;
     }
 
-    /// Sets which daemons keep the quota of each team.
-    pub fn on_keepers(
-        &self,
-        now: MonotonicInstant,
-        keepers: impl Fn(&Team) -> QuotaKeepers<SocketAddr>,
-    ) {
+    /// Sets the daemons among which the keepers of each quota are selected.
+    pub fn on_fleet(&self, now: MonotonicInstant, fleet: &QuotaFleet<SocketAddr>) {
         for (team, known) in &mut self.state().quotas {
-            known.keepers = keepers(team);
+            known.keepers = fleet.keepers(team);
             known.quota.set_part(now, known.keepers.part);
         }
     }
--- a/src/node/status_exchange/quota_keepers.rs
+++ b/src/node/status_exchange/quota_keepers.rs
@@ -4,7 +4,7 @@
 use spindle_daemon::StatusExchangeClient;
 use spindle_policy::presence::{KnownDaemon, Phase};
 use spindle_policy::shared_limits::{
-    DaemonCounts, QuotaGrant, QuotaKeepers, QuotaQuestion, SeedCounts, may_keep_quotas,
+    DaemonCounts, QuotaFleet, QuotaGrant, QuotaQuestion, SeedCounts, may_keep_quotas,
 };
 use spindle_relay::usage::QuotaCall;
 use spindle_types::{MonotonicInstant, Team};
@@ -96,12 +96,12 @@
         };
         let counts = DaemonCounts { uptime: own_uptime, oldest, heard, remembered, listed, seeds };
         let visibility = counts.quota_visibility();
-        self.parts.usage.on_keepers(now, |team| {
-            let others = live.iter().filter(|(_, uptime)| is_known(*uptime));
-            let others =
-                others.map(|(daemon, _)| (&daemon.identity.instance, daemon.identity.peer));
-            QuotaKeepers::select(team, keeps.then_some(own), others, visibility)
-        });
+        let others = live.iter().filter(|(_, uptime)| is_known(*uptime));
+        let others =
+            others.map(|(daemon, _)| (daemon.identity.instance.clone(), daemon.identity.peer));
+        let own = keeps.then(|| own.clone());
+        let fleet = QuotaFleet { own, others: others.collect(), visibility };
+        self.parts.usage.on_fleet(now, &fleet);
         counts
     }
 }
