--- a/crates/policy/src/shared_limits/tests.rs
+++ b/crates/policy/src/shared_limits/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 
+mod lowered;
 mod simulation;
 mod start;
 
--- a/crates/policy/src/shared_limits/tests/simulation.rs
+++ b/crates/policy/src/shared_limits/tests/simulation.rs
@@ -2,7 +2,7 @@
 
 use super::{SPEC, TOLERANCE, at};
 use crate::shared_limits::{
-    DaemonCounts, DaemonVisibility, QuotaGrant, QuotaKeepers, QuotaQuestion, SeedCounts,
+    DaemonCounts, DaemonVisibility, QuotaGrant, QuotaKeepers, QuotaQuestion, QuotaSpec, SeedCounts,
     SharedQuota, SharedQuotaDecision, may_keep_quotas,
 };
 use bolero::TypeGenerator;
@@ -172,6 +172,11 @@
         self.daemons[daemon].quota.refund(now, cost);
     }
 
+    /// Changes the quota at all daemons.
+    pub(super) fn set_spec(&mut self, spec: QuotaSpec) {
+        self.daemons.iter_mut().for_each(|daemon| daemon.quota.set_spec(spec));
+    }
+
     /// Units that all daemons have admitted.
     pub(super) fn admitted(&self) -> f64 {
         self.before + self.daemons.iter().map(|daemon| daemon.quota.own_usage()).sum::<f64>()
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -346,3 +346,6 @@
         None => drop(counts.insert(service.clone(), amount)),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/platform/kept_connections.rs
+++ b/tests/platform/kept_connections.rs
@@ -5,9 +5,11 @@
 use crate::raw::{Ending, RawUpstream, Script, refusal};
 use crate::standin::{self, FIRST_VERSION};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// The late copy arrives on a connection that is in use by the next request, at upstreams whose
 /// responses have different statuses.
@@ -137,3 +139,57 @@
         }
     }
 }
+
+/// A configuration with another limit on idle connections.
+fn with_idle_limit(version: u64, millis: u64) -> serde_json::Value {
+    let mut configuration = standin::configuration(version);
+    configuration["limits"]["idle-timeout-ms"] = serde_json::json!(millis);
+    configuration
+}
+
+/// A connection kept the limit of the version at which it was accepted, and was closed after the old time.
+#[tokio::test]
+#[ignore = "KNOWN-RED"]
+async fn a_kept_connection_is_not_closed_after_an_idle_time_that_a_newer_version_allows() {
+    let (platform, _upstreams, daemons) = start_deployment(2).await;
+    platform.configure(&with_idle_limit(5, 2_000));
+    for daemon in &daemons {
+        wait_for_log(daemon, "event=configuration_in_force version=5 ").await;
+    }
+    let mut connections = JoinSet::new();
+    for daemon in &daemons {
+        for connection in 0..10 {
+            connections.spawn(use_connection(daemon.caller, connection % 2 == 0));
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    platform.configure(&with_idle_limit(7, 15_000));
+    for daemon in &daemons {
+        wait_for_log(daemon, "event=configuration_in_force version=7 ").await;
+    }
+    let served = connections.join_all().await;
+    assert_eq!(served, [true; 20]);
+}
+
+/// Uses a connection before a change, right after it if `is_used_after`, and 4 s later. Returns whether the
+/// last request was answered.
+async fn use_connection(caller: SocketAddr, is_used_after: bool) -> bool {
+    let mut stream = TcpStream::connect(caller).await.unwrap();
+    assert_eq!(status_on(&mut stream, "before", "/read/x").await, Some(200));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    if is_used_after {
+        assert_eq!(status_on(&mut stream, "after", "/read/x").await, Some(200));
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    status_on(&mut stream, "idle", "/read/x").await == Some(200)
+}
+
+async fn wait_for_log(daemon: &crate::daemon::Daemon, text: &str) {
+    for _ in 0..POLLS_MAX {
+        if daemon.log().contains(text) {
+            return;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    panic!("{} never logged {text:?}", daemon.name);
+}
