fix(relay): open connections of callers follow the limits of the configuration in force

A shorter idle time and smaller heads counted for new connections only.

Cause: caller_server took a copy of the limits when it accepted a connection and gave it to hyper, which keeps it. Class: a copy of a value of the configuration outlives its version.

CallerStream measures idle times and heads itself and reads the limits in force each time; a change of limits polls each connection once. A request counts as served until the body of its response is dropped, so that no idle time runs meanwhile. Heads are checked against the limit in force; a connection whose buffer is too small for it ends with its next response. Limits that a version leaves as they are wake no connection.

--- a/crates/relay/src/caller_server.rs
+++ b/crates/relay/src/caller_server.rs
@@ -1,13 +1,12 @@
 //! The HTTP/1 server that callers connect to: one request at a time on a connection, with limits on
-//! the size and time of request heads.
+//! the size and time of request heads and on idle times. Open connections follow the limits in force.
 
-use crate::config::Limits;
-use crate::head_timeout::{HeadTimeoutStream, RequestInProgress};
-use http::{Request, Response};
+use crate::caller_stream::{CallerStream, CurrentLimits, RequestInProgress, ResponseBody};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use spindle_http::{Body, Drain, Handler, ResetOnFailure, ResettableStream};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -27,13 +26,12 @@
 /// exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves connections until `drain` starts, then finishes the requests in progress. A connection keeps
-/// the limits that `limits` returns when it is accepted. Connections beyond `connections_max` wait in
-/// the listen queue.
+/// Serves connections until `drain` starts, then finishes the requests in progress. Connections beyond
+/// `connections_max` wait in the listen queue.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: H,
-    limits: impl Fn() -> Limits,
+    limits: CurrentLimits,
     connections_max: usize,
     mut drain: Drain,
 ) {
@@ -46,12 +44,11 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let current_limits = limits();
                 connections.spawn(serve_connection(
                     stream,
                     peer,
                     handler.clone(),
-                    current_limits,
+                    limits.clone(),
                     drain.clone(),
                 ));
             }
@@ -69,7 +66,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     handler: H,
-    limits: Limits,
+    mut limits: CurrentLimits,
     mut drain: Drain,
 ) {
     if let Err(error) = crate::connection::set_dead_peer_timeouts(&stream) {
@@ -78,30 +75,43 @@
     let in_progress = RequestInProgress::default();
     let reset = ResetOnFailure::default();
     let stream = ResettableStream::new(stream, reset.clone());
-    let stream = HeadTimeoutStream::new(stream, in_progress.clone(), limits.head_timeout);
+    let stream = CallerStream::new(stream, in_progress.clone(), limits.clone());
     let requests = reset.clone();
+    // A connection can't grow its buffer once it is open.
+    let buffer_bytes = head_buffer_bytes(&limits);
+    let current_limits = limits.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (handler, in_progress) = (handler.clone(), in_progress.clone());
+        let (handler, served) = (handler.clone(), in_progress.begin());
         requests.on_request(&request);
+        let head_bytes_max = head_buffer_bytes(&current_limits);
         async move {
-            in_progress.set(true);
-            let response: Response<Body> = handler.handle(request, peer).await;
-            in_progress.set(false);
-            Ok::<_, Infallible>(response)
+            let mut response = if head_bytes(&request) > head_bytes_max {
+                let mut response = Response::new(Body::Empty);
+                *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+                response
+            } else {
+                handler.handle(request, peer).await
+            };
+            if head_bytes_max > buffer_bytes {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| ResponseBody::new(body, served)))
         }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes_max.max(HEAD_BUFFER_MIN))
-        .max_headers(HEADERS_MAX);
+    builder.header_read_timeout(None).max_buf_size(buffer_bytes).max_headers(HEADERS_MAX);
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = drain.wait() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let mut is_draining = false;
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result,
+            () = drain.wait(), if !is_draining => {
+                connection.as_mut().graceful_shutdown();
+                is_draining = true;
+            }
+            // The connection is polled again and takes its timeouts from the new limits.
+            () = limits.changed() => {}
         }
     };
     if let Err(error) = result {
@@ -109,3 +119,17 @@
         reset.on_failure();
     }
 }
+
+/// The size of the buffer for a request head under the limits in force, in bytes.
+fn head_buffer_bytes(limits: &CurrentLimits) -> usize {
+    limits.get().head_bytes_max.max(HEAD_BUFFER_MIN)
+}
+
+/// The size of the head of a request with its usual separators, in bytes.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let target = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let line = request.method().as_str().len() + target + " HTTP/1.1\r\n".len() + 1;
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line + fields.sum::<usize>() + "\r\n".len()
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -48,6 +48,8 @@
     pub rollout_stage: Gauge<u64>,
     /// Number of requests accepted from other daemons.
     pub accepted_handoffs: Counter<u64>,
+    /// Number of connections of callers that were closed because they had been idle for too long.
+    pub idle_connections_closed: Counter<u64>,
     /// Number of requests refused because of their rank, by service and rank.
     pub rank_refusals: Counter<u64>,
     /// Fraction of the requests of a rank that this daemon admits, by service and rank.
@@ -92,6 +94,7 @@
         rollout_requests: meter.u64_counter("relay_rollout_requests").build(),
         rollout_stage: meter.u64_gauge("rollout_stage").build(),
         accepted_handoffs: meter.u64_counter("relay_accepted_handoffs").build(),
+        idle_connections_closed: meter.u64_counter("relay_idle_connections_closed").build(),
         rank_refusals: meter.u64_counter("relay_rank_refusals").build(),
         rank_fraction: meter.f64_gauge("relay_rank_fraction").build(),
         service_pace: meter.f64_gauge("relay_service_pace").build(),
--- a/crates/relay/src/usage/tests.rs
+++ b/crates/relay/src/usage/tests.rs
@@ -15,7 +15,7 @@
 /// Interval at which the daemons hear of each other, in milliseconds.
 const ROUND_MILLIS: u64 = 200;
 
-const STEP_MILLIS: u64 = 10;
+const STEP_MILLIS: u64 = 20;
 
 fn at(millis: u64) -> MonotonicInstant {
     MonotonicInstant::from_millis(millis)
--- a/src/node.rs
+++ b/src/node.rs
@@ -45,6 +45,7 @@
 use spindle_platform::store::PlatformStore;
 use spindle_policy::cluster_clock::ClusterClock;
 use spindle_policy::shared_limits::{QuotaTolerance, RetryBudgetSpec};
+use spindle_relay::caller_stream::CurrentLimits;
 use spindle_relay::contact_test;
 use spindle_relay::crash_keeper::CrashKeeper;
 use spindle_relay::handoff_server::HandoffHandler;
@@ -382,7 +383,7 @@
     let callers = tokio::spawn(caller_server::serve(
         listener,
         ingress,
-        current_limits(components, 1),
+        CurrentLimits::new(components.limits.clone()),
         (descriptors * CALLER_DESCRIPTOR_FRACTION) as usize,
         shutdown.close_listeners.signal(),
     ));
@@ -396,18 +397,6 @@
     }))
 }
 
-/// The configured limits on callers, with heads of `head_factor` times the size.
-fn current_limits(
-    components: &Components,
-    head_factor: usize,
-) -> impl Fn() -> Limits + Send + use<> {
-    let limits = components.limits.clone();
-    move || {
-        let limits = *limits.borrow();
-        Limits { head_bytes_max: limits.head_bytes_max * head_factor, ..limits }
-    }
-}
-
 /// Accepts requests that other daemons hand over. Returns `None` if it can't: the daemon serves its
 /// callers even so.
 async fn start_handoffs(
@@ -430,7 +419,7 @@
     Some(tokio::spawn(caller_server::serve(
         listener,
         handler,
-        current_limits(components, HANDOFF_HEAD_FACTOR),
+        CurrentLimits::new(components.limits.clone()).with_head_factor(HANDOFF_HEAD_FACTOR),
         in_flight_max * HANDOFF_CONNECTIONS_FACTOR,
         shutdown.close_listeners.signal(),
     )))
--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -284,14 +284,16 @@
         );
         self.usage.on_configuration(now, &config);
         self.archive.add(Document { version: config.version, content, mark });
-        let limits = config.limits;
-        let limits_before = limits_sender.send_replace(limits);
-        if limits_before != limits {
-            log::info!(
-                "event=limits_changed version={} limits={limits:?} before={limits_before:?}",
-                config.version
-            );
-        }
+        limits_sender.send_if_modified(|limits| {
+            let before = std::mem::replace(limits, config.limits);
+            if before != config.limits {
+                log::info!(
+                    "event=limits_changed version={} limits={limits:?} before={before:?}",
+                    config.version
+                );
+            }
+            before != config.limits
+        });
         let version = config.version;
         config_sender.send_replace(config);
         self.versions.on_in_force(now, version, source);
