fix(relay): connections to upstreams beyond a lowered limit are not kept

Those open were kept for as long as requests came, so all daemons together held more than an upstream accepts. The pool closes idle connections beyond the limit of the newest lease, and doesn't keep those returned beyond it.

connections_beyond_a_lowered_limit_are_not_kept failed before (a lease beyond the limit was served from six open connections).

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -24,6 +24,8 @@
 struct Connections {
     idle: Vec<Connection>,
     open: u32,
+    /// The maximum number of open connections at the last lease.
+    max: u32,
 }
 
 /// Connections to all endpoints. Clones share all state.
@@ -68,7 +70,7 @@
         address: SocketAddr,
         connections_max: u32,
     ) -> Result<PooledConnection, PoolError> {
-        if let Some(connection) = self.take_idle(now, endpoint) {
+        if let Some(connection) = self.take_idle(now, endpoint, connections_max) {
             return Ok(PooledConnection {
                 pool: self.clone(),
                 endpoint: Some(endpoint),
@@ -115,9 +117,20 @@
         self.endpoints().values().map(|connections| connections.open).sum()
     }
 
-    fn take_idle(&self, now: MonotonicInstant, endpoint: Endpoint) -> Option<Connection> {
+    /// Takes an idle connection, and closes those beyond the limit, which may have been lowered.
+    fn take_idle(
+        &self,
+        now: MonotonicInstant,
+        endpoint: Endpoint,
+        connections_max: u32,
+    ) -> Option<Connection> {
         let mut endpoints = self.endpoints();
         let connections = endpoints.get_mut(&endpoint)?;
+        connections.max = connections_max;
+        let excess = connections.open.saturating_sub(connections_max);
+        let closed = connections.idle.len().min(usize::try_from(excess).unwrap_or(usize::MAX));
+        connections.idle.drain(..closed);
+        connections.open -= u32::try_from(closed).unwrap_or(connections.open);
         while let Some(connection) = connections.idle.pop() {
             if connection.usable(now) {
                 return Some(connection);
@@ -134,6 +147,7 @@
             return None;
         }
         connections.open += 1;
+        connections.max = connections_max;
         Some(PooledConnection {
             pool: self.clone(),
             endpoint: Some(endpoint),
@@ -173,6 +187,7 @@
         let Some(endpoint) = self.endpoint.take() else { return };
         connection.mark_idle(now, idle_timeout);
         match self.pool.endpoints().get_mut(&endpoint) {
+            Some(connections) if connections.open > connections.max => connections.open -= 1,
             Some(connections) => connections.idle.push(connection),
             None => log::debug!("event=connection_dropped reason=endpoint_forgotten"),
         }
@@ -191,3 +206,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
