test(platform): bytes without end from the store, the cloud API and other daemons

Nothing to fix: ten kinds of responses without end, all of them at once. Upstreams were covered before.

--- a/tests/platform/daemon.rs
+++ b/tests/platform/daemon.rs
@@ -74,7 +74,7 @@
         Self::start_with(name, ports, &settings.to_string())
     }
 
-    fn start_with(name: &str, ports: [SocketAddr; 4], settings: &str) -> Self {
+    pub(crate) fn start_with(name: &str, ports: [SocketAddr; 4], settings: &str) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("boot.yaml");
         std::fs::write(&path, settings).unwrap();
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -25,13 +25,13 @@
 /// Memory that a daemon may use at its peak with that many such responses at once, in kilobytes:
 /// 32 MB of bodies that are read to their end, 100 times 320 kB of heads and events, and 36 MB of
 /// its own.
-const MEMORY_MAX_KB: u64 = 100_000;
+pub(crate) const MEMORY_MAX_KB: u64 = 100_000;
 
 /// Retries that the daemons may send: the default ratio of the requests, and the default slack.
 const RETRIES_MAX: f64 = 0.2 * REQUESTS as f64 + 52.0;
 
 /// The first bytes of a response, and those that it repeats without end.
-const FLOODS: [(&str, &str, &str); 10] = [
+pub(crate) const FLOODS: [(&str, &str, &str); 10] = [
     ("status-line", "HTTP/1.1 200 O", "kkkkkkkkkkkkkkkkkkkkkkkkkkkkkkkk"),
     ("headers", "HTTP/1.1 200 OK\r\n", "x-a: b\r\n"),
     ("informational", "", "HTTP/1.1 100 Continue\r\n\r\n"),
@@ -117,7 +117,7 @@
 }
 
 /// The peak of the memory of a process, in kilobytes.
-fn peak_memory_kb(daemon: &Daemon) -> u64 {
+pub(crate) fn peak_memory_kb(daemon: &Daemon) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{}/status", daemon.child.id())).unwrap();
     let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
     line.trim().trim_end_matches(" kB").parse().unwrap()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod duties;
 mod endless;
+mod endless_peers;
 mod kept_connections;
 mod late_requests;
 mod limits;
