fix(node): a follower of the store reads the list after an answer that it can't decode

A read whose answer was over the size that the client takes, or malformed, was sent again from the same offset without end, and as all daemons were at about the same offset, none could help another. The stand-in had sent 8 records of 273 kB where the users' store sends 1 MB at most, so it is not shown that their store causes this. Class: a failure that depends on the content is retried like one of the connection.

Such an answer now makes the follower read the list of the newest records, after the usual delay. The follower of the registrations does the same.

a_change_behind_a_record_that_cannot_be_read_takes_effect_from_the_list failed before (version 2 in force in place of 3).

--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -167,6 +167,10 @@
                     }
                 }
                 Err(StoreError::Expired(_)) => self.state().position.on_expired(),
+                Err(StoreError::Form(cause)) if self.has_position() => {
+                    self.state().position.on_unreadable(&cause);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
                 Err(error) => {
                     if !store_lost {
                         log::warn!("event=store_lost feed=configuration error={error:?}");
@@ -299,6 +303,10 @@
         self.versions.on_in_force(now, version, source);
     }
 
+    fn has_position(&self) -> bool {
+        self.state().position.next().is_some()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         // A poisoned lock is safe to use: no holder panics halfway through a change.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/node/configuration/tests.rs
+++ b/src/node/configuration/tests.rs
@@ -61,6 +61,22 @@
     assert_eq!(config.borrow().version, 2);
 }
 
+/// A read whose answer could not be decoded was sent again the same way, without end.
+#[tokio::test(start_paused = true)]
+async fn a_change_behind_a_record_that_cannot_be_read_takes_effect_from_the_list() {
+    let TestFollower { store, config, .. } = follow();
+    sleep_ms(1_000).await;
+    store.unreadable.store(true, Ordering::Relaxed);
+    store.set(2);
+    sleep_ms(7_000).await;
+    store.set(3);
+    sleep_ms(1_000).await;
+    assert_eq!(config.borrow().version, 3);
+    // It is no reason to call the store more often than after other errors.
+    let calls = store.calls.load(Ordering::Relaxed);
+    assert!(calls < 40, "{calls} calls");
+}
+
 /// Guards against a slow recovery (found by hunt-28a7-7): a read that started during the outage
 /// waited for its whole timeout of 6.5 s before the store was read again.
 #[tokio::test(start_paused = true)]
--- a/src/node/fake_store.rs
+++ b/src/node/fake_store.rs
@@ -104,6 +104,8 @@
 pub(super) struct FakeStore {
     /// Whether calls time out instead of being answered.
     pub(super) unreachable: Arc<AtomicBool>,
+    /// Whether a read from an offset has an answer that can't be decoded.
+    pub(super) unreadable: Arc<AtomicBool>,
     /// Number of calls received.
     pub(super) calls: Arc<AtomicU64>,
     version: Arc<AtomicU64>,
@@ -194,6 +196,9 @@
         from: u64,
         wait: Duration,
     ) -> Result<FeedBatch, StoreError> {
+        if self.unreadable.load(Ordering::Relaxed) {
+            return Err(StoreError::Form("too large".to_owned()));
+        }
         self.answer(feed, from, wait).await
     }
 
--- a/src/node/feed_position.rs
+++ b/src/node/feed_position.rs
@@ -39,6 +39,17 @@
         self.next = None;
     }
 
+    /// Reads the complete list next, because the answer to the last read can't be decoded: the same
+    /// read would have the same answer.
+    pub fn on_unreadable(&mut self, cause: &str) {
+        log::warn!(
+            "event=store_answer_unreadable feed={} from={:?} error={cause:?}",
+            self.feed,
+            self.next
+        );
+        self.next = None;
+    }
+
     /// Reads the complete list next, because all but the newest of the records that are left are out
     /// of date.
     pub const fn skip_outdated(&mut self) {
--- a/src/node/registrations.rs
+++ b/src/node/registrations.rs
@@ -174,6 +174,10 @@
                 }
                 Ok(Continuation::Outdated) => tokio::time::sleep(RETRY_DELAY).await,
                 Err(StoreError::Expired(_)) => position.on_expired(),
+                Err(StoreError::Form(cause)) if !is_full_list => {
+                    position.on_unreadable(&cause);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
                 Err(error) => {
                     if store_lost {
                         self.balancer.on_outage(now);
