test(platform): daemons that are restarted in a series of versions

Half of the daemons are killed and started at once, three times, seconds apart, while 60 versions of 1,400 routes follow each other at five a second; 0.12 of a processor a daemon, 10 Mbit/s to the store.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -18,6 +18,7 @@
 #[path = "../../platform/standin/raw.rs"]
 #[allow(unreachable_pub)]
 mod raw;
+mod restarts;
 mod rollouts;
 mod slow_readers;
 #[path = "../../platform/standin/mod.rs"]
--- a/tests/platform/many_daemons.rs
+++ b/tests/platform/many_daemons.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 /// Number of routes besides those of the stand-in's configuration.
-const ROUTES: u64 = 1_400;
+pub(crate) const ROUTES: u64 = 1_400;
 
 /// Rate of the link of an instance, in bytes per second: 10 Mbit/s.
 const LINK_RATE: f64 = 1_250_000.0;
@@ -40,20 +40,20 @@
 const DAEMONS: usize = 12;
 
 /// Variable that sets the number of daemons for a run by hand.
-const COUNT_VARIABLE: &str = "BRONZESPINDLE_TEST_DAEMONS";
+pub(crate) const COUNT_VARIABLE: &str = "BRONZESPINDLE_TEST_DAEMONS";
 
 /// The time within which daemons put a change in force.
-const CONFIG_TIME: Duration = Duration::from_secs(3);
+pub(crate) const CONFIG_TIME: Duration = Duration::from_secs(3);
 
 /// Limits the processor time of processes by pausing each that has used up its part of a period, as
 /// the kernel does for a group with a quota.
-struct CpuLimit {
+pub(crate) struct CpuLimit {
     is_over: Arc<AtomicBool>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
 
 impl CpuLimit {
-    fn start(processes: Vec<u32>) -> Self {
+    pub(crate) fn start(processes: Vec<u32>) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let over = Arc::clone(&is_over);
         let thread = std::thread::spawn(move || {
@@ -113,8 +113,14 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap()
 }
 
+/// The time of the day, as in time stamps of logs.
+pub(crate) fn time_of_day() -> Duration {
+    let day = Duration::from_secs(86_400).as_nanos();
+    Duration::from_nanos((now().as_nanos() % day) as u64)
+}
+
 /// Forwards connections to an address over a link that all of them share.
-async fn slow_link(target: SocketAddr) -> SocketAddr {
+pub(crate) async fn slow_link(target: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -153,7 +159,7 @@
 }
 
 /// The stand-in's configuration with many more routes, and the keys that are left.
-fn configuration(version: u64, routes: u64, keys: &[String]) -> Value {
+pub(crate) fn configuration(version: u64, routes: u64, keys: &[String]) -> Value {
     let mut configuration = standin::configuration(version);
     let template = configuration["routes"][0].clone();
     for route in 0..routes {
@@ -170,7 +176,7 @@
 }
 
 /// The versions that a daemon put in force and when, in order, from its log.
-fn in_force(log: &str) -> Vec<(u64, Duration)> {
+pub(crate) fn in_force(log: &str) -> Vec<(u64, Duration)> {
     let lines = log.lines().filter(|line| line.contains("event=configuration_in_force "));
     let entry = |line: &str| {
         let time = line.split_whitespace().find(|word| word.contains('T') && word.ends_with('Z'));
@@ -224,9 +230,7 @@
             keys.pop();
         }
         platform.configure(&configuration(version, ROUTES, &keys));
-        let day = Duration::from_secs(86_400).as_nanos();
-        let time = Duration::from_nanos((now().as_nanos() % day) as u64);
-        acked.insert(version, time);
+        acked.insert(version, time_of_day());
         let pause = if version == 4 { Duration::from_secs(4) } else { CHANGE_INTERVAL };
         tokio::time::sleep(pause).await;
     }
@@ -252,7 +256,7 @@
     acked.into_iter().map(|(version, at)| (version, slowest(version, at))).collect()
 }
 
-async fn wait_for_version(daemon: &Daemon, version: u64) {
+pub(crate) async fn wait_for_version(daemon: &Daemon, version: u64) {
     for _ in 0..POLLS_MAX {
         if in_force(&daemon.log()).last().is_some_and(|(newest, _)| *newest >= version) {
             return;
